--- /dev/null
+++ b/client/flow.go
@@ -0,0 +1,292 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
+)
+
+const (
+	dialTimeout     = 3 * time.Second
+	idleTimeout     = 30 * time.Second
+	keepAlivePeriod = 2 * time.Second
+	initialPacket   = 1200 // bytes
+	// silentLimit without a datagram makes a flow move to a new local port.
+	silentLimit = keepAlivePeriod + time.Second
+	// moveInterval is the least time between two moves.
+	moveInterval = 2 * time.Second
+	// suspectLimit without a datagram makes new work go to another flow.
+	suspectLimit  = 5 * time.Second
+	watchInterval = 200 * time.Millisecond
+
+	maxGreeting = 4 << 10 // bytes
+	maxStatus   = 4 << 10 // bytes
+)
+
+// flow is one QUIC connection to an agent.
+type flow struct {
+	conn      *quic.Conn
+	transport *quic.Transport
+	socket    *socket
+	identity  jasminemoor.Identity
+	upstream  string
+	isLeaving atomic.Bool
+	moves     atomic.Uint64
+	ended     chan struct{}
+
+	mu      sync.Mutex
+	streams int
+	// isRetired says that the flow ends with its last stream.
+	isRetired bool
+}
+
+// dialFlow opens a flow and waits for the agent's greeting.
+func (c *Caller) dialFlow(ctx context.Context) (f *flow, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "open flow to %s", c.Address)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := newSocket(c.Address)
+	if err != nil {
+		return nil, err
+	}
+	f = &flow{socket: s, transport: &quic.Transport{Conn: s}, ended: make(chan struct{})}
+	f.conn, err = f.transport.Dial(ctx, net.UDPAddrFromAddrPort(c.Address), c.tlsConfig(), &quic.Config{
+		MaxIdleTimeout:          idleTimeout,
+		HandshakeIdleTimeout:    dialTimeout,
+		KeepAlivePeriod:         keepAlivePeriod,
+		InitialPacketSize:       initialPacket,
+		DisablePathMTUDiscovery: true,
+		MaxIncomingStreams:      -1,
+		MaxIncomingUniStreams:   1,
+	})
+	if err != nil {
+		f.release()
+		return nil, err
+	}
+	greetings, err := f.readGreeting(ctx)
+	if err != nil {
+		f.close()
+		return nil, err
+	}
+	go f.watchGreetings(greetings)
+	go f.watchSilence()
+	return f, nil
+}
+
+func (c *Caller) tlsConfig() *tls.Config {
+	config := c.TLS.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	config.MinVersion = tls.VersionTLS13
+	config.NextProtos = []string{jasminemoor.Protocol}
+	config.ServerName = c.ServerName
+	return config
+}
+
+func (f *flow) readGreeting(ctx context.Context) (greetings io.Reader, err error) {
+	stream, err := f.conn.AcceptUniStream(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if deadline, found := ctx.Deadline(); found {
+		_ = stream.SetReadDeadline(deadline)
+	}
+	var greeting jasminemoor.Greeting
+	if err = jmframe.Read(stream, &greeting, maxGreeting); err != nil {
+		return nil, err
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	f.identity, f.upstream = greeting.Identity, greeting.Upstream
+	f.isLeaving.Store(greeting.Leaving)
+	return stream, nil
+}
+
+// watchGreetings waits for the agent to say that it leaves.
+func (f *flow) watchGreetings(greetings io.Reader) {
+	for {
+		var greeting jasminemoor.Greeting
+		if err := jmframe.Read(greetings, &greeting, maxGreeting); err != nil {
+			return
+		}
+		if greeting.Leaving {
+			f.isLeaving.Store(true)
+			f.retire()
+		}
+	}
+}
+
+// watchSilence moves a silent flow to a new port, well before it times out:
+// something between the two ends may have lost track of the old one.
+func (f *flow) watchSilence() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	var lastMove time.Time
+	for {
+		select {
+		case <-f.conn.Context().Done():
+			f.release()
+			return
+		case <-ticker.C:
+		}
+		if f.socket.silence() >= silentLimit && time.Since(lastMove) >= moveInterval {
+			lastMove = time.Now()
+			f.moves.Add(1)
+			_ = f.socket.move()
+		}
+	}
+}
+
+// isUsable reports whether new streams should go over the flow.
+func (f *flow) isUsable() bool {
+	f.mu.Lock()
+	isRetired := f.isRetired
+	f.mu.Unlock()
+	return !isRetired && !f.isLeaving.Load() && !f.isSuspect() && f.conn.Context().Err() == nil
+}
+
+func (f *flow) isSuspect() bool { return f.socket.silence() >= suspectLimit }
+
+// retire closes the flow once its last stream has ended.
+func (f *flow) retire() {
+	f.mu.Lock()
+	f.isRetired = true
+	isIdle := f.streams == 0
+	f.mu.Unlock()
+	if isIdle {
+		f.close()
+	}
+}
+
+func (f *flow) close() {
+	_ = f.conn.CloseWithError(jasminemoor.CodeDone, "")
+	f.release()
+}
+
+func (f *flow) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.ended:
+		return
+	default:
+	}
+	close(f.ended)
+	_ = f.transport.Close()
+	_ = f.socket.Close()
+}
+
+func (f *flow) streamBegan() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams++
+}
+
+func (f *flow) streamEnded() {
+	f.mu.Lock()
+	f.streams--
+	isLast := f.streams == 0 && f.isRetired
+	f.mu.Unlock()
+	if isLast {
+		f.close()
+	}
+}
+
+func cancelStream(stream *quic.Stream) {
+	stream.CancelRead(jasminemoor.CodeCancelled)
+	stream.CancelWrite(jasminemoor.CodeCancelled)
+}
+
+// errSuspect ends an attempt on a flow that has gone silent.
+var errSuspect = errors.New("flow has gone silent")
+
+// request does one attempt of a request. An error means that the attempt's
+// fate is not known, save that wasSent tells whether anything was sent.
+func (f *flow) request(ctx context.Context, header *jasminemoor.RequestHeader, body []byte, limit int64) (status jasminemoor.Status, answer []byte, wasSent bool, err error) {
+	f.streamBegan()
+	defer f.streamEnded()
+	stream, err := f.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return status, nil, false, err
+	}
+	if err = jmframe.Write(stream, header); err != nil {
+		cancelStream(stream)
+		return status, nil, true, f.explain(ctx, err)
+	}
+	// A caller's own cancellation reaches the upstream; a silent flow is only
+	// left, since a later attempt may still want the answer.
+	stopCancel := context.AfterFunc(ctx, func() { cancelStream(stream) })
+	defer stopCancel()
+	stopSuspect := f.onSuspect(func() { stream.CancelRead(jasminemoor.CodeDone) })
+	defer stopSuspect()
+	go func() {
+		if _, err := io.Copy(stream, bytes.NewReader(body)); err == nil {
+			_ = stream.Close()
+		}
+	}()
+	if err = jmframe.Read(stream, &status, maxStatus); err != nil {
+		return status, nil, true, f.explain(ctx, err)
+	}
+	if status.Outcome != jasminemoor.OutcomeAccepted {
+		stream.CancelWrite(jasminemoor.CodeDone)
+		return status, nil, true, nil
+	}
+	answer, err = io.ReadAll(io.LimitReader(stream, limit+1))
+	if err != nil {
+		return status, nil, true, f.explain(ctx, err)
+	}
+	if int64(len(answer)) > limit {
+		cancelStream(stream)
+		return status, nil, true, ErrTooLarge
+	}
+	return status, answer, true, nil
+}
+
+func (f *flow) explain(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if f.isSuspect() {
+		return errSuspect
+	}
+	return err
+}
+
+// onSuspect calls do once if the flow goes silent before stop is called.
+func (f *flow) onSuspect(do func()) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-f.ended:
+				return
+			case <-ticker.C:
+				if f.isSuspect() {
+					do()
+					return
+				}
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
--- /dev/null
+++ b/cmd/jasminemoor/agent.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
+)
+
+func agentCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "agent")
+	var f roleFlags
+	f.add(flags)
+	certificate := flags.String("certificate", "", "file with the service's certificate in PEM, if the settings give none")
+	key := flags.String("key", "", "file with the certificate's key in PEM")
+	return &ffcli.Command{
+		Name:       "agent",
+		ShortUsage: "jasminemoor agent -address <ip:port> -data-centre <name> -platform <url> [flags]",
+		ShortHelp:  "Run the process beside an upstream.",
+		FlagSet:    flags,
+		Options:    parseOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := f.check(); err != nil {
+				return err
+			}
+			log, err := f.log.logger(t.err)
+			if err != nil {
+				return err
+			}
+			node := f.node(log)
+			a := &jmagent.Agent{Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log}
+			if *certificate != "" {
+				pair, err := tls.LoadX509KeyPair(*certificate, *key)
+				if err != nil {
+					return err
+				}
+				a.Certificate = &pair
+			}
+			return f.runRole(ctx, log, a, &jmoperator.Server{
+				Metrics: jmoperator.AgentMetrics(a),
+				Status:  func() any { return jmoperator.AgentStatus(a) },
+			})
+		},
+	}
+}
--- /dev/null
+++ b/cmd/jasminemoor/balancer.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
+)
+
+func balancerCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "balancer")
+	var f roleFlags
+	f.add(flags)
+	serviceIP := ipFlag(flags, "service-ip", "IP address that takes the place of each service's own, where the fabric translates addresses")
+	return &ffcli.Command{
+		Name:       "balancer",
+		ShortUsage: "jasminemoor balancer -address <ip:port> -data-centre <name> -platform <url> [flags]",
+		ShortHelp:  "Run an entry process.",
+		FlagSet:    flags,
+		Options:    parseOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := f.check(); err != nil {
+				return err
+			}
+			log, err := f.log.logger(t.err)
+			if err != nil {
+				return err
+			}
+			node := f.node(log)
+			b := &jmbalancer.Balancer{
+				Identity:   node.Identity,
+				DataCentre: f.dataCentre,
+				ServiceIP:  *serviceIP,
+				Node:       node,
+				Log:        log,
+			}
+			return f.runRole(ctx, log, b, &jmoperator.Server{
+				Metrics: jmoperator.BalancerMetrics(b),
+				Status:  func() any { return jmoperator.BalancerStatus(b) },
+			})
+		},
+	}
+}
--- /dev/null
+++ b/cmd/jasminemoor/call.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/client"
+)
+
+const defaultCallTimeout = 30 * time.Second
+
+const callHelp = `A request is read from standard input to its end, and its answer is printed.
+With -feed, standard input is sent as it comes, and the feed is printed until
+the service ends it or the command is interrupted.
+
+Exit codes: 0 answered, or the feed ended; 1 other failure; 2 wrong usage;
+3 not run, and it never will; 4 unknown, it may have run; 5 the feed was cut.`
+
+// callFlags are the flags of call.
+type callFlags struct {
+	address    *netip.AddrPort
+	serverName string
+	authority  string
+	timeout    time.Duration
+	idempotent bool
+	feed       bool
+}
+
+func (f *callFlags) add(flags *flag.FlagSet) {
+	f.address = addrPortFlag(flags, "address", "address of the service")
+	flags.StringVar(&f.serverName, "server-name", "", "name of the service, as in its certificate")
+	flags.StringVar(&f.authority, "ca", "", "file with the trusted root certificates in PEM, instead of the system's")
+	flags.DurationVar(&f.timeout, "timeout", defaultCallTimeout, "how long to wait for a request's answer, or for a feed to open")
+	flags.BoolVar(&f.idempotent, "idempotent", false, "the request may run more than once")
+	flags.BoolVar(&f.feed, "feed", false, "open a feed")
+}
+
+func (f *callFlags) caller() (c *client.Caller, err error) {
+	if !f.address.IsValid() || f.serverName == "" {
+		return nil, &exitError{code: exitUsage, text: "-address and -server-name are needed"}
+	}
+	c = &client.Caller{Address: *f.address, ServerName: f.serverName, TLS: &tls.Config{MinVersion: tls.VersionTLS13}}
+	if f.authority == "" {
+		return c, nil
+	}
+	text, err := os.ReadFile(f.authority)
+	if err != nil {
+		return nil, err
+	}
+	c.TLS.RootCAs = x509.NewCertPool()
+	if !c.TLS.RootCAs.AppendCertsFromPEM(text) {
+		return nil, &exitError{code: exitUsage, text: f.authority + " holds no certificate"}
+	}
+	return c, nil
+}
+
+func callCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "call")
+	var f callFlags
+	f.add(flags)
+	return &ffcli.Command{
+		Name:       "call",
+		ShortUsage: "jasminemoor call -address <ip:port> -server-name <name> [flags]",
+		ShortHelp:  "Send a request to a service, or open a feed.",
+		LongHelp:   callHelp,
+		FlagSet:    flags,
+		Options:    parseOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			caller, err := f.caller()
+			if err != nil {
+				return err
+			}
+			defer caller.Close()
+			if f.feed {
+				return f.openFeed(ctx, t, caller)
+			}
+			return f.request(ctx, t, caller)
+		},
+	}
+}
+
+func (f *callFlags) request(ctx context.Context, t *terminal, caller *client.Caller) error {
+	body, err := io.ReadAll(t.in)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	answer, err := caller.Do(ctx, client.Request{Body: body, Idempotent: f.idempotent})
+	if err != nil {
+		return callError(err)
+	}
+	_, err = t.out.Write(answer.Body)
+	return err
+}
+
+func callError(err error) error {
+	var refusal *client.Error
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	code := exitUnknown
+	if refusal.Outcome == jasminemoor.OutcomeNotRun {
+		code = exitNotRun
+	}
+	return &exitError{code: code, text: refusal.Error()}
+}
+
+func (f *callFlags) openFeed(ctx context.Context, t *terminal, caller *client.Caller) error {
+	openCtx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	feed, err := caller.OpenFeed(openCtx)
+	if err != nil {
+		return callError(err)
+	}
+	defer feed.Close()
+	stop := context.AfterFunc(ctx, func() { _ = feed.Close() })
+	defer stop()
+	go func() { _, _ = io.Copy(feed, t.in) }()
+	if _, err = io.Copy(t.out, feed); err != nil && ctx.Err() == nil {
+		return &exitError{code: exitCut, text: fmt.Sprintf("feed was cut: %s", err)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/jasminemoor/flags.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bytes"
+	"encoding/hex"
+	"flag"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
+)
+
+func newBytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
+
+// addrPortFlag adds a flag that takes an IP address and a port.
+func addrPortFlag(flags *flag.FlagSet, name, usage string) *netip.AddrPort {
+	value := new(netip.AddrPort)
+	flags.Func(name, usage, func(text string) (err error) {
+		*value, err = netip.ParseAddrPort(text)
+		return err
+	})
+	return value
+}
+
+// addrPortsFlag adds a flag that takes several, with commas between them.
+func addrPortsFlag(flags *flag.FlagSet, name, usage string) *[]netip.AddrPort {
+	values := new([]netip.AddrPort)
+	flags.Func(name, usage, func(text string) error {
+		*values = nil
+		for _, each := range strings.Split(text, ",") {
+			value, err := netip.ParseAddrPort(strings.TrimSpace(each))
+			if err != nil {
+				return err
+			}
+			*values = append(*values, value)
+		}
+		return nil
+	})
+	return values
+}
+
+// controlKeyFlag adds a flag that takes a control key in hexadecimal.
+func controlKeyFlag(flags *flag.FlagSet) **jmdatagram.ControlKey {
+	value := new(*jmdatagram.ControlKey)
+	usage := "control key in hexadecimal, for asking -peers before any settings are known"
+	flags.Func("control-key", usage, func(text string) error {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != len(jmdatagram.ControlKey{}) {
+			return eris.Errorf("a control key is %d bytes in hexadecimal", len(jmdatagram.ControlKey{}))
+		}
+		key := jmdatagram.ControlKey(raw)
+		*value = &key
+		return nil
+	})
+	return value
+}
+
+// logFlags are the flags about logs.
+type logFlags struct {
+	format, level string
+}
+
+func (f *logFlags) add(flags *flag.FlagSet, level string) {
+	flags.StringVar(&f.format, "log-format", "text", "format of the log: text or json")
+	flags.StringVar(&f.level, "log-level", level, "least level to log: debug, info, warning or error")
+}
+
+func (f *logFlags) logger(w io.Writer) (log *logrus.Logger, err error) {
+	log = logrus.New()
+	log.SetOutput(w)
+	switch f.format {
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{})
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	default:
+		return nil, &exitError{code: exitUsage, text: "log-format is neither text nor json"}
+	}
+	level, err := logrus.ParseLevel(f.level)
+	if err != nil {
+		return nil, &exitError{code: exitUsage, text: err.Error()}
+	}
+	log.SetLevel(level)
+	return log, nil
+}
+
+// ipFlag adds a flag that takes an IP address.
+func ipFlag(flags *flag.FlagSet, name, usage string) *netip.Addr {
+	value := new(netip.Addr)
+	flags.Func(name, usage, func(text string) (err error) {
+		*value, err = netip.ParseAddr(text)
+		return err
+	})
+	return value
+}
--- /dev/null
+++ b/cmd/jasminemoor/role.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmwatch"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
+)
+
+const defaultOperator = "127.0.0.1:9464"
+
+// roleFlags are the flags that balancers and agents share.
+type roleFlags struct {
+	address    *netip.AddrPort
+	peers      *[]netip.AddrPort
+	controlKey **jmdatagram.ControlKey
+	dataCentre string
+	platform   string
+	operator   string
+	config     string
+	log        logFlags
+}
+
+func (f *roleFlags) add(flags *flag.FlagSet) {
+	f.address = addrPortFlag(flags, "address", "address of this process towards the rest of the fleet, as the settings name it")
+	f.peers = addrPortsFlag(flags, "peers", "addresses of processes to ask for settings, with commas between them")
+	f.controlKey = controlKeyFlag(flags)
+	flags.StringVar(&f.dataCentre, "data-centre", "", "data centre of this process")
+	flags.StringVar(&f.platform, "platform", "", "base URL of the platform's configuration service")
+	flags.StringVar(&f.operator, "operator", defaultOperator, "address of the HTTP endpoint for metrics and status, or none")
+	flags.StringVar(&f.config, "config", "", "file with flags, JSON with comments")
+	f.log.add(flags, "info")
+}
+
+func (f *roleFlags) check() error {
+	switch {
+	case !f.address.IsValid():
+		return &exitError{code: exitUsage, text: "-address is missing"}
+	case f.dataCentre == "":
+		return &exitError{code: exitUsage, text: "-data-centre is missing"}
+	case f.platform == "" && len(*f.peers) == 0:
+		return &exitError{code: exitUsage, text: "-platform or -peers is needed"}
+	case len(*f.peers) > 0 && *f.controlKey == nil && f.platform == "":
+		return &exitError{code: exitUsage, text: "-peers without -platform needs -control-key"}
+	}
+	return nil
+}
+
+func (f *roleFlags) node(log logrus.FieldLogger) *jmnode.Node {
+	n := &jmnode.Node{
+		Identity: jasminemoor.Identity{
+			Agent:       *f.address,
+			Incarnation: jasminemoor.NewIncarnation(time.Now()),
+		},
+		DataCentre: f.dataCentre,
+		Seeds:      *f.peers,
+		SeedKey:    *f.controlKey,
+		Log:        log,
+	}
+	if f.platform != "" {
+		n.Platform = &jmwatch.Client{URL: f.platform}
+	}
+	return n
+}
+
+// role is a balancer or an agent.
+type role interface {
+	Run(ctx context.Context) error
+	Leave()
+	Drained() <-chan struct{}
+}
+
+// runRole runs a role with its operator endpoint. The first SIGTERM or SIGINT
+// makes it leave gracefully, and the second ends it at once.
+func (f *roleFlags) runRole(ctx context.Context, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	isForced := false
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(func(ctx context.Context) error {
+		defer cancel()
+		return r.Run(ctx)
+	})
+	if f.operator != "" && f.operator != "none" {
+		operator.Address = f.operator
+		p.Go(operator.Run)
+	}
+	p.Go(func(ctx context.Context) error {
+		defer cancel()
+		isForced = awaitStop(ctx, log, r, signals)
+		return nil
+	})
+	if err := p.Wait(); err != nil && ctx.Err() == nil {
+		return err
+	}
+	if isForced {
+		return &exitError{code: exitFailed, text: "ended before it was drained"}
+	}
+	return nil
+}
+
+func awaitStop(ctx context.Context, log logrus.FieldLogger, r role, signals <-chan os.Signal) (isForced bool) {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-signals:
+	}
+	r.Leave()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.Drained():
+		return false
+	case <-signals:
+		log.Warn("process: second signal, ending at once")
+		return true
+	}
+}
--- /dev/null
+++ b/cmd/jasminemoor/standin.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmplatform"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
+)
+
+const standinHeaderTimeout = 5 * time.Second
+
+// standinCommand runs the stand-ins as processes of their own, for tests.
+func standinCommand(t *terminal) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "standin",
+		ShortUsage: "jasminemoor standin <platform|fabric|upstream> [flags]",
+		ShortHelp:  "Run a stand-in for an outside system, for tests and trials.",
+		FlagSet:    newFlagSet(t, "standin"),
+		Subcommands: []*ffcli.Command{
+			platformCommand(t),
+			fabricCommand(t),
+			upstreamCommand(t),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func platformCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "platform")
+	listen := flags.String("listen", "127.0.0.1:8500", "address to listen on")
+	dir := flags.String("settings", "", "directory with the settings tree to begin with")
+	return &ffcli.Command{
+		Name:      "platform",
+		ShortHelp: "Run a configuration service in memory.",
+		FlagSet:   flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			p := &jmplatform.Platform{}
+			if *dir != "" {
+				subtrees, err := jmtree.ReadDir(*dir, 1)
+				if err != nil {
+					return err
+				}
+				for _, s := range subtrees {
+					p.PutAll(s.Path, s.Values)
+				}
+			}
+			return serveHTTP(ctx, *listen, p)
+		},
+	}
+}
+
+func fabricCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "fabric")
+	listen := addrPortFlag(flags, "listen", "address of the service")
+	balancers := addrPortsFlag(flags, "balancers", "where to hand datagrams to, with commas between them")
+	control := flags.String("control", "", "HTTP address that takes new settings")
+	seed := flags.Uint64("seed", 1, "seed of the random choices")
+	return &ffcli.Command{
+		Name:      "fabric",
+		ShortHelp: "Spray the datagrams of a service address over balancers.",
+		FlagSet:   flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			f := &jmfabric.Fabric{Listen: *listen, Seed: *seed}
+			f.Set(jmfabric.Settings{Balancers: *balancers})
+			if err := f.Open(); err != nil {
+				return err
+			}
+			var wg conc.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() { f.Run(ctx) })
+			return serveHTTP(ctx, *control, f)
+		},
+	}
+}
+
+func upstreamCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "upstream")
+	address := addrPortFlag(flags, "listen", "address to listen on")
+	name := flags.String("name", "upstream", "name in the answers")
+	control := flags.String("control", "", "HTTP address that tells what ran")
+	return &ffcli.Command{
+		Name:      "upstream",
+		ShortHelp: "Run an upstream that takes bookings, sends sheets and feeds.",
+		FlagSet:   flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			u := &jmupstream.Upstream{Name: *name, Address: *address}
+			if err := u.Listen(); err != nil {
+				return err
+			}
+			var wg conc.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() { u.Run(ctx) })
+			return serveHTTP(ctx, *control, u)
+		},
+	}
+}
+
+// serveHTTP serves until ctx ends; without an address it only waits.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	if address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err = server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/jmnode/platform.go
@@ -0,0 +1,144 @@
+package jmnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+)
+
+const (
+	platformInterval = time.Second // between looks at whether to read
+	callTimeout      = 5 * time.Second
+	watchTimeout     = 90 * time.Second
+	// minCallInterval keeps a watch that returns at once from using up calls.
+	minCallInterval = 50 * time.Millisecond
+	minBackoff      = 500 * time.Millisecond
+	maxBackoff      = 15 * time.Second
+)
+
+// followPlatform reads the platform while this process is a reader, or while
+// it hears of the settings from nobody else.
+func (n *Node) followPlatform(ctx context.Context) {
+	if n.Platform == nil {
+		return
+	}
+	backoff := minBackoff
+	since := uint64(0)
+	for ctx.Err() == nil {
+		if !n.shouldRead(ctx) {
+			sleep(ctx, platformInterval)
+			continue
+		}
+		at, err := n.readPlatform(ctx, since)
+		if err != nil {
+			n.Counters.PlatformErrors.Add(1)
+			n.Log.WithError(err).Warn("settings: platform can't be read")
+			sleep(ctx, jitter(backoff))
+			backoff = min(backoff*2, maxBackoff)
+			continue
+		}
+		since = at
+		if n.View().Config == nil {
+			// The fleet's subtree has faults: nothing to go on yet.
+			sleep(ctx, jitter(backoff))
+			backoff = min(backoff*2, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		sleep(ctx, minCallInterval)
+	}
+}
+
+// shouldRead asks the control goroutine whether this process reads the platform now.
+func (n *Node) shouldRead(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	n.do(func(now time.Time) {
+		answer <- n.spread.IsQuiet(now) || n.view.Load().IsReader
+	})
+	select {
+	case should := <-answer:
+		return should
+	case <-ctx.Done():
+	case <-time.After(controlQueueWait):
+	}
+	return false
+}
+
+// readPlatform waits for a change and reads what is new. A process without
+// any settings reads only the fleet's subtree: that names its peers, who have
+// the rest unless it turns out to be a reader itself.
+func (n *Node) readPlatform(ctx context.Context, since uint64) (at uint64, err error) {
+	if n.View().Config == nil {
+		return 0, n.readSubtree(ctx, jmtree.FleetPath)
+	}
+	revisions, err := n.waitRevisions(ctx, since)
+	if err != nil {
+		return since, err
+	}
+	needs := make(chan []string, 1)
+	n.do(func(now time.Time) {
+		n.spread.HeardPlatform(now)
+		needs <- n.spread.Needs(revisions)
+	})
+	select {
+	case paths := <-needs:
+		for _, path := range paths {
+			if err = n.readSubtree(ctx, path); err != nil {
+				return since, err
+			}
+		}
+	case <-ctx.Done():
+		return since, ctx.Err()
+	case <-time.After(controlQueueWait):
+		return since, nil
+	}
+	return revisions.At, nil
+}
+
+func (n *Node) waitRevisions(ctx context.Context, since uint64) (r jasminemoor.Revisions, err error) {
+	n.Counters.PlatformCalls.Add(1)
+	if since == 0 {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return n.Platform.Revisions(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return n.Platform.Watch(ctx, since)
+}
+
+func (n *Node) readSubtree(ctx context.Context, path string) (err error) {
+	n.Counters.PlatformCalls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := n.Platform.Read(ctx, path)
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	n.do(func(time.Time) {
+		n.putSubtrees([]jasminemoor.Subtree{s})
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// jitter returns between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2)
+}
--- /dev/null
+++ b/internal/fleet/jmoperator/operator.go
@@ -0,0 +1,68 @@
+// Package jmoperator is the HTTP endpoint of one process for its operators:
+// metrics in the Prometheus text format, and its status as JSON.
+package jmoperator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = time.Second
+)
+
+// Server is the endpoint. The exported fields are set before Run.
+type Server struct {
+	// Address is where to listen, such as 127.0.0.1:9464.
+	Address string
+	Metrics *metrics.Set
+	// Status returns what /status shows.
+	Status func() any
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "operator endpoint %s", s.Address)
+		}
+	}()
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	defer stop()
+	if err = server.Serve(listener); errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "\t")
+		_ = encoder.Encode(s.Status())
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/flow/jmagent/agent.go
@@ -0,0 +1,263 @@
+// Package jmagent is the process beside each upstream: it ends the callers'
+// QUIC connections, issues the connection IDs that route them, admits their
+// streams and passes them to its upstream.
+package jmagent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmreturn"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmserver"
+)
+
+const (
+	socketBuffer = 4 << 20 // bytes asked of the kernel for each direction
+
+	idleTimeout      = 30 * time.Second
+	handshakeTimeout = 5 * time.Second
+	keepAlivePeriod  = 5 * time.Second
+	initialPacket    = 1200 // bytes, so that the encapsulation fits any path
+	maxStreams       = 1000 // open at a time on one flow
+	// flowGrace is how long a flow without streams stays open while the agent
+	// leaves, so that the last answers are acknowledged.
+	flowGrace     = 10 * time.Second
+	drainInterval = 100 * time.Millisecond
+)
+
+// Agent is one agent. The exported fields are set before Run.
+type Agent struct {
+	Identity   jasminemoor.Identity
+	DataCentre string
+	// Node is the control side; Run sets its Send and OwnLoad.
+	Node *jmnode.Node
+	// Certificate is used while the settings give the service none.
+	Certificate *tls.Certificate
+	Log         logrus.FieldLogger
+	Counters    Counters
+
+	gate     jmgate.Gate
+	ledger   jmledger.Ledger
+	meter    jmload.Meter
+	returns  jmreturn.Table
+	server   jmserver.Server
+	view     atomic.Pointer[view]
+	udp      *net.UDPConn
+	conn     *packetConn
+	flows    flowSet
+	relays   relaySet
+	isClosed atomic.Bool
+	drained  chan struct{}
+	start    sync.Once
+}
+
+// Counters counts datagrams since the process started.
+type Counters struct {
+	Delivered    atomic.Uint64 // datagrams for flows of this agent
+	HandedOn     atomic.Uint64 // datagrams of first flights handed to another agent
+	Foreign      atomic.Uint64 // datagrams for another service or agent
+	Forged       atomic.Uint64 // datagrams that fail a check
+	Refused      atomic.Uint64 // first flights that nobody could take
+	Overflow     atomic.Uint64 // datagrams beyond the queue
+	WrongName    atomic.Uint64 // handshakes for another server name
+	BadStreams   atomic.Uint64 // streams without a valid header
+	CrossingHand atomic.Uint64 // datagrams handed to another data centre
+	CrossRelays  atomic.Uint64 // streams relayed to another data centre
+}
+
+// StreamCounters returns the counters of the streams.
+func (a *Agent) StreamCounters() *jmserver.Counters { return &a.server.Counters }
+
+// Usage returns the work in hand and the number of open flows.
+func (a *Agent) Usage() (usage jmgate.Usage, flows int) {
+	return a.gate.Usage(), a.flows.len()
+}
+
+func (a *Agent) init() {
+	a.start.Do(func() { a.drained = make(chan struct{}) })
+}
+
+// Drained is closed after Leave once no stream and no flow is left.
+func (a *Agent) Drained() <-chan struct{} {
+	a.init()
+	return a.drained
+}
+
+// Leave takes the agent out of service gracefully: new flows and new streams
+// go to other agents, and what is open runs to its end.
+func (a *Agent) Leave() {
+	if a.isClosed.Swap(true) {
+		return
+	}
+	a.Log.Info("agent: leaving")
+	a.Node.Leave()
+	a.flows.announceLeaving()
+}
+
+// Run serves until ctx ends. It returns once all its goroutines have ended.
+func (a *Agent) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "agent %s", a.Identity.Agent)
+		}
+	}()
+	a.init()
+	if err = a.listen(); err != nil {
+		return err
+	}
+	defer a.udp.Close()
+	tcp, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.Identity.Agent.String())
+	if err != nil {
+		return err
+	}
+	a.prepareServer()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { a.Node.Run(ctx) })
+	wg.Go(func() { a.Node.Serve(ctx, tcp, a.serveLink) })
+	wg.Go(func() { a.conn.receive(ctx) })
+	wg.Go(func() { a.drainLoop(ctx) })
+	if err = a.awaitService(ctx); err != nil {
+		return err
+	}
+	wg.Go(func() { a.followViews(ctx) })
+	return a.serveFlows(ctx)
+}
+
+func (a *Agent) listen() (err error) {
+	a.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.Identity.Agent))
+	if err != nil {
+		return err
+	}
+	// The kernel may grant less; that costs speed under bursts, nothing else.
+	_ = a.udp.SetReadBuffer(socketBuffer)
+	_ = a.udp.SetWriteBuffer(socketBuffer)
+	a.conn = newPacketConn(a)
+	a.Node.Send = func(to netip.AddrPort, datagram []byte) {
+		_, _ = a.udp.WriteToUDPAddrPort(datagram, to)
+	}
+	a.Node.OwnLoad = func() *jasminemoor.Load {
+		return &jasminemoor.Load{PerMille: a.ownLoad(), Leaving: a.isLeaving()}
+	}
+	return nil
+}
+
+func (a *Agent) prepareServer() {
+	a.meter.Start = time.Now()
+	a.server.Identity = a.Identity
+	a.server.Gate = &a.gate
+	a.server.Ledger = &a.ledger
+	a.server.Meter = &a.meter
+	a.server.Upstream = &upstreamDialer{agent: a}
+	a.server.Peers = &peers{agent: a}
+	a.server.IsClosed = a.takesNoWork
+	a.server.Log = a.Log
+}
+
+// isLeaving reports whether the agent or its upstream is on the way out.
+func (a *Agent) isLeaving() bool {
+	if a.isClosed.Load() {
+		return true
+	}
+	v := a.view.Load()
+	return v != nil && (v.upstream.Leaving || !v.isDeclared)
+}
+
+// takesNoWork reports whether new work must go elsewhere: the agent leaves, or
+// it woke after a pause and has not heard from its peers since.
+func (a *Agent) takesNoWork() bool {
+	return a.isLeaving() || a.Node.View().IsStale
+}
+
+// ownLoad returns the exact load of this agent in per mille.
+func (a *Agent) ownLoad() uint32 {
+	v := a.view.Load()
+	if v == nil {
+		return jmload.PerMille
+	}
+	usage := a.gate.Usage()
+	feeds := max(usage.Feeds, a.flows.len())
+	limits := v.service.Limits.WithDefaults()
+	factor := a.meter.Factor(time.Now()) * v.weightShare
+	return jmload.Of(usage.Running+usage.Waiting, limits.Slots, feeds, limits.Connections, factor)
+}
+
+func (a *Agent) serveFlows(ctx context.Context) (err error) {
+	v := a.view.Load()
+	transport := &quic.Transport{
+		Conn:               a.conn,
+		ConnectionIDLength: jmconnid.Length,
+		ConnectionIDGenerator: &jmconnid.Generator{
+			Codec:    func() *jmconnid.Codec { return a.view.Load().codec },
+			Service:  v.service.Number,
+			Identity: a.Identity,
+		},
+		StatelessResetKey: resetKey(v.node.Config),
+		TokenGeneratorKey: tokenKey(v.node.Config),
+		ConnContext:       a.flows.begin,
+	}
+	listener, err := transport.Listen(a.tlsConfig(), &quic.Config{
+		MaxIdleTimeout:          idleTimeout,
+		HandshakeIdleTimeout:    handshakeTimeout,
+		KeepAlivePeriod:         keepAlivePeriod,
+		MaxIncomingStreams:      maxStreams,
+		MaxIncomingUniStreams:   -1,
+		InitialPacketSize:       initialPacket,
+		DisablePathMTUDiscovery: true,
+	})
+	if err != nil {
+		return err
+	}
+	a.Log.WithField("Address", a.Identity.Agent).Info("agent: serving")
+	var wg conc.WaitGroup
+	for {
+		conn, err := listener.Accept(ctx)
+		if err != nil {
+			break
+		}
+		wg.Go(func() { a.serveFlow(ctx, conn) })
+	}
+	_ = listener.Close()
+	_ = transport.Close()
+	wg.Wait()
+	return nil
+}
+
+// drainLoop ends the agent's flows once it leaves and their streams are done.
+func (a *Agent) drainLoop(ctx context.Context) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if !a.isClosed.Load() {
+				continue
+			}
+			if a.flows.endIdle(now) == 0 && a.relays.len() == 0 {
+				a.Log.Info("agent: drained")
+				close(a.drained)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/jmagent/flows.go
@@ -0,0 +1,242 @@
+package jmagent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmserver"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	maxHeaderSize = 4 << 10 // bytes
+)
+
+// flow is one open flow.
+type flow struct {
+	agent    *Agent
+	conn     *quic.Conn
+	greeting *quic.SendStream
+
+	mu        sync.Mutex
+	streams   int
+	idleSince time.Time
+	hasLeft   bool // the caller has been told to go elsewhere
+}
+
+// serveFlow greets a caller and serves its streams.
+func (a *Agent) serveFlow(ctx context.Context, conn *quic.Conn) {
+	f := &flow{agent: a, conn: conn, idleSince: time.Now()}
+	defer func() { _ = conn.CloseWithError(jasminemoor.CodeDone, "") }()
+	if err := f.greet(); err != nil {
+		return
+	}
+	a.flows.add(f)
+	defer a.flows.remove(f)
+	if a.isLeaving() {
+		f.announceLeaving()
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		f.streamBegan()
+		wg.Go(func() {
+			defer f.streamEnded()
+			a.serveStream(ctx, f, stream)
+		})
+	}
+}
+
+// greet tells the caller which agent it has reached. Callers wait for it
+// before they send a non-idempotent request.
+func (f *flow) greet() (err error) {
+	if f.greeting, err = f.conn.OpenUniStream(); err != nil {
+		return err
+	}
+	return jmframe.Write(f.greeting, f.message(false))
+}
+
+func (f *flow) message(isLeaving bool) jasminemoor.Greeting {
+	v := f.agent.view.Load()
+	return jasminemoor.Greeting{
+		Identity: f.agent.Identity,
+		Service:  v.service.Number,
+		Upstream: v.upstream.Name,
+		Leaving:  isLeaving,
+	}
+}
+
+func (f *flow) announceLeaving() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hasLeft {
+		return
+	}
+	f.hasLeft = true
+	_ = jmframe.Write(f.greeting, f.message(true))
+	_ = f.greeting.Close()
+}
+
+func (f *flow) streamBegan() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams++
+}
+
+func (f *flow) streamEnded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams--
+	f.idleSince = time.Now()
+}
+
+func (f *flow) isIdle(now time.Time, grace time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.streams == 0 && now.Sub(f.idleSince) >= grace
+}
+
+func (a *Agent) serveStream(ctx context.Context, f *flow, stream *quic.Stream) {
+	in := newQUICStream(stream)
+	var header jasminemoor.RequestHeader
+	_ = stream.SetReadDeadline(time.Now().Add(headerTimeout))
+	if err := jmframe.Read(stream, &header, maxHeaderSize); err != nil || !header.Kind.IsValid() || header.Timeout < 0 {
+		a.Counters.BadStreams.Add(1)
+		in.Abort()
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	header.Hops = 0 // only agents count hops
+	a.server.Serve(ctx, &jmserver.Stream{Header: header, Caller: callerOf(f.conn), In: in})
+}
+
+func callerOf(conn *quic.Conn) netip.AddrPort {
+	if addr, ok := conn.RemoteAddr().(*net.UDPAddr); ok {
+		return addr.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
+// flowSet holds the open flows, and counts those whose handshake is under way.
+type flowSet struct {
+	mu    sync.Mutex
+	open  map[*flow]struct{}
+	begun int
+}
+
+// begin counts a flow from its first packet on. It is quic-go's ConnContext.
+func (s *flowSet) begin(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	s.count(1)
+	context.AfterFunc(ctx, func() { s.count(-1) })
+	return ctx, nil
+}
+
+func (s *flowSet) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun += n
+}
+
+func (s *flowSet) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
+func (s *flowSet) add(f *flow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*flow]struct{})
+	}
+	s.open[f] = struct{}{}
+}
+
+func (s *flowSet) remove(f *flow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, f)
+}
+
+func (s *flowSet) all() (flows []*flow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := range s.open {
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+func (s *flowSet) announceLeaving() {
+	for _, f := range s.all() {
+		f.announceLeaving()
+	}
+}
+
+// endIdle closes the flows that have been without streams for flowGrace, and
+// returns how many are left.
+func (s *flowSet) endIdle(now time.Time) (left int) {
+	for _, f := range s.all() {
+		if f.isIdle(now, flowGrace) {
+			_ = f.conn.CloseWithError(jasminemoor.CodeLeaving, "agent is leaving")
+		}
+	}
+	return s.len()
+}
+
+// quicStream is a caller's stream.
+type quicStream struct {
+	*quic.Stream
+	ctx context.Context //nolint:containedctx // it is the stream's own
+}
+
+var _ jasminemoor.CallerStream = (*quicStream)(nil)
+
+func newQUICStream(stream *quic.Stream) *quicStream {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	context.AfterFunc(stream.Context(), func() { cancel(causeOf(context.Cause(stream.Context()))) })
+	return &quicStream{Stream: stream, ctx: ctx}
+}
+
+// causeOf tells a caller's own reset from a lost connection.
+func causeOf(err error) error {
+	var reset *quic.StreamError
+	if errors.As(err, &reset) && reset.Remote && reset.ErrorCode == jasminemoor.CodeCancelled {
+		return jasminemoor.ErrCancelled
+	}
+	return err
+}
+
+// Read implements io.Reader.
+func (s *quicStream) Read(p []byte) (n int, err error) {
+	n, err = s.Stream.Read(p)
+	return n, causeOf(err)
+}
+
+// Context implements jasminemoor.CallerStream.
+func (s *quicStream) Context() context.Context { return s.ctx }
+
+// CloseWrite implements jasminemoor.ByteStream.
+func (s *quicStream) CloseWrite() error { return s.Close() }
+
+// StopRead implements jasminemoor.CallerStream.
+func (s *quicStream) StopRead() { s.CancelRead(jasminemoor.CodeDone) }
+
+// Abort implements jasminemoor.ByteStream.
+func (s *quicStream) Abort() {
+	s.CancelRead(jasminemoor.CodeBroken)
+	s.CancelWrite(jasminemoor.CodeBroken)
+}
--- /dev/null
+++ b/internal/flow/jmbalancer/view.go
@@ -0,0 +1,119 @@
+package jmbalancer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
+)
+
+// view is what the balancer's traffic goroutines work by. It is immutable.
+type view struct {
+	codec    *jmconnid.Codec
+	keys     []jmdatagram.Key
+	services map[netip.AddrPort]*placement // by the service's address
+}
+
+// placement is where a service's new flows may go.
+type placement struct {
+	number jasminemoor.ServiceNumber
+	table  *jmplacer.Table
+}
+
+// newSealer returns a sealer for one goroutine.
+func (v *view) newSealer() *jmdatagram.Sealer {
+	// The view was only published after a sealer for its keys could be made.
+	sealer, _ := jmdatagram.NewSealer(v.keys)
+	return sealer
+}
+
+// viewInterval is how often silent agents are looked for.
+const viewInterval = 250 * time.Millisecond
+
+// followViews rebuilds the view with each change of settings, members or
+// silent agents, until ctx ends.
+func (b *Balancer) followViews(ctx context.Context, wg *conc.WaitGroup) {
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.Node.Changed():
+		case now := <-ticker.C:
+			if !b.silence.judge(now) {
+				continue
+			}
+		}
+		if err := b.rebuild(ctx, wg); err != nil {
+			b.Log.WithError(err).Error("balancer: new settings can't be used, the last ones stay in force")
+		}
+	}
+}
+
+func (b *Balancer) rebuild(ctx context.Context, wg *conc.WaitGroup) (err error) {
+	node := b.Node.View()
+	if node.Config == nil {
+		return nil
+	}
+	v := &view{keys: node.Config.Fleet.DatagramKeys()}
+	if v.codec, err = node.Config.Fleet.Codec(); err != nil {
+		return err
+	}
+	if _, err = jmdatagram.NewSealer(v.keys); err != nil {
+		return err
+	}
+	v.services = make(map[netip.AddrPort]*placement, len(node.Config.Services))
+	for _, s := range node.Config.Services {
+		v.services[s.Address] = &placement{number: s.Number, table: b.newTable(node, s)}
+	}
+	b.view.Store(v)
+	for local := range v.services {
+		conn, isNew, err := b.sockets.open(local, b.ServiceIP)
+		if err != nil {
+			b.Log.WithError(err).Error("balancer: service address can't be opened")
+			continue
+		}
+		if isNew {
+			b.Log.WithField("Address", local).Info("balancer: serving")
+			wg.Go(func() { b.callerLoop(ctx, conn, local) })
+		}
+	}
+	return nil
+}
+
+// newTable ranks a service's upstreams: those that seem to work, or else all
+// that do not leave. The view of who is alive may be wrong, so a whole service
+// is never taken out.
+func (b *Balancer) newTable(node *jmnode.View, s *jmtree.Service) *jmplacer.Table {
+	var working, suspect, rest []jmplacer.Candidate
+	for _, u := range s.Upstreams {
+		state := node.StateOf(u.Agent)
+		c := jmplacer.Candidate{Agent: u.Agent, Weight: u.Weight}
+		switch {
+		case u.Leaving || state.IsLeaving:
+		case state.Liveness == jmmember.Alive && !b.silence.isSilent(u.Agent):
+			working = append(working, c)
+		case state.Liveness != jmmember.Dead:
+			suspect = append(suspect, c)
+		default:
+			rest = append(rest, c)
+		}
+	}
+	switch {
+	case len(working) > 0:
+		return jmplacer.NewTable(working)
+	case len(suspect) > 0:
+		return jmplacer.NewTable(suspect)
+	}
+	return jmplacer.NewTable(rest)
+}
--- /dev/null
+++ b/internal/settings/jmtree/documents.go
@@ -0,0 +1,192 @@
+// Package jmtree parses and checks the settings tree, and keeps each
+// subtree's last good revision in force.
+package jmtree
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+// FleetPath is the path of the fleet's own subtree.
+const FleetPath = "Fleet"
+
+// TeamPrefix goes before a team's name in the path of its subtree.
+const TeamPrefix = "Teams/"
+
+// Names of the documents in the fleet's subtree.
+const (
+	NetworkName   = "Network"
+	KeysName      = "Keys"
+	BalancersName = "Balancers"
+)
+
+// Network is the document Fleet/Network.
+type Network struct {
+	DataCentres []DataCentre
+	// Prefixes are the ranges that agents' addresses lie in. A number, once
+	// given to a prefix, stays with it.
+	Prefixes []Prefix
+}
+
+// DataCentre is one data centre and its region.
+type DataCentre struct {
+	Name   string
+	Region string
+}
+
+// Prefix is a numbered address range.
+type Prefix struct {
+	Number uint8
+	Prefix netip.Prefix
+}
+
+// Keys is the document Fleet/Keys. All secrets are in hexadecimal.
+type Keys struct {
+	ConnectionID []ConnectionIDKey
+	// Datagram authenticates caller datagrams between balancers and agents, 16
+	// bytes each. The first is sent with, all are accepted.
+	Datagram []Secret
+	// Control authenticates control messages and TCP links, 32 bytes each. The
+	// first is sent with, all are accepted.
+	Control []Secret
+	// Reset makes stateless reset tokens, 32 bytes.
+	Reset Secret
+}
+
+// ConnectionIDKey is one key for connection IDs, 16 bytes.
+type ConnectionIDKey struct {
+	Number  uint8
+	Secret  Secret
+	Sealing bool
+}
+
+// Balancers is the document Fleet/Balancers.
+type Balancers struct {
+	Balancers []Balancer
+}
+
+// Balancer is one entry instance.
+type Balancer struct {
+	Name       string
+	DataCentre string
+	// Address is where agents and other balancers reach the process, over UDP and TCP.
+	Address netip.AddrPort
+	// ServiceIP, where set, takes the place of each service's own IP address
+	// when the balancer opens its sockets towards callers.
+	ServiceIP netip.Addr
+	Leaving   bool
+}
+
+// Service is a document Teams/<team>/<service>.
+type Service struct {
+	Number     jasminemoor.ServiceNumber
+	Address    netip.AddrPort
+	ServerName string
+	Upstreams  []Upstream
+	Limits     Limits
+	// Certificate is shown to callers. Without one, the agents use that of
+	// their command line.
+	Certificate Certificate
+
+	// Team and Name come from the document's place in the tree.
+	Team string `json:"-"`
+	Name string `json:"-"`
+}
+
+// Upstream is one back end of a service and the agent beside it.
+type Upstream struct {
+	Name       string
+	DataCentre string
+	// Agent is where the agent is reached, over UDP and TCP.
+	Agent netip.AddrPort
+	// Address is where the upstream accepts TCP connections from its agent.
+	Address netip.AddrPort
+	// Weight is the relative capacity, from 1 to 1,000.
+	Weight  uint32
+	Leaving bool
+}
+
+// Certificate is a TLS certificate with its key, in PEM.
+type Certificate struct {
+	Chain string
+	Key   PrivateKey
+
+	parsed *tls.Certificate
+}
+
+// Parsed returns the certificate, or nil if none is set.
+func (c *Certificate) Parsed() *tls.Certificate { return c.parsed }
+
+// IsSet reports whether the settings give a certificate.
+func (c *Certificate) IsSet() bool { return c.Chain != "" || c.Key != "" }
+
+// Limits bounds the work that one upstream is given. Zero fields take the defaults.
+type Limits struct {
+	// Slots is how many requests run at a time.
+	Slots int
+	// Connections is how many streams are open at a time, feeds included.
+	Connections int
+	// Queue is how many requests wait for a slot.
+	Queue int
+	// QueueWait is how long a request waits for a slot at most.
+	QueueWait Duration
+}
+
+// Defaults and bounds of Limits.
+const (
+	DefaultSlots       = 5
+	DefaultConnections = 2000
+	DefaultQueue       = 10
+	DefaultQueueWait   = 2 * time.Second
+
+	maxSlots       = 10_000
+	maxConnections = 1_000_000
+	maxQueue       = 100_000
+	maxQueueWait   = 5 * time.Minute
+	maxWeight      = 1000
+)
+
+// WithDefaults returns the limits with each zero field set to its default.
+func (l Limits) WithDefaults() Limits {
+	if l.Slots == 0 {
+		l.Slots = DefaultSlots
+	}
+	if l.Connections == 0 {
+		l.Connections = DefaultConnections
+	}
+	if l.Queue == 0 {
+		l.Queue = DefaultQueue
+	}
+	if l.QueueWait == 0 {
+		l.QueueWait = Duration(DefaultQueueWait)
+	}
+	return l
+}
+
+// Duration is a time.Duration written as in "300ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads a duration from a string.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return eris.Errorf("a duration is a string such as \"300ms\", not %s", b)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return eris.Errorf("%q is not a duration such as \"300ms\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes a duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
--- /dev/null
+++ b/internal/settings/jmtree/secret.go
@@ -0,0 +1,46 @@
+package jmtree
+
+import (
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// Secret is key material, written in hexadecimal. It does not print, so that
+// logs and errors never hold a key.
+type Secret []byte
+
+// UnmarshalJSON reads hexadecimal digits.
+func (s *Secret) UnmarshalJSON(b []byte) error {
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return eris.New("a secret is a string of hexadecimal digits")
+	}
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return eris.New("a secret is a string of hexadecimal digits")
+	}
+	*s = raw
+	return nil
+}
+
+// MarshalJSON writes hexadecimal digits.
+func (s Secret) MarshalJSON() ([]byte, error) {
+	return json.Marshal(hex.EncodeToString(s))
+}
+
+// String returns none of the secret's bytes.
+func (s Secret) String() string { return "(secret)" }
+
+// GoString is as String.
+func (s Secret) GoString() string { return s.String() }
+
+// PrivateKey is a private key in PEM. Like a Secret, it does not print.
+type PrivateKey string
+
+// String returns none of the key.
+func (PrivateKey) String() string { return "(secret)" }
+
+// GoString is as String.
+func (k PrivateKey) GoString() string { return k.String() }
--- /dev/null
+++ b/internal/settings/jmwatch/client.go
@@ -0,0 +1,78 @@
+// Package jmwatch reads and watches the platform's configuration service over
+// HTTP. It never writes.
+package jmwatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+// maxResponse bounds a response in bytes. The platform's values hold up to a
+// megabyte each.
+const maxResponse = 64 << 20
+
+// Client is the HTTP client of the configuration service.
+type Client struct {
+	// URL is the base of the service's API, such as http://10.0.0.1:8500.
+	URL string
+	// HTTP is the client to use, http.DefaultClient if nil.
+	HTTP *http.Client
+}
+
+var _ jasminemoor.Platform = (*Client)(nil)
+
+// Revisions implements jasminemoor.Platform.
+func (c *Client) Revisions(ctx context.Context) (r jasminemoor.Revisions, err error) {
+	err = c.get(ctx, "/v1/revisions", nil, &r)
+	return r, err
+}
+
+// Read implements jasminemoor.Platform.
+func (c *Client) Read(ctx context.Context, path string) (s jasminemoor.Subtree, err error) {
+	err = c.get(ctx, "/v1/subtree", url.Values{"path": {path}}, &s)
+	return s, err
+}
+
+// Watch implements jasminemoor.Platform.
+func (c *Client) Watch(ctx context.Context, since uint64) (r jasminemoor.Revisions, err error) {
+	err = c.get(ctx, "/v1/watch", url.Values{"since": {strconv.FormatUint(since, 10)}}, &r)
+	return r, err
+}
+
+func (c *Client) get(ctx context.Context, path string, query url.Values, target any) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "platform %s", path)
+		}
+	}()
+	address := strings.TrimSuffix(c.URL, "/") + path + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.httpClient().Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("status %s", response.Status)
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, maxResponse)).Decode(target)
+}
+
+func (c *Client) httpClient() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
--- /dev/null
+++ b/internal/standin/jmlab/lab.go
@@ -0,0 +1,264 @@
+package jmlab
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/client"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmwatch"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmplatform"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// Lab runs a whole fleet with its stand-ins in one process.
+type Lab struct {
+	Layout    *Layout
+	Log       logrus.FieldLogger
+	Platform  jmplatform.Platform
+	Fabrics   []*jmfabric.Fabric // one for each service
+	Balancers map[string]*Balancer
+	Agents    map[string]*Agent // by the upstream's name
+	Upstreams map[string]*jmupstream.Upstream
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+}
+
+// Balancer is a balancer that runs in the lab.
+type Balancer struct {
+	*jmbalancer.Balancer
+	process
+}
+
+// Agent is an agent that runs in the lab.
+type Agent struct {
+	*jmagent.Agent
+	process
+}
+
+// process is a part of the lab that can be ended by itself.
+type process struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Kill ends the part at once and waits for its end.
+func (p *process) Kill() {
+	p.cancel()
+	<-p.done
+}
+
+// Done is closed after the part has ended.
+func (p *process) Done() <-chan struct{} { return p.done }
+
+// Start starts everything that the layout names.
+func (l *Lab) Start() (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "start lab")
+		}
+	}()
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.Balancers = make(map[string]*Balancer)
+	l.Agents = make(map[string]*Agent)
+	l.Upstreams = make(map[string]*jmupstream.Upstream)
+	documents, err := l.Layout.Documents()
+	if err != nil {
+		return err
+	}
+	for path, values := range documents {
+		l.Platform.PutAll(path, values)
+	}
+	if err = l.serveHTTP(l.Layout.PlatformAddress(), &l.Platform); err != nil {
+		return err
+	}
+	for _, s := range l.Layout.Services {
+		if err = l.startFabric(s); err != nil {
+			return err
+		}
+		for _, u := range s.Upstreams {
+			if err = l.startUpstream(u); err != nil {
+				return err
+			}
+			l.StartAgent(u)
+		}
+	}
+	for _, b := range l.Layout.Fleet.Balancers {
+		l.StartBalancer(b)
+	}
+	return nil
+}
+
+// Close ends everything and waits for its end.
+func (l *Lab) Close() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+func (l *Lab) serveHTTP(address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	l.wg.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			l.Log.WithError(err).Error("lab: platform ended")
+		}
+	})
+	context.AfterFunc(l.ctx, func() { _ = server.Close() })
+	return nil
+}
+
+func (l *Lab) startFabric(s *jmtree.Service) error {
+	f := &jmfabric.Fabric{Listen: s.Address, Seed: uint64(s.Number)}
+	f.Set(jmfabric.Settings{Balancers: l.serviceAddresses(s, nil)})
+	if err := f.Open(); err != nil {
+		return err
+	}
+	l.Fabrics = append(l.Fabrics, f)
+	l.wg.Go(func() { f.Run(l.ctx) })
+	return nil
+}
+
+// serviceAddresses lists where the fabric hands over a service's datagrams,
+// leaving out the named balancers.
+func (l *Lab) serviceAddresses(s *jmtree.Service, without []string) (addrs []netip.AddrPort) {
+	leftOut := make(map[string]bool)
+	for _, name := range without {
+		leftOut[name] = true
+	}
+	for _, b := range l.Layout.Fleet.Balancers {
+		if !leftOut[b.Name] {
+			addrs = append(addrs, l.Layout.BalancerServiceAddress(b, s))
+		}
+	}
+	return addrs
+}
+
+// SetFabrics changes the settings of all fabrics. Their balancers are all but
+// the named ones, whatever the settings say.
+func (l *Lab) SetFabrics(settings jmfabric.Settings, without ...string) {
+	for i, f := range l.Fabrics {
+		settings.Balancers = l.serviceAddresses(l.Layout.Services[i], without)
+		f.Set(settings)
+	}
+}
+
+func (l *Lab) startUpstream(u jmtree.Upstream) error {
+	up := &jmupstream.Upstream{Name: u.Name, Address: u.Address}
+	if err := up.Listen(); err != nil {
+		return err
+	}
+	l.Upstreams[u.Name] = up
+	l.wg.Go(func() { up.Run(l.ctx) })
+	return nil
+}
+
+func (l *Lab) newNode(address netip.AddrPort, dataCentre string) *jmnode.Node {
+	return &jmnode.Node{
+		Identity:   jasminemoor.Identity{Agent: address, Incarnation: jasminemoor.NewIncarnation(time.Now())},
+		DataCentre: dataCentre,
+		Platform:   &jmwatch.Client{URL: "http://" + l.Layout.PlatformAddress().String()},
+		Log:        l.Log,
+	}
+}
+
+// StartAgent starts the agent of an upstream, again if it has ended.
+func (l *Lab) StartAgent(u jmtree.Upstream) *Agent {
+	node := l.newNode(u.Agent, u.DataCentre)
+	a := &Agent{Agent: &jmagent.Agent{Identity: node.Identity, DataCentre: u.DataCentre, Node: node, Log: l.Log}}
+	l.run(&a.process, a.Run)
+	l.Agents[u.Name] = a
+	return a
+}
+
+// StartBalancer starts a balancer, again if it has ended.
+func (l *Lab) StartBalancer(spec jmtree.Balancer) *Balancer {
+	node := l.newNode(spec.Address, spec.DataCentre)
+	b := &Balancer{Balancer: &jmbalancer.Balancer{
+		Identity:   node.Identity,
+		DataCentre: spec.DataCentre,
+		ServiceIP:  spec.ServiceIP,
+		Node:       node,
+		Log:        l.Log,
+	}}
+	l.run(&b.process, b.Run)
+	l.Balancers[spec.Name] = b
+	return b
+}
+
+func (l *Lab) run(p *process, run func(context.Context) error) {
+	ctx, cancel := context.WithCancel(l.ctx)
+	p.cancel = cancel
+	p.done = make(chan struct{})
+	l.wg.Go(func() {
+		defer close(p.done)
+		if p.err = run(ctx); p.err != nil && ctx.Err() == nil {
+			l.Log.WithError(p.err).Error("lab: part ended")
+		}
+	})
+}
+
+// NewCaller returns a caller of a service.
+func (l *Lab) NewCaller(service *jmtree.Service) *client.Caller {
+	return &client.Caller{
+		Address:    service.Address,
+		ServerName: service.ServerName,
+		TLS:        l.Layout.ClientTLS(),
+	}
+}
+
+// AwaitReady waits until every process has settings in force.
+func (l *Lab) AwaitReady(ctx context.Context) error {
+	for {
+		if l.isReady() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "lab is not ready")
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+func (l *Lab) isReady() bool {
+	for _, a := range l.Agents {
+		if !hasAllServices(a.Node, l.Layout) {
+			return false
+		}
+	}
+	for _, b := range l.Balancers {
+		if !hasAllServices(b.Node, l.Layout) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasAllServices(n *jmnode.Node, layout *Layout) bool {
+	config := n.View().Config
+	return config != nil && len(config.Services) == len(layout.Services)
+}
--- /dev/null
+++ b/internal/standin/jmlab/lab_test.go
@@ -0,0 +1,85 @@
+package jmlab_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/client"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
+)
+
+const testTimeout = 30 * time.Second
+
+// startLab runs two services over two data centres and three balancers.
+func startLab(t *testing.T, net byte) *jmlab.Lab {
+	t.Helper()
+	layout, err := jmlab.New(net, []string{"lahore", "karachi"}, 3,
+		jmlab.ServiceSpec{Team: "rangla", Name: "shop-floor", Weights: []uint32{1, 2, 4}},
+		jmlab.ServiceSpec{Team: "rangla", Name: "catalogue", Weights: []uint32{1, 1}},
+	)
+	require.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	log.SetLevel(logrus.DebugLevel)
+	lab := &jmlab.Lab{Layout: layout, Log: log}
+	require.NoError(t, lab.Start())
+	t.Cleanup(lab.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	require.NoError(t, lab.AwaitReady(ctx))
+	return lab
+}
+
+func TestRequestAndFeed(t *testing.T) {
+	lab := startLab(t, 10)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	caller := lab.NewCaller(lab.Layout.Services[0])
+	defer caller.Close()
+
+	answer, err := caller.Do(ctx, client.Request{Body: []byte("BOOK order-1")})
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(string(answer.Body), "BOOKED order-1 shop-floor-"), string(answer.Body))
+
+	feed, err := caller.OpenFeed(ctx)
+	require.NoError(t, err)
+	defer feed.Close()
+	ticks := openTicks(t, feed, 20*time.Millisecond)
+	ticks.next(10)
+
+	lab.Balancers["b1"].Kill()
+	lab.SetFabrics(jmfabric.Settings{}, "b1")
+	ticks.next(50)
+}
+
+// ticks reads a feed's lines and checks that none is missing or doubled.
+type ticks struct {
+	t       *testing.T
+	scanner *bufio.Scanner
+	last    int
+}
+
+func openTicks(t *testing.T, feed io.ReadWriter, interval time.Duration) *ticks {
+	t.Helper()
+	_, err := fmt.Fprintf(feed, "FEED %s\n", interval)
+	require.NoError(t, err)
+	return &ticks{t: t, scanner: bufio.NewScanner(feed)}
+}
+
+func (k *ticks) next(count int) {
+	k.t.Helper()
+	for range count {
+		require.True(k.t, k.scanner.Scan(), "feed ended: %v", k.scanner.Err())
+		k.last++
+		require.Equal(k.t, fmt.Sprintf("TICK %d", k.last), k.scanner.Text())
+	}
+}
--- /dev/null
+++ b/internal/standin/jmlab/layout.go
@@ -0,0 +1,252 @@
+// Package jmlab lays out a small fleet on loopback addresses, writes its
+// settings, and starts its parts, for tests and the demo.
+package jmlab
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+)
+
+// Ports of the parts. Each part has an IP address of its own.
+const (
+	platformPort = 8500
+	balancerPort = 7000
+	agentPort    = 7100
+	upstreamPort = 8000
+	servicePort  = 4433
+	controlPort  = 9000
+)
+
+const certificateLife = 24 * time.Hour
+
+// Layout is a fleet on the addresses 127.<Net>.x.y.
+type Layout struct {
+	Net         byte
+	DataCentres []string
+	Fleet       FleetSpec
+	Services    []*jmtree.Service
+	// Roots trusts the certificates of the services.
+	Roots *x509.CertPool
+	// RootPEM is the same root as text.
+	RootPEM string
+}
+
+// FleetSpec is the content of the fleet's subtree.
+type FleetSpec struct {
+	Network   jmtree.Network
+	Keys      jmtree.Keys
+	Balancers []jmtree.Balancer
+}
+
+// ServiceSpec asks for one service.
+type ServiceSpec struct {
+	Team, Name string
+	// Weights has one weight for each upstream. The upstreams are spread over
+	// the data centres in turn.
+	Weights []uint32
+	Limits  jmtree.Limits
+}
+
+// New lays out a fleet with the given number of balancers.
+func New(net byte, dataCentres []string, balancers int, services ...ServiceSpec) (l *Layout, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "lay out fleet")
+		}
+	}()
+	l = &Layout{Net: net, DataCentres: dataCentres}
+	l.addFleet(balancers)
+	authority, err := newAuthority()
+	if err != nil {
+		return nil, err
+	}
+	l.Roots, l.RootPEM = authority.pool, authority.text
+	upstreams := 0
+	for i, spec := range services {
+		s := &jmtree.Service{
+			Number:     jasminemoor.ServiceNumber(i + 1),
+			Address:    netip.AddrPortFrom(l.ip(9, i+1), uint16(servicePort+i)),
+			ServerName: spec.Name + "." + spec.Team + ".example",
+			Limits:     spec.Limits,
+			Team:       spec.Team,
+			Name:       spec.Name,
+		}
+		if s.Certificate, err = authority.issue(s.ServerName); err != nil {
+			return nil, err
+		}
+		for j, weight := range spec.Weights {
+			upstreams++
+			s.Upstreams = append(s.Upstreams, l.upstream(upstreams, j, spec.Name, weight))
+		}
+		l.Services = append(l.Services, s)
+	}
+	return l, nil
+}
+
+func (l *Layout) ip(group, host int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, l.Net, byte(group), byte(host)})
+}
+
+func (l *Layout) addFleet(balancers int) {
+	for _, name := range l.DataCentres {
+		l.Fleet.Network.DataCentres = append(l.Fleet.Network.DataCentres, jmtree.DataCentre{Name: name, Region: "r1"})
+	}
+	prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{127, l.Net, 2, 0}), 24)
+	l.Fleet.Network.Prefixes = []jmtree.Prefix{{Number: 1, Prefix: prefix}}
+	l.Fleet.Keys = jmtree.Keys{
+		ConnectionID: []jmtree.ConnectionIDKey{{Number: 1, Secret: NewSecret(16), Sealing: true}},
+		Datagram:     []jmtree.Secret{NewSecret(16)},
+		Control:      []jmtree.Secret{NewSecret(32)},
+		Reset:        NewSecret(32),
+	}
+	for i := range balancers {
+		l.Fleet.Balancers = append(l.Fleet.Balancers, jmtree.Balancer{
+			Name:       fmt.Sprintf("b%d", i+1),
+			DataCentre: l.DataCentres[i%len(l.DataCentres)],
+			Address:    netip.AddrPortFrom(l.ip(1, i+1), balancerPort),
+			ServiceIP:  l.ip(1, i+1),
+		})
+	}
+}
+
+func (l *Layout) upstream(number, index int, service string, weight uint32) jmtree.Upstream {
+	return jmtree.Upstream{
+		Name:       fmt.Sprintf("%s-%d", service, index+1),
+		DataCentre: l.DataCentres[index%len(l.DataCentres)],
+		Agent:      netip.AddrPortFrom(l.ip(2, number), agentPort),
+		Address:    netip.AddrPortFrom(l.ip(3, number), upstreamPort),
+		Weight:     weight,
+	}
+}
+
+// PlatformAddress is where the platform's stand-in listens.
+func (l *Layout) PlatformAddress() netip.AddrPort {
+	return netip.AddrPortFrom(l.ip(0, 1), platformPort)
+}
+
+// ControlAddress is where a stand-in with the given number takes the orders of a test.
+func (l *Layout) ControlAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(l.ip(0, 2), uint16(controlPort+number))
+}
+
+// BalancerServiceAddress is where the fabric hands over the datagrams of a service.
+func (l *Layout) BalancerServiceAddress(b jmtree.Balancer, s *jmtree.Service) netip.AddrPort {
+	return netip.AddrPortFrom(b.ServiceIP, s.Address.Port())
+}
+
+// Documents returns the settings tree: documents by subtree and name.
+func (l *Layout) Documents() (documents map[string]map[string]string, err error) {
+	documents = make(map[string]map[string]string)
+	put := func(path, name string, value any) {
+		text, marshalErr := json.MarshalIndent(value, "", "\t")
+		if marshalErr != nil && err == nil {
+			err = marshalErr
+		}
+		if documents[path] == nil {
+			documents[path] = make(map[string]string)
+		}
+		documents[path][name] = string(text)
+	}
+	put(jmtree.FleetPath, jmtree.NetworkName, l.Fleet.Network)
+	put(jmtree.FleetPath, jmtree.KeysName, l.Fleet.Keys)
+	put(jmtree.FleetPath, jmtree.BalancersName, jmtree.Balancers{Balancers: l.Fleet.Balancers})
+	for _, s := range l.Services {
+		put(jmtree.TeamPrefix+s.Team, s.Name, s)
+	}
+	return documents, err
+}
+
+// NewSecret returns random key material of the given size in bytes.
+func NewSecret(size int) jmtree.Secret {
+	secret := make([]byte, size)
+	// crypto/rand.Read never returns an error on supported systems.
+	_, _ = rand.Read(secret)
+	return secret
+}
+
+// SecretText returns a secret in hexadecimal, as settings and flags have it.
+func SecretText(s jmtree.Secret) string { return hex.EncodeToString(s) }
+
+// authority issues the services' certificates.
+type authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	pool        *x509.CertPool
+	text        string
+}
+
+func newAuthority() (a *authority, err error) {
+	a = &authority{pool: x509.NewCertPool()}
+	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
+		return nil, err
+	}
+	template := certificateTemplate("jasminemoor stand-in root")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	if a.certificate, err = x509.ParseCertificate(der); err != nil {
+		return nil, err
+	}
+	a.pool.AddCert(a.certificate)
+	a.text = pemText("CERTIFICATE", der)
+	return a, nil
+}
+
+func (a *authority) issue(serverName string) (c jmtree.Certificate, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return c, err
+	}
+	template := certificateTemplate(serverName)
+	template.DNSNames = []string{serverName}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return c, err
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return c, err
+	}
+	c.Chain = pemText("CERTIFICATE", der)
+	c.Key = jmtree.PrivateKey(pemText("EC PRIVATE KEY", keyDER))
+	return c, nil
+}
+
+func certificateTemplate(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-certificateLife),
+		NotAfter:     time.Now().Add(certificateLife),
+	}
+}
+
+func pemText(kind string, der []byte) string {
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+// ClientTLS returns the TLS settings of a caller that trusts the layout's root.
+func (l *Layout) ClientTLS() *tls.Config {
+	return &tls.Config{RootCAs: l.Roots, MinVersion: tls.VersionTLS13}
+}
--- /dev/null
+++ b/internal/standin/jmupstream/upstream.go
@@ -0,0 +1,203 @@
+// Package jmupstream is a stand-in for an upstream, for tests and the demo. It
+// speaks a small line protocol over TCP and records what it ran.
+//
+// A connection carries one command, ended by the end of the sending direction
+// or, for FEED, by a newline:
+//
+//	BOOK <id> [<delay>]   runs a booking and answers "BOOKED <id> <name>"
+//	SHEET <bytes>         answers with that many bytes
+//	FEED <interval>       sends "TICK <n>" lines until the peer closes
+package jmupstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const maxCommand = 1 << 20 // bytes
+
+// Upstream is the stand-in. The exported fields are set before Run.
+type Upstream struct {
+	Name    string
+	Address netip.AddrPort
+	// ServiceTime is how long each booking takes besides its own delay.
+	ServiceTime time.Duration
+
+	// Cut counts connections that the peer reset before the answer's end.
+	Cut atomic.Uint64
+
+	listener net.Listener
+	mu       sync.Mutex
+	runs     map[string]int
+	open     int
+	maxOpen  int
+}
+
+// Runs returns how often each booking ran.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.runs)
+}
+
+// MaxOpen returns the largest number of connections open at a time.
+func (u *Upstream) MaxOpen() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.maxOpen
+}
+
+// Listen opens the upstream's address.
+func (u *Upstream) Listen() (err error) {
+	u.listener, err = net.Listen("tcp", u.Address.String())
+	return err
+}
+
+// Run serves until ctx ends. Listen must have been called.
+func (u *Upstream) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = u.listener.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		wg.Go(func() { u.serve(ctx, conn.(*net.TCPConn)) })
+	}
+}
+
+func (u *Upstream) serve(ctx context.Context, conn *net.TCPConn) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	u.count(1)
+	defer u.count(-1)
+	reader := bufio.NewReader(io.LimitReader(conn, maxCommand))
+	word, err := reader.ReadString(' ')
+	if err != nil {
+		return
+	}
+	if word == "FEED " {
+		line, _ := reader.ReadString('\n')
+		u.feed(conn, reader, strings.TrimSpace(line))
+		return
+	}
+	rest, err := io.ReadAll(reader)
+	if err != nil {
+		u.Cut.Add(1)
+		return
+	}
+	fields := strings.Fields(string(rest))
+	switch word {
+	case "BOOK ":
+		u.book(conn, fields)
+	case "SHEET ":
+		u.sheet(conn, fields)
+	default:
+		_, _ = fmt.Fprintf(conn, "ERROR unknown command %q\n", word)
+	}
+}
+
+func (u *Upstream) count(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.open += n
+	u.maxOpen = max(u.maxOpen, u.open)
+}
+
+func (u *Upstream) book(conn net.Conn, fields []string) {
+	if len(fields) == 0 {
+		_, _ = io.WriteString(conn, "ERROR no id\n")
+		return
+	}
+	u.mu.Lock()
+	if u.runs == nil {
+		u.runs = make(map[string]int)
+	}
+	u.runs[fields[0]]++
+	u.mu.Unlock()
+	delay := u.ServiceTime
+	if len(fields) > 1 {
+		more, _ := time.ParseDuration(fields[1])
+		delay += more
+	}
+	time.Sleep(delay)
+	if _, err := fmt.Fprintf(conn, "BOOKED %s %s\n", fields[0], u.Name); err != nil {
+		u.Cut.Add(1)
+	}
+}
+
+func (u *Upstream) sheet(conn net.Conn, fields []string) {
+	size := 0
+	if len(fields) > 0 {
+		size, _ = strconv.Atoi(fields[0])
+	}
+	if _, err := io.Copy(conn, io.LimitReader(&repeat{text: []byte("sheet of " + u.Name + " ")}, int64(size))); err != nil {
+		u.Cut.Add(1)
+	}
+}
+
+// repeat reads its text over and over.
+type repeat struct {
+	text []byte
+	at   int
+}
+
+// Read implements io.Reader.
+func (r *repeat) Read(p []byte) (n int, err error) {
+	for n < len(p) {
+		copied := copy(p[n:], r.text[r.at:])
+		n += copied
+		r.at = (r.at + copied) % len(r.text)
+	}
+	return n, nil
+}
+
+func (u *Upstream) feed(conn net.Conn, reader io.Reader, interval string) {
+	every, err := time.ParseDuration(interval)
+	if err != nil || every <= 0 {
+		_, _ = io.WriteString(conn, "ERROR no interval\n")
+		return
+	}
+	gone := make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, reader)
+		close(gone)
+	}()
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		if _, err = fmt.Fprintf(conn, "TICK %d\n", n); err != nil {
+			return
+		}
+		select {
+		case <-gone:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ServeHTTP answers with the runs as JSON.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var body bytes.Buffer
+	_ = json.NewEncoder(&body).Encode(u.Runs())
+	_, _ = w.Write(body.Bytes())
+}
