--- a/cmd/jasminemoor/call.go
+++ b/cmd/jasminemoor/call.go
@@ -71,6 +71,7 @@
 	flags := newFlagSet(t, "call")
 	var f callFlags
 	f.add(flags)
+	configFlag(flags)
 	return &ffcli.Command{
 		Name:       "call",
 		ShortUsage: "jasminemoor call -address <ip:port> -server-name <name> [flags]",
--- a/cmd/jasminemoor/demo.go
+++ b/cmd/jasminemoor/demo.go
@@ -12,6 +12,7 @@
 	flags := newFlagSet(t, "demo")
 	var log logFlags
 	log.add(flags, "error")
+	configFlag(flags)
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "jasminemoor demo [flags]",
--- a/cmd/jasminemoor/flags.go
+++ b/cmd/jasminemoor/flags.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/hex"
 	"flag"
 	"io"
@@ -14,8 +13,6 @@
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
-func newBytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
 // addrPortFlag adds a flag that takes an IP address and a port.
 func addrPortFlag(flags *flag.FlagSet, name, usage string) *netip.AddrPort {
 	value := new(netip.AddrPort)
@@ -59,6 +56,11 @@
 	return value
 }
 
+// configFlag adds the flag that parseOptions reads a file by.
+func configFlag(flags *flag.FlagSet) {
+	flags.String("config", "", "file with flags, JSON with comments")
+}
+
 // logFlags are the flags about logs.
 type logFlags struct {
 	format, level string
--- a/cmd/jasminemoor/main.go
+++ b/cmd/jasminemoor/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -118,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	return ff.JSONParser(newBytesReader(plain), set)
+	return ff.JSONParser(bytes.NewReader(plain), set)
 }
 
 func versionCommand(t *terminal) *ffcli.Command {
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -29,7 +29,6 @@
 	dataCentre string
 	platform   string
 	operator   string
-	config     string
 	log        logFlags
 }
 
@@ -40,7 +39,7 @@
 	flags.StringVar(&f.dataCentre, "data-centre", "", "data centre of this process")
 	flags.StringVar(&f.platform, "platform", "", "base URL of the platform's configuration service")
 	flags.StringVar(&f.operator, "operator", defaultOperator, "address of the HTTP endpoint for metrics and status, or none")
-	flags.StringVar(&f.config, "config", "", "file with flags, JSON with comments")
+	configFlag(flags)
 	f.log.add(flags, "info")
 }
 
--- a/internal/settings/jmtree/parse.go
+++ b/internal/settings/jmtree/parse.go
@@ -2,9 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
+	"reflect"
 	"regexp"
 	"strconv"
 	"strings"
@@ -54,13 +53,9 @@
 	}
 	d.syntax = &syntax
 	d.findDoubledFields(&syntax, "")
-	// Standardize blanks out comments in place, so offsets stay as they were.
-	plain := syntax.Clone()
-	plain.Standardize()
-	decoder := json.NewDecoder(bytes.NewReader(plain.Pack()))
-	decoder.DisallowUnknownFields()
-	if err = decoder.Decode(target); err != nil {
-		d.addDecodeFault(err)
+	if err = decode(&syntax, target); err != nil {
+		pointer, cause := locate(&syntax, reflect.TypeOf(target).Elem(), "", err)
+		d.add(pointer, "%s", describe(cause))
 	}
 	return d
 }
@@ -96,27 +91,6 @@
 	return 1 + bytes.Count(d.text[:offset], []byte("\n"))
 }
 
-func (d *document) addDecodeFault(err error) {
-	fault := Fault{Path: d.path, Line: 1, Cause: strings.TrimPrefix(err.Error(), "json: ")}
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		fault.Line = d.lineAt(int(wrongType.Offset))
-		fault.Pointer = "/" + strings.ReplaceAll(wrongType.Field, ".", "/")
-		fault.Cause = fmt.Sprintf("a %s can't be a %s", wrongType.Value, wrongType.Type)
-	} else if name, found := unknownField(fault.Cause); found {
-		fault.Line = d.lineAt(bytes.Index(d.text, []byte(name)))
-	} else if quoted := quotedText.FindString(fault.Cause); quoted != "" {
-		fault.Line = d.lineAt(bytes.Index(d.text, []byte(quoted)))
-	}
-	d.faults = append(d.faults, fault)
-}
-
-var quotedText = regexp.MustCompile(`"[^"]+"`)
-
-func unknownField(cause string) (quoted string, found bool) {
-	return strings.CutPrefix(cause, "unknown field ")
-}
-
 var lineText = regexp.MustCompile(`line (\d+)`)
 
 func lineInError(err error) int {
