--- a/client/flow.go
+++ b/client/flow.go
@@ -35,6 +35,8 @@
 	maxStatus   = 4 << 10 // bytes
 )
 
+var _ path = (*flow)(nil)
+
 // flow is one QUIC connection to an agent.
 type flow struct {
 	conn      *quic.Conn
@@ -216,8 +218,10 @@
 // errSuspect ends an attempt on a flow that has gone silent.
 var errSuspect = errors.New("flow has gone silent")
 
-// request does one attempt of a request. An error means that the attempt's
-// fate is not known, save that wasSent tells whether anything was sent.
+// agent implements path.
+func (f *flow) agent() jasminemoor.Identity { return f.identity }
+
+// request implements path.
 func (f *flow) request(ctx context.Context, header *jasminemoor.RequestHeader, body []byte, limit int64) (status jasminemoor.Status, answer []byte, wasSent bool, err error) {
 	f.streamBegan()
 	defer f.streamEnded()
--- a/client/retry.go
+++ b/client/retry.go
@@ -28,25 +28,32 @@
 		r.ID = jasminemoor.NewRequestID()
 	}
 	c.budget.earn()
-	a := &attempts{caller: c, request: r, backoff: minBackoff}
-	for {
-		answer, err = a.once(ctx)
-		if answer != nil || err != nil {
-			return answer, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, a.verdict(ctx.Err().Error())
-		case <-time.After(a.wait()):
-		}
+	a := &attempts{
+		pick:      func(ctx context.Context) (path, error) { return c.usableFlow(ctx) },
+		budget:    &c.budget,
+		maxAnswer: c.maxAnswer(),
+		request:   r,
 	}
+	return a.run(ctx)
+}
+
+// path is one way to an agent: a flow, or a fake in tests.
+type path interface {
+	// agent names the agent at the other end.
+	agent() jasminemoor.Identity
+	// request does one attempt of a request. An error means that the attempt's
+	// fate is not known, save that wasSent tells whether anything was sent.
+	request(ctx context.Context, header *jasminemoor.RequestHeader, body []byte, limit int64) (status jasminemoor.Status, answer []byte, wasSent bool, err error)
 }
 
 // attempts is the state of one request over its attempts.
 type attempts struct {
-	caller  *Caller
-	request Request
-	count   int
+	pick      func(ctx context.Context) (path, error)
+	budget    *budget
+	maxAnswer int64
+	request   Request
+
+	count int
 	// declared are the agents that may have got the request.
 	declared []jasminemoor.Identity
 	// isUnaccounted says that an attempt may have run.
@@ -56,10 +63,26 @@
 	reason        string
 }
 
+// run does attempts until one settles the request or ctx ends.
+func (a *attempts) run(ctx context.Context) (answer *Answer, err error) {
+	a.backoff = minBackoff
+	for {
+		answer, err = a.once(ctx)
+		if answer != nil || err != nil {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, a.verdict(ctx.Err().Error())
+		case <-time.After(a.wait()):
+		}
+	}
+}
+
 // once does one attempt. It returns neither an answer nor an error if another
 // attempt should follow.
 func (a *attempts) once(ctx context.Context) (answer *Answer, err error) {
-	f, err := a.caller.usableFlow(ctx)
+	p, err := a.pick(ctx)
 	if err != nil {
 		a.reason = err.Error()
 		if ctx.Err() != nil {
@@ -67,7 +90,7 @@
 		}
 		return nil, nil
 	}
-	status, body, wasSent, err := f.request(ctx, a.header(ctx), a.request.Body, a.caller.maxAnswer())
+	status, body, wasSent, err := p.request(ctx, a.header(ctx), a.request.Body, a.maxAnswer)
 	if wasSent {
 		a.count++
 	}
@@ -75,7 +98,7 @@
 		return nil, err
 	}
 	if err != nil {
-		return nil, a.broken(ctx, f, wasSent, err)
+		return nil, a.broken(ctx, p.agent(), wasSent, err)
 	}
 	switch status.Outcome {
 	case jasminemoor.OutcomeAccepted:
@@ -100,11 +123,11 @@
 }
 
 // broken handles an attempt whose fate is not known.
-func (a *attempts) broken(ctx context.Context, f *flow, wasSent bool, err error) error {
+func (a *attempts) broken(ctx context.Context, at jasminemoor.Identity, wasSent bool, err error) error {
 	a.reason = err.Error()
 	a.isUnaccounted = a.isUnaccounted || wasSent
-	if wasSent && !a.request.Idempotent && !slices.Contains(a.declared, f.identity) {
-		a.declared = append(a.declared, f.identity)
+	if wasSent && !a.request.Idempotent && !slices.Contains(a.declared, at) {
+		a.declared = append(a.declared, at)
 	}
 	if ctx.Err() != nil || len(a.declared) > maxDeclared {
 		return a.verdict(a.reason)
@@ -115,7 +138,7 @@
 func (a *attempts) notRun(status jasminemoor.Status) error {
 	a.reason = status.Reason
 	a.retryAfter = status.RetryAfter
-	if !a.caller.budget.spend() {
+	if !a.budget.spend() {
 		return &Error{Outcome: a.outcome(), Reason: status.Reason, RetryAfter: status.RetryAfter}
 	}
 	return nil
@@ -125,7 +148,7 @@
 func (a *attempts) unknown(status jasminemoor.Status) error {
 	a.reason = status.Reason
 	a.isUnaccounted = true
-	if a.request.Idempotent && a.caller.budget.spend() {
+	if a.request.Idempotent && a.budget.spend() {
 		return nil
 	}
 	return &Error{Outcome: jasminemoor.OutcomeUnknown, Reason: status.Reason}
--- a/internal/request/jmserver/relay.go
+++ b/internal/request/jmserver/relay.go
@@ -12,7 +12,11 @@
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 )
 
-const maxStatusSize = 4 << 10
+const (
+	maxStatusSize = 4 << 10 // bytes
+
+	reasonRelayLost = "the agent that it was relayed to was lost"
+)
 
 // tryRelay offers a whole stream to other agents before any of its bytes are
 // given away. It returns true if the caller has been answered, and false if
@@ -33,7 +37,7 @@
 // offer offers a stream to one agent. isOver says that no other may be tried.
 func (v *Server) offer(ctx context.Context, s *Stream, peer jasminemoor.Identity) (isAnswered, isOver bool) {
 	if s.isRecorded() && !v.Ledger.PassOn(s.Header.ID, peer) {
-		v.refuse(s, "fenced by a later attempt", 0)
+		v.refuse(s, reasonFenced, 0)
 		return true, true
 	}
 	header := s.Header
@@ -53,13 +57,32 @@
 		if v.Ledger.TakeBack(s.Header.ID) {
 			return false, false
 		}
-		v.refuse(s, "fenced by a later attempt", 0)
+		v.refuse(s, reasonFenced, 0)
 		return true, true
 	}
-	v.answerUnknown(s, "the agent that it was relayed to was lost")
+	v.settleLostRelay(ctx, s, peer)
 	return true, true
 }
 
+// settleLostRelay finds out what became of a stream whose relay broke off, by
+// the same fence that a retry would use.
+func (v *Server) settleLostRelay(ctx context.Context, s *Stream, peer jasminemoor.Identity) {
+	if !s.isRecorded() {
+		v.answerUnknown(s, reasonRelayLost)
+		return
+	}
+	fence := v.fence(ctx, peer, s.Header.ID)
+	switch fence.State {
+	case jasminemoor.FenceDone:
+		v.repeat(s, fence.Answer)
+	case jasminemoor.FenceFenced:
+		v.Ledger.TakeBack(s.Header.ID)
+		v.refuse(s, reasonRelayLost, v.Gate.RetryAfter())
+	default:
+		v.answerUnknown(s, reasonRelayLost)
+	}
+}
+
 func (v *Server) logRelay(s *Stream, peer jasminemoor.Identity) {
 	v.Counters.Relayed.Add(1)
 	v.Log.WithFields(logrus.Fields{
@@ -94,14 +117,14 @@
 		}
 		_ = stream.CloseWrite()
 	})
-	v.carryAnswer(s, stream)
+	v.carryAnswer(ctx, s, peer, stream)
 	s.In.StopRead()
 }
 
-func (v *Server) carryAnswer(s *Stream, stream jasminemoor.ByteStream) {
+func (v *Server) carryAnswer(ctx context.Context, s *Stream, peer jasminemoor.Identity, stream jasminemoor.ByteStream) {
 	var status jasminemoor.Status
 	if err := jmframe.Read(stream, &status, maxStatusSize); err != nil {
-		v.answerUnknown(s, "the agent that it was relayed to was lost")
+		v.settleLostRelay(ctx, s, peer)
 		return
 	}
 	if err := jmframe.Write(s.In, status); err != nil {
--- a/internal/request/jmserver/run.go
+++ b/internal/request/jmserver/run.go
@@ -24,15 +24,15 @@
 		}
 		return
 	}
-	if s.isRecorded() && !v.Ledger.Start(s.Header.ID) {
+	if err = s.admitted(); err != nil {
+		// The peer that relays the stream is gone; not a byte of it was read.
 		up.Abort()
-		v.refuse(s, "fenced by a later attempt", 0)
+		v.refuse(s, "the relaying agent is gone", 0)
 		return
 	}
-	if err = s.admitted(); err != nil {
-		// The peer that relays the stream is gone; not a byte of it was read.
+	if s.isRecorded() && !v.Ledger.Start(s.Header.ID) {
 		up.Abort()
-		v.finish(s, nil, false)
+		v.refuse(s, reasonFenced, 0)
 		return
 	}
 	r := &run{server: v, stream: s, up: up, start: time.Now()}
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -25,13 +25,15 @@
 	// MaxAttempts is how many earlier attempts a request may name.
 	MaxAttempts = 16
 
-	relayCandidates  = 2
-	maxFenceWait     = 30 * time.Second
-	leavingRetry     = 100 * time.Millisecond
-	copyBufferSize   = 32 << 10
-	statusWriteLimit = 5 * time.Second
+	relayCandidates = 2
+	maxFenceWait    = 30 * time.Second
+	leavingRetry    = 100 * time.Millisecond
+	copyBufferSize  = 32 << 10
 )
 
+// reasonFenced is why a request is refused that a later attempt has fenced.
+const reasonFenced = "fenced by a later attempt"
+
 // Server serves streams. The exported fields are set before use.
 type Server struct {
 	Identity jasminemoor.Identity
@@ -82,6 +84,8 @@
 
 // Serve serves one stream to its end.
 func (v *Server) Serve(ctx context.Context, s *Stream) {
+	// What a refused or answered caller still sends is not wanted.
+	defer s.In.StopRead()
 	if s.Header.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, s.Header.Timeout)
--- a/internal/request/jmserver/settle.go
+++ b/internal/request/jmserver/settle.go
@@ -44,7 +44,7 @@
 	case jmledger.VerdictNew:
 		return true
 	case jmledger.VerdictFenced:
-		v.refuse(s, "fenced by a later attempt", 0)
+		v.refuse(s, reasonFenced, 0)
 		return false
 	case jmledger.VerdictKnown:
 		return v.passFences(s, []jasminemoor.Fence{v.ownFence(ctx, s.Header.ID)})
--- a/internal/standin/jmfabric/fabric.go
+++ b/internal/standin/jmfabric/fabric.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	mappings map[netip.AddrPort]*net.UDPConn
+	silenced map[netip.AddrPort]bool
 	wg       conc.WaitGroup
 }
 
@@ -108,9 +109,28 @@
 	}
 }
 
+// SilenceCallers drops everything to and from the callers' present ports for
+// good, while new ports work: something on the way has lost track of them.
+func (f *Fabric) SilenceCallers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silenced == nil {
+		f.silenced = make(map[netip.AddrPort]bool)
+	}
+	for caller := range f.mappings {
+		f.silenced[caller] = true
+	}
+}
+
+func (f *Fabric) isSilenced(caller netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silenced[caller]
+}
+
 func (f *Fabric) spray(ctx context.Context, caller netip.AddrPort, datagram []byte) {
 	s := f.Settings()
-	if len(s.Balancers) == 0 {
+	if len(s.Balancers) == 0 || f.isSilenced(caller) {
 		return
 	}
 	conn, err := f.mapping(ctx, caller)
@@ -147,6 +167,9 @@
 		if err != nil {
 			return
 		}
+		if f.isSilenced(caller) {
+			continue
+		}
 		s := f.Settings()
 		f.disturb(&s, buffer[:n], func(b []byte) { _, _ = f.public.WriteToUDPAddrPort(b, caller) })
 	}
--- /dev/null
+++ b/internal/standin/jmfake/fleet.go
@@ -0,0 +1,191 @@
+package jmfake
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmserver"
+)
+
+// Fleet is the agents of one service. The exported fields are set before Add.
+type Fleet struct {
+	Limits jmgate.Limits
+	// MaxDelay bounds the random delay of each message.
+	MaxDelay time.Duration
+	Seed     uint64
+
+	// Messages counts what agents sent to each other.
+	Messages atomic.Uint64
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	agents map[netip.AddrPort]*Agent
+	order  []netip.AddrPort
+	cuts   map[[2]netip.AddrPort]bool
+}
+
+// Agent is one run of one agent.
+type Agent struct {
+	Server   jmserver.Server
+	Gate     jmgate.Gate
+	Ledger   jmledger.Ledger
+	Meter    jmload.Meter
+	Upstream *Upstream
+	Leaving  atomic.Bool
+
+	fleet  *Fleet
+	ctx    context.Context
+	kill   context.CancelFunc
+	mu     sync.Mutex
+	resume chan struct{} // closed while the agent is not paused
+}
+
+// Add starts an agent beside an upstream.
+func (f *Fleet) Add(address netip.AddrPort, upstream *Upstream) *Agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rng == nil {
+		f.rng = rand.New(rand.NewPCG(f.Seed, 1))
+		f.agents = make(map[netip.AddrPort]*Agent)
+		f.cuts = make(map[[2]netip.AddrPort]bool)
+	}
+	a := &Agent{fleet: f, Upstream: upstream, resume: make(chan struct{})}
+	close(a.resume)
+	a.ctx, a.kill = context.WithCancel(context.Background())
+	a.Gate.SetLimits(f.Limits)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a.Server.Identity = jasminemoor.Identity{Agent: address, Incarnation: jasminemoor.NewIncarnation(time.Now())}
+	a.Server.Gate, a.Server.Ledger, a.Server.Meter = &a.Gate, &a.Ledger, &a.Meter
+	a.Server.Upstream = &dialer{agent: a}
+	a.Server.Peers = &peers{agent: a}
+	a.Server.IsClosed = a.Leaving.Load
+	a.Server.Log = log
+	if f.agents[address] == nil {
+		f.order = append(f.order, address)
+	}
+	f.agents[address] = a
+	return a
+}
+
+// Agent returns the present run of an agent.
+func (f *Fleet) Agent(address netip.AddrPort) *Agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[address]
+}
+
+// Random returns the present run of an agent at random.
+func (f *Fleet) Random() *Agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[f.order[f.rng.IntN(len(f.order))]]
+}
+
+// SetCut cuts the link between two agents, or mends it.
+func (f *Fleet) SetCut(a, b netip.AddrPort, isCut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]netip.AddrPort{a, b}] = isCut
+	f.cuts[[2]netip.AddrPort{b, a}] = isCut
+}
+
+func (f *Fleet) isCut(a, b netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[[2]netip.AddrPort{a, b}]
+}
+
+// Delay waits as long as one message takes.
+func (f *Fleet) Delay() {
+	f.mu.Lock()
+	delay := time.Duration(0)
+	if f.MaxDelay > 0 {
+		delay = time.Duration(f.rng.Int64N(int64(f.MaxDelay)))
+	}
+	f.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// Identity names this run.
+func (a *Agent) Identity() jasminemoor.Identity { return a.Server.Identity }
+
+// Kill ends this run at once. Add starts the next one.
+func (a *Agent) Kill() { a.kill() }
+
+// IsDead reports whether this run has been killed.
+func (a *Agent) IsDead() bool { return a.ctx.Err() != nil }
+
+// Pause holds everything that enters or leaves the agent until Resume.
+func (a *Agent) Pause() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.resume:
+		a.resume = make(chan struct{})
+	default:
+	}
+}
+
+// Resume ends a pause.
+func (a *Agent) Resume() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.resume:
+	default:
+		close(a.resume)
+	}
+}
+
+// awake waits until the agent is not paused. It returns false if it is dead.
+func (a *Agent) awake() bool {
+	a.mu.Lock()
+	resume := a.resume
+	a.mu.Unlock()
+	select {
+	case <-resume:
+	case <-a.ctx.Done():
+	}
+	return a.ctx.Err() == nil
+}
+
+// Serve has the agent serve a caller's stream, once the stream has got there
+// and the agent is awake, however late that is.
+func (a *Agent) Serve(header jasminemoor.RequestHeader, in jasminemoor.CallerStream, admitted func() error) {
+	if !a.awake() {
+		in.Abort()
+		return
+	}
+	stop := context.AfterFunc(a.ctx, in.Abort)
+	defer stop()
+	a.Server.Serve(a.ctx, &jmserver.Stream{Header: header, In: in, Admitted: admitted})
+}
+
+// dialer reaches the agent's own upstream while the agent is awake.
+type dialer struct {
+	agent *Agent
+}
+
+// DialUpstream implements jasminemoor.UpstreamDialer.
+func (d *dialer) DialUpstream(ctx context.Context, caller netip.AddrPort) (jasminemoor.ByteStream, error) {
+	if !d.agent.awake() {
+		return nil, ErrLost
+	}
+	stream, err := d.agent.Upstream.DialUpstream(ctx, caller)
+	if err == nil {
+		context.AfterFunc(d.agent.ctx, stream.Abort)
+	}
+	return stream, err
+}
--- /dev/null
+++ b/internal/standin/jmlab/stops_test.go
@@ -0,0 +1,91 @@
+package jmlab_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
+)
+
+// noNewWork is how soon a leaving upstream must be without new work.
+const noNewWork = 3 * time.Second
+
+func awaitDone(t *testing.T, done <-chan struct{}, limit time.Duration, what string) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(limit):
+		require.Fail(t, "not in time", what)
+	}
+}
+
+func TestAgentLeaves(t *testing.T) {
+	lab := startLab(t, 11)
+	l := startLoad(t, lab, lab.Layout.Services[0], 12, 6)
+	time.Sleep(time.Second)
+
+	leaving := l.busiest()
+	require.Positive(t, l.feedsOf(leaving))
+	left := time.Now()
+	agent := lab.Agents[leaving.Name]
+	agent.Leave()
+	time.Sleep(noNewWork + time.Second)
+	require.Less(t, l.lastRunAt(leaving).Sub(left), noNewWork, "new work reached the leaving upstream")
+	select {
+	case <-agent.Drained():
+		require.Fail(t, "the agent ended with feeds open")
+	default:
+	}
+	l.finish()
+	awaitDone(t, agent.Drained(), 15*time.Second, "agent drained after its feeds")
+}
+
+func TestUpstreamLeavesBySettings(t *testing.T) {
+	lab := startLab(t, 12)
+	service := lab.Layout.Services[0]
+	l := startLoad(t, lab, service, 12, 6)
+	time.Sleep(time.Second)
+
+	leaving := l.busiest()
+	for i := range service.Upstreams {
+		service.Upstreams[i].Leaving = service.Upstreams[i].Name == leaving.Name
+	}
+	left := time.Now()
+	putService(t, lab, service)
+	time.Sleep(noNewWork + time.Second)
+	require.Less(t, l.lastRunAt(leaving).Sub(left), noNewWork, "new work reached the leaving upstream")
+	l.finish()
+}
+
+// putService publishes a service's document as it is in the layout now.
+func putService(t *testing.T, lab *jmlab.Lab, service *jmtree.Service) {
+	t.Helper()
+	documents, err := lab.Layout.Documents()
+	require.NoError(t, err)
+	path := jmtree.TeamPrefix + service.Team
+	lab.Platform.Put(path, service.Name, documents[path][service.Name])
+}
+
+// TestBalancersReplaced replaces all balancers one after another in mid-shift.
+func TestBalancersReplaced(t *testing.T) {
+	lab := startLab(t, 13)
+	l := startLoad(t, lab, lab.Layout.Services[0], 12, 6)
+	for _, spec := range lab.Layout.Fleet.Balancers {
+		b := lab.Balancers[spec.Name]
+		b.Leave()
+		time.Sleep(300 * time.Millisecond)
+		lab.SetFabrics(jmfabric.Settings{}, spec.Name)
+		awaitDone(t, b.Drained(), 5*time.Second, "balancer drained")
+		b.Kill()
+		lab.StartBalancer(spec)
+		require.NoError(t, lab.AwaitReady(t.Context()))
+		time.Sleep(500 * time.Millisecond)
+		lab.SetFabrics(jmfabric.Settings{})
+	}
+	time.Sleep(500 * time.Millisecond)
+	l.finish()
+}
