Placement by mean load and density of flows, measured in a model

Cause: the first flight's choice compared momentary loads, which say little of a flow that lives for minutes, and flows without requests did not count. Change: agents report requests now, as a mean over 5 s, and flows over capacity; flows are placed by the mean and then by density, requests relayed by what is free now. A relayed stream is refused rather than queued twice.

--- a/cmd/jasminemoor/main.go
+++ b/cmd/jasminemoor/main.go
@@ -61,6 +61,7 @@
 			checkCommand(t),
 			callCommand(t),
 			demoCommand(t),
+			measureCommand(t),
 			standinCommand(t),
 			versionCommand(t),
 		},
--- a/internal/fleet/jmload/load.go
+++ b/internal/fleet/jmload/load.go
@@ -93,15 +93,44 @@
 	return math.Max(m.baseline*slowFactor/m.latency, minSpeed)
 }
 
-// Of returns a load in per mille: work over capacity.
-func Of(requests, slots, feeds, streams int, factor float64) uint32 {
-	if slots <= 0 || streams <= 0 || factor <= 0 {
+// Of returns a load in per mille: requests in hand over capacity. Factor is
+// the share of the largest upstream's capacity.
+func Of(requests, slots int, factor float64) uint32 {
+	if slots <= 0 || factor <= 0 {
 		return math.MaxUint32
 	}
-	load := float64(requests)/float64(slots) + float64(feeds)/float64(streams)
-	return uint32(math.Min(load/factor*PerMille, math.MaxUint32))
+	return perMille(float64(requests) / (float64(slots) * factor))
 }
 
+// Density returns open flows over capacity, times 1,000.
+func Density(flows int, factor float64) uint32 {
+	if factor <= 0 {
+		return math.MaxUint32
+	}
+	return perMille(float64(flows) / factor)
+}
+
+func perMille(share float64) uint32 {
+	return uint32(math.Min(share*PerMille, math.MaxUint32))
+}
+
+// smoothTime is the time constant of a Smoother.
+const smoothTime = 5 * time.Second
+
+// Smoother is an exponential mean of a load over time. The zero value has the
+// mean 0. It is not safe for concurrent use.
+type Smoother struct {
+	mean float64
+}
+
+// Add adds a load that lasted for a time.
+func (s *Smoother) Add(load uint32, lasted time.Duration) {
+	s.mean += (float64(load) - s.mean) * (1 - math.Exp(-lasted.Seconds()/smoothTime.Seconds()))
+}
+
+// Mean returns the mean.
+func (s *Smoother) Mean() uint32 { return uint32(s.mean) }
+
 // Board keeps the newest report of each peer. The zero value is empty; it is
 // safe for concurrent use.
 type Board struct {
@@ -110,36 +139,36 @@
 }
 
 type report struct {
-	load jasminemoor.Load
-	at   time.Time
+	jasminemoor.LoadReport
+	at time.Time
 }
 
 // Put keeps a report unless it is older than the known one.
-func (b *Board) Put(load jasminemoor.Load, now time.Time) {
+func (b *Board) Put(r jasminemoor.LoadReport, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.reports == nil {
 		b.reports = make(map[netip.AddrPort]report)
 	}
-	known := b.reports[load.Agent].load
-	if load.Incarnation < known.Incarnation {
+	known := b.reports[r.Agent]
+	if r.Incarnation < known.Incarnation {
 		return
 	}
-	if load.Incarnation == known.Incarnation && load.Sequence <= known.Sequence {
+	if r.Incarnation == known.Incarnation && r.Sequence <= known.Sequence {
 		return
 	}
-	b.reports[load.Agent] = report{load: load, at: now}
+	b.reports[r.Agent] = report{LoadReport: r, at: now}
 }
 
 // Recent returns a peer's report if it is recent enough to act on.
-func (b *Board) Recent(agent netip.AddrPort, now time.Time) (load jasminemoor.Load, found bool) {
+func (b *Board) Recent(agent netip.AddrPort, now time.Time) (r jasminemoor.LoadReport, found bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	r, found := b.reports[agent]
-	if !found || now.Sub(r.at) > MaxReportAge {
-		return jasminemoor.Load{}, false
+	known, found := b.reports[agent]
+	if !found || now.Sub(known.at) > MaxReportAge {
+		return r, false
 	}
-	return r.load, true
+	return known.LoadReport, true
 }
 
 // Retain forgets the peers that keep says no to.
--- a/internal/fleet/jmnode/messages.go
+++ b/internal/fleet/jmnode/messages.go
@@ -18,7 +18,7 @@
 	Digest uint64
 	Probe  *jmmember.Message
 	Rumors []jmspread.Rumor
-	Load   *jasminemoor.Load
+	Load   *jasminemoor.LoadReport
 }
 
 // Request opens a link. Exactly one part is set.
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -43,7 +43,7 @@
 	// Send sends a datagram from the process's fleet socket.
 	Send func(to netip.AddrPort, datagram []byte)
 	// OwnLoad returns the process's load, and nil where it has none to report.
-	OwnLoad func() *jasminemoor.Load
+	OwnLoad func() *jasminemoor.LoadReport
 	Log     logrus.FieldLogger
 
 	// Loads holds the recent loads of the peers.
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -39,6 +39,8 @@
 	// leaves, so that the last answers are acknowledged.
 	flowGrace     = 10 * time.Second
 	drainInterval = 100 * time.Millisecond
+	// measureInterval is how often the own load goes into its mean.
+	measureInterval = 100 * time.Millisecond
 )
 
 // Agent is one agent. The exported fields are set before Run.
@@ -55,6 +57,7 @@
 	gate     jmgate.Gate
 	ledger   jmledger.Ledger
 	meter    jmload.Meter
+	meanLoad atomic.Uint32
 	returns  jmreturn.Table
 	server   jmserver.Server
 	view     atomic.Pointer[view]
@@ -135,6 +138,7 @@
 	wg.Go(func() { a.Node.Serve(ctx, tcp, a.serveLink) })
 	wg.Go(func() { a.conn.receive(ctx) })
 	wg.Go(func() { a.drainLoop(ctx) })
+	wg.Go(func() { a.measureLoop(ctx) })
 	if err = a.awaitService(ctx); err != nil {
 		return err
 	}
@@ -154,8 +158,8 @@
 	a.Node.Send = func(to netip.AddrPort, datagram []byte) {
 		_, _ = a.udp.WriteToUDPAddrPort(datagram, to)
 	}
-	a.Node.OwnLoad = func() *jasminemoor.Load {
-		return &jasminemoor.Load{PerMille: a.ownLoad(), Leaving: a.isLeaving()}
+	a.Node.OwnLoad = func() *jasminemoor.LoadReport {
+		return &jasminemoor.LoadReport{Load: a.ownLoad(), Leaving: a.isLeaving()}
 	}
 	return nil
 }
@@ -187,17 +191,35 @@
 	return a.isLeaving() || a.Node.View().IsStale
 }
 
-// ownLoad returns the exact load of this agent in per mille.
-func (a *Agent) ownLoad() uint32 {
+// ownLoad returns the exact load of this agent.
+func (a *Agent) ownLoad() (load jasminemoor.Load) {
 	v := a.view.Load()
 	if v == nil {
-		return jmload.PerMille
+		return load
 	}
 	usage := a.gate.Usage()
-	feeds := max(usage.Feeds, a.flows.len())
-	limits := v.service.Limits.WithDefaults()
+	slots := v.service.Limits.WithDefaults().Slots
 	factor := a.meter.Factor(time.Now()) * v.weightShare
-	return jmload.Of(usage.Running+usage.Waiting, limits.Slots, feeds, limits.Connections, factor)
+	load.Now = jmload.Of(usage.Running+usage.Waiting, slots, factor)
+	load.Mean = a.meanLoad.Load()
+	load.Density = jmload.Density(a.flows.len(), factor)
+	return load
+}
+
+// measureLoop keeps the mean load.
+func (a *Agent) measureLoop(ctx context.Context) {
+	ticker := time.NewTicker(measureInterval)
+	defer ticker.Stop()
+	var smoother jmload.Smoother
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			smoother.Add(a.ownLoad().Now, measureInterval)
+			a.meanLoad.Store(smoother.Mean())
+		}
+	}
 }
 
 func (a *Agent) serveFlows(ctx context.Context) (err error) {
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -219,7 +219,7 @@
 	s := &jmplacer.Situation{
 		Hops:     h.Hops,
 		IsClosed: a.takesNoWork() || a.flows.len() >= limits.Connections,
-		OwnLoad:  a.ownLoad(),
+		Own:      a.ownLoad(),
 	}
 	for i := range v.peers {
 		p := a.peer(v, &v.peers[i], now)
--- a/internal/flow/jmagent/peers.go
+++ b/internal/flow/jmagent/peers.go
@@ -43,11 +43,11 @@
 	for i := range v.peers {
 		peer := p.agent.peer(v, &v.peers[i], now)
 		report, _ := p.agent.Node.Loads.Recent(peer.Agent, now)
-		hasRoom := kind == jasminemoor.KindFeed || peer.Load < jmload.PerMille
+		hasRoom := kind == jasminemoor.KindFeed || peer.Load.Now < jmload.PerMille
 		if !peer.IsUsable || !peer.HasLoad || !hasRoom {
 			continue
 		}
-		load := peer.Load
+		load := peer.Load.Now
 		if !peer.IsLocal {
 			load += jmplacer.RemoteMargin
 		}
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -136,14 +136,14 @@
 
 // peer returns another agent of the service as this one sees it now.
 func (a *Agent) peer(v *view, u *jmtree.Upstream, now time.Time) jmplacer.Peer {
-	load, hasLoad := a.Node.Loads.Recent(u.Agent, now)
-	isLeaving := u.Leaving || hasLoad && load.Leaving
+	report, hasLoad := a.Node.Loads.Recent(u.Agent, now)
+	isLeaving := u.Leaving || hasLoad && report.Leaving
 	return jmplacer.Peer{
 		Agent:    u.Agent,
 		IsUsable: !isLeaving && v.node.IsUsable(u.Agent),
 		IsLocal:  u.DataCentre == v.upstream.DataCentre,
 		HasLoad:  hasLoad,
-		Load:     load.PerMille,
+		Load:     report.Load,
 	}
 }
 
--- a/internal/flow/jmplacer/firstflight.go
+++ b/internal/flow/jmplacer/firstflight.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/jasminemoor/jasminemoor"
 )
 
 const (
@@ -15,13 +17,20 @@
 	maxKey  = 20
 )
 
-// Handover bounds, in per mille of load: how much more loaded than another
-// agent an agent must be before it hands a new flow on.
+// Bounds of a hand-over, in per mille of load: how much more loaded than
+// another agent an agent must be before it hands a new flow on.
 const (
 	LocalMargin  = 100 // to an agent in the same data centre
 	RemoteMargin = 400 // to one across a link between data centres
 )
 
+// Bounds of a hand-over between agents whose loads are alike, in per cent of
+// the other's density of flows.
+const (
+	localDensity  = 105
+	remoteDensity = 130
+)
+
 // Choice is an agent's decision on the first flight of a flow.
 type Choice struct {
 	// HandTo is the agent that gets the flow. It is invalid if this agent keeps it.
@@ -37,7 +46,7 @@
 	Hops uint8
 	// IsClosed says that this agent takes no new work.
 	IsClosed bool
-	OwnLoad  uint32
+	Own      jasminemoor.Load
 	// Second is the other candidate that the balancer named, if any.
 	Second Peer
 	// Others are this service's other agents, for when this agent is closed.
@@ -46,12 +55,11 @@
 
 // Peer is another agent as this one sees it.
 type Peer struct {
-	Agent        netip.AddrPort
-	IsUsable     bool // alive and not leaving
-	IsLocal      bool // in the own data centre
-	HasLoad      bool // the load is recent enough to act on
-	Load         uint32
-	IsOverloaded bool // at or above its capacity
+	Agent    netip.AddrPort
+	IsUsable bool // alive and not leaving
+	IsLocal  bool // in the own data centre
+	HasLoad  bool // the load is recent enough to act on
+	Load     jasminemoor.Load
 }
 
 // Choose decides on a new first flight: power of two choices between this
@@ -67,17 +75,35 @@
 	if s.Hops > 0 {
 		return Choice{Reason: "handed over"}
 	}
-	if s.Second.IsUsable && s.Second.HasLoad && s.OwnLoad > s.Second.Load+margin(&s.Second) {
+	if s.Second.IsUsable && s.Second.HasLoad && isWorthHandingOn(&s.Own, &s.Second) {
 		return Choice{HandTo: s.Second.Agent, Reason: "second candidate has less load"}
 	}
 	return Choice{Reason: "first candidate"}
 }
 
-func margin(p *Peer) uint32 {
+// isWorthHandingOn compares the mean loads, since a flow lives longer than any
+// request, and among agents with like loads the densities of flows.
+func isWorthHandingOn(own *jasminemoor.Load, second *Peer) bool {
+	bound, density := uint64(LocalMargin), uint64(localDensity)
+	if !second.IsLocal {
+		bound, density = RemoteMargin, remoteDensity
+	}
+	ownMean, otherMean := uint64(own.Mean), uint64(second.Load.Mean)
+	switch {
+	case ownMean > otherMean+bound:
+		return true
+	case otherMean > ownMean+bound:
+		return false
+	}
+	return uint64(own.Density)*100 > uint64(second.Load.Density)*density
+}
+
+// cost is the load of a peer with the price of the way there.
+func (p *Peer) cost() uint64 {
 	if p.IsLocal {
-		return LocalMargin
+		return uint64(p.Load.Mean) + LocalMargin
 	}
-	return RemoteMargin
+	return uint64(p.Load.Mean) + RemoteMargin
 }
 
 // chooseOther finds the agent that takes a flow in place of a closed one.
@@ -109,7 +135,7 @@
 	if p.HasLoad != best.HasLoad {
 		return p.HasLoad
 	}
-	return p.Load+margin(p) < best.Load+margin(best)
+	return p.cost() < best.cost()
 }
 
 // FirstFlights remembers the choices for flows whose handshake is under way,
--- /dev/null
+++ b/internal/measure/jmmodel/run.go
@@ -0,0 +1,265 @@
+package jmmodel
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
+)
+
+const (
+	reportInterval = time.Second // between two reports of load to peers
+	smoothInterval = 100 * time.Millisecond
+	sampleInterval = 10 * time.Second
+	warmUpShare    = 5 // one part in so many of a run is not measured
+	queueFactor    = 2 // places in the queue for each slot
+	maxQueueWait   = 2 * time.Second
+)
+
+// world is the state of one run.
+type world struct {
+	clock
+	site      Site
+	load      Load
+	policy    Policy
+	rng       *rand.Rand // of the load; the policies draw from it as well
+	upstreams []*upstream
+	think     time.Duration
+
+	waits     []time.Duration
+	peaks     []float64 // of offered work
+	flowPeaks []float64
+	requests  int
+	refused   int
+	crossings int
+	arrivals  int
+}
+
+// upstream is one modelled upstream with its agent.
+type upstream struct {
+	index      int
+	agent      netip.AddrPort
+	dataCentre int
+	weight     uint32
+	share      float64 // of the largest weight
+	slots      int
+	running    int
+	waiting    []*request
+	flows      int
+	offered    time.Duration // work that came since the last sample
+	smooth     jmload.Smoother
+	reported   jasminemoor.Load // what peers know of
+}
+
+// request is one modelled request.
+type request struct {
+	arrived time.Duration
+	work    time.Duration // at the slowest upstream
+}
+
+// load returns the load as an agent reports it.
+func (u *upstream) load() jasminemoor.Load {
+	now := jmload.Of(u.running+len(u.waiting), u.slots, u.share)
+	return jasminemoor.Load{
+		Now:     now,
+		Mean:    u.smooth.Mean(),
+		Density: jmload.Density(u.flows, u.share),
+	}
+}
+
+// Run measures one policy under a load.
+func Run(site Site, load Load, policy Policy) Result {
+	w := newWorld(site, load, policy)
+	w.startFlows()
+	w.every(smoothInterval, w.smooth)
+	w.every(reportInterval, w.report)
+	w.every(sampleInterval, w.sample)
+	w.runUntil(load.Duration)
+	return w.result()
+}
+
+func newWorld(site Site, load Load, policy Policy) *world {
+	w := &world{site: site, load: load, policy: policy, rng: rand.New(rand.NewPCG(load.Seed, 4))}
+	largest := slices.Max(site.Weights)
+	capacity := 0.0 // requests a second
+	slowest := slices.Min(site.Weights)
+	for i, weight := range site.Weights {
+		u := &upstream{
+			index:      i,
+			agent:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7100),
+			dataCentre: i % site.DataCentres,
+			weight:     weight,
+			share:      float64(weight) / float64(largest),
+			slots:      site.Slots,
+		}
+		w.upstreams = append(w.upstreams, u)
+		capacity += float64(site.Slots) * float64(weight) / float64(slowest) / site.ServiceTime.Seconds()
+	}
+	rate := capacity * load.Utilisation / float64(load.Flows) // of each flow
+	w.think = time.Duration(float64(time.Second) / rate)
+	policy.prepare(w)
+	return w
+}
+
+func (w *world) every(interval time.Duration, do func()) {
+	w.after(interval, func() {
+		do()
+		w.every(interval, do)
+	})
+}
+
+// startFlows begins with all flows open, and opens a new one for each that ends.
+func (w *world) startFlows() {
+	for range w.load.Flows {
+		w.after(time.Duration(w.rng.Int64N(int64(w.think))), w.openFlow)
+	}
+}
+
+func (w *world) openFlow() {
+	var id [8]byte
+	binary.BigEndian.PutUint64(id[:], w.rng.Uint64())
+	u := w.policy.place(w, id[:])
+	u.flows++
+	ends := w.now + exponential(w.rng, w.load.FlowLife)
+	w.nextRequest(u, ends)
+}
+
+func (w *world) nextRequest(u *upstream, ends time.Duration) {
+	w.after(exponential(w.rng, w.think), func() {
+		if w.now >= ends {
+			u.flows--
+			w.openFlow()
+			return
+		}
+		w.arrive(u)
+		w.nextRequest(u, ends)
+	})
+}
+
+// arrive has a request of a flow come to the flow's agent.
+func (w *world) arrive(u *upstream) {
+	w.arrivals++
+	r := &request{arrived: w.now, work: exponential(w.rng, w.site.ServiceTime)}
+	u.offered += r.work
+	target := w.policy.relay(w, u)
+	if target == u {
+		w.enter(u, r)
+		return
+	}
+	u.offered -= r.work
+	target.offered += r.work
+	delay := time.Duration(0)
+	if target.dataCentre != u.dataCentre {
+		w.crossings++
+		delay = w.site.LinkDelay
+	}
+	w.after(delay, func() { w.enter(target, r) })
+}
+
+func (w *world) enter(u *upstream, r *request) {
+	switch {
+	case u.running < u.slots:
+		w.begin(u, r)
+	case u.hasRoom():
+		u.waiting = append(u.waiting, r)
+	default:
+		w.refused++
+	}
+}
+
+// hasRoom reports whether a request would get a slot or a place in the queue.
+func (u *upstream) hasRoom() bool {
+	return u.running < u.slots || len(u.waiting) < u.slots*queueFactor
+}
+
+func (w *world) begin(u *upstream, r *request) {
+	u.running++
+	w.requests++
+	if w.now > w.load.Duration/warmUpShare {
+		w.waits = append(w.waits, w.now-r.arrived)
+	}
+	slowest := slices.Min(w.site.Weights)
+	length := time.Duration(float64(r.work) * float64(slowest) / float64(u.weight))
+	w.after(length, func() { w.end(u) })
+}
+
+func (w *world) end(u *upstream) {
+	u.running--
+	for len(u.waiting) > 0 && u.running < u.slots {
+		next := u.waiting[0]
+		u.waiting = u.waiting[1:]
+		if w.now-next.arrived > maxQueueWait {
+			w.refused++
+			continue
+		}
+		w.begin(u, next)
+	}
+}
+
+func (w *world) smooth() {
+	for _, u := range w.upstreams {
+		u.smooth.Add(u.load().Now, smoothInterval)
+	}
+}
+
+func (w *world) report() {
+	for _, u := range w.upstreams {
+		u.reported = u.load()
+	}
+}
+
+func (w *world) sample() {
+	offered := make([]float64, len(w.upstreams))
+	flows := make([]float64, len(w.upstreams))
+	for i, u := range w.upstreams {
+		offered[i] = u.offered.Seconds()
+		flows[i] = float64(u.flows)
+		u.offered = 0
+	}
+	if w.now < w.load.Duration/warmUpShare {
+		return
+	}
+	w.peaks = append(w.peaks, w.peakOverMean(offered))
+	w.flowPeaks = append(w.flowPeaks, w.peakOverMean(flows))
+}
+
+// peakOverMean returns the largest amount over capacity of any upstream, over
+// that of all upstreams together.
+func (w *world) peakOverMean(amounts []float64) float64 {
+	peak, sum, capacity := 0.0, 0.0, 0.0
+	for i, u := range w.upstreams {
+		peak = max(peak, amounts[i]/float64(u.weight))
+		sum += amounts[i]
+		capacity += float64(u.weight)
+	}
+	if sum == 0 {
+		return 1
+	}
+	return peak / (sum / capacity)
+}
+
+func (w *world) result() Result {
+	r := Result{Policy: w.policy.Name, Requests: w.requests, Refused: w.refused}
+	if len(w.waits) == 0 || len(w.peaks) == 0 {
+		return r
+	}
+	slices.Sort(w.waits)
+	r.WaitP50 = w.waits[len(w.waits)/2]
+	r.WaitP99 = w.waits[len(w.waits)*99/100]
+	r.PeakOverMean = mean(w.peaks)
+	r.FlowsPeakOverMean = mean(w.flowPeaks)
+	r.Crossing = float64(w.crossings) / float64(w.arrivals)
+	return r
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -103,7 +103,13 @@
 // place serves a stream that may run: here, or at another agent while this
 // one is closed or full.
 func (v *Server) place(ctx context.Context, s *Stream) {
-	if v.IsClosed() || !v.Gate.HasRoom(s.Header.Kind) {
+	hasRoom := v.Gate.HasRoom(s.Header.Kind)
+	if !hasRoom && s.Header.Hops > 0 {
+		// The relaying agent has a queue of its own; two would only wait longer.
+		v.refuse(s, "no free slot for a relayed stream", v.Gate.RetryAfter())
+		return
+	}
+	if v.IsClosed() || !hasRoom {
 		if v.tryRelay(ctx, s) {
 			return
 		}
--- a/internal/settings/jmtree/tree_test.go
+++ b/internal/settings/jmtree/tree_test.go
@@ -28,8 +28,8 @@
 
 func hexOf(size int) string { return strings.Repeat("ab", size) }
 
-func fleet(revision uint64) jasminemoor.Subtree {
-	return jasminemoor.Subtree{Path: jmtree.FleetPath, Revision: revision, Values: map[string]string{
+func fleet() jasminemoor.Subtree {
+	return jasminemoor.Subtree{Path: jmtree.FleetPath, Revision: 1, Values: map[string]string{
 		jmtree.NetworkName:   networkText,
 		jmtree.KeysName:      keysText,
 		jmtree.BalancersName: balancersText,
@@ -62,10 +62,10 @@
 		if !strings.Contains(text, old) {
 			panic("the text has no " + old)
 		}
-		return []jasminemoor.Subtree{fleet(1), team("rangla", 1, strings.Replace(text, old, replacement, 1))}
+		return []jasminemoor.Subtree{fleet(), team("rangla", 1, strings.Replace(text, old, replacement, 1))}
 	}
 	withFleet := func(name, text string) []jasminemoor.Subtree {
-		f := fleet(1)
+		f := fleet()
 		f.Values[name] = text
 		return []jasminemoor.Subtree{f}
 	}
@@ -74,7 +74,7 @@
 		tree   []jasminemoor.Subtree
 		faults []string
 	}{
-		"no fault":          {[]jasminemoor.Subtree{fleet(1), team("rangla", 1, serviceText(1), serviceText(2))}, nil},
+		"no fault":          {[]jasminemoor.Subtree{fleet(), team("rangla", 1, serviceText(1), serviceText(2))}, nil},
 		"no fleet":          {[]jasminemoor.Subtree{team("rangla", 1, serviceText(1))}, []string{"Fleet: subtree is missing"}},
 		"syntax":            {replace(`"Number": 1,`, `"Number": 1`), []string{place + ":3: hujson: line 3, column 2: invalid character '\"' after object value (expecting ',' or '}')"}},
 		"unknown field":     {replace(`"Number": 1,`, `"Number": 1, "Nmber": 2,`), []string{place + `:2 /Nmber: unknown field "Nmber"`}},
@@ -92,7 +92,7 @@
 		"no sealing key":    {withFleet(jmtree.KeysName, strings.Replace(keysText, "true", "false", 1)), []string{"no sealing key"}},
 		"unknown document":  {withFleet("Kyes", "{}"), []string{"Fleet/Kyes: document is unknown"}},
 		"prefix too wide":   {withFleet(jmtree.NetworkName, strings.Replace(networkText, "10.0.0.0/8", "2001:db8::/32", 1)), []string{"leaves more than 32 bits"}},
-		"two claim address": {[]jasminemoor.Subtree{fleet(1), team("a", 1, serviceText(1)), team("b", 1, strings.Replace(serviceText(2), "192.0.2.2", "192.0.2.1", 1))}, []string{"Teams/b/service-1: address 192.0.2.1:443 is claimed by a/service-1"}},
+		"two claim address": {[]jasminemoor.Subtree{fleet(), team("a", 1, serviceText(1)), team("b", 1, strings.Replace(serviceText(2), "192.0.2.2", "192.0.2.1", 1))}, []string{"Teams/b/service-1: address 192.0.2.1:443 is claimed by a/service-1"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -108,7 +108,7 @@
 func TestLastGoodStaysInForce(t *testing.T) {
 	var tree jmtree.Tree
 	require.Nil(t, tree.Config())
-	require.True(t, tree.Put(fleet(1)))
+	require.True(t, tree.Put(fleet()))
 	require.True(t, tree.Put(team("rangla", 2, serviceText(1))))
 	require.True(t, tree.Put(team("halloran", 3, serviceText(2))))
 
@@ -128,7 +128,7 @@
 
 func TestRevisionsNeverGoBack(t *testing.T) {
 	var tree jmtree.Tree
-	tree.Put(fleet(1))
+	tree.Put(fleet())
 	require.True(t, tree.Put(team("rangla", 9, serviceText(9))))
 	require.False(t, tree.Put(team("rangla", 9, serviceText(1))))
 	require.False(t, tree.Put(team("rangla", 8, serviceText(1))))
@@ -141,10 +141,10 @@
 // revision is the newest: it must still get the good one from its peers.
 func TestGoodAfterFaulty(t *testing.T) {
 	var old, joiner jmtree.Tree
-	for _, s := range []jasminemoor.Subtree{fleet(1), team("rangla", 2, serviceText(1)), team("rangla", 3, `{}`)} {
+	for _, s := range []jasminemoor.Subtree{fleet(), team("rangla", 2, serviceText(1)), team("rangla", 3, `{}`)} {
 		old.Put(s)
 	}
-	joiner.Put(fleet(1))
+	joiner.Put(fleet())
 	joiner.Put(team("rangla", 3, `{}`))
 	require.Empty(t, joiner.Config().Services)
 
@@ -158,14 +158,14 @@
 
 func TestEmptySubtreeRemovesServices(t *testing.T) {
 	var tree jmtree.Tree
-	tree.Put(fleet(1))
+	tree.Put(fleet())
 	tree.Put(team("rangla", 2, serviceText(1)))
 	require.True(t, tree.Put(team("rangla", 3)))
 	require.Empty(t, tree.Config().Services)
 }
 
 func TestSecretsDoNotPrint(t *testing.T) {
-	f, faults := jmtree.ParseFleet(fleet(1))
+	f, faults := jmtree.ParseFleet(fleet())
 	require.Empty(t, faults)
 	for _, text := range []string{fmt.Sprintf("%v", f), fmt.Sprintf("%+v", f), fmt.Sprintf("%#v", f.Keys)} {
 		require.NotContains(t, text, "abab")
@@ -203,7 +203,7 @@
 	f.Add(networkText, keysText, balancersText)
 	f.Add(`{}`, `null`, `0`)
 	f.Fuzz(func(t *testing.T, network, keys, balancers string) {
-		s := fleet(1)
+		s := fleet()
 		s.Values = map[string]string{
 			jmtree.NetworkName:   network,
 			jmtree.KeysName:      keys,
--- a/internal/standin/jmprocess/fleet.go
+++ b/internal/standin/jmprocess/fleet.go
@@ -98,7 +98,7 @@
 }
 
 func (f *Fleet) startService(s *jmtree.Service) error {
-	var balancers []string
+	balancers := make([]string, 0, len(f.Layout.Fleet.Balancers))
 	for _, b := range f.Layout.Fleet.Balancers {
 		balancers = append(balancers, f.Layout.BalancerServiceAddress(b, s).String())
 	}
--- a/internal/standin/jmprocess/fleet_test.go
+++ b/internal/standin/jmprocess/fleet_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		panic(err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	if binary, err = jmprocess.Build(context.Background(), dir, false); err != nil {
 		panic(err)
 	}
--- a/internal/wire/jmdatagram/datagram_test.go
+++ b/internal/wire/jmdatagram/datagram_test.go
@@ -137,7 +137,7 @@
 func FuzzUnmarshalControl(f *testing.F) {
 	f.Add([]byte{0x82})
 	f.Add([]byte("\x82\xa4Name\xa4ping\xa5Count\x03"))
-	f.Fuzz(func(t *testing.T, body []byte) {
+	f.Fuzz(func(_ *testing.T, body []byte) {
 		var got message
 		_ = jmdatagram.UnmarshalControl([]jmdatagram.ControlKey{{}}, body, &got)
 		if datagram, err := jmdatagram.MarshalControl(jmdatagram.ControlKey{}, body); err == nil {
--- a/ports.go
+++ b/ports.go
@@ -111,14 +111,20 @@
 	DialUpstream(ctx context.Context, caller netip.AddrPort) (stream ByteStream, err error)
 }
 
-// Load is an agent's report of its work in hand.
+// Load is an agent's load, over its capacity and times 1,000.
 type Load struct {
+	Now     uint32 // requests in hand
+	Mean    uint32 // requests in hand, as a mean over some seconds
+	Density uint32 // open flows
+}
+
+// LoadReport is what an agent tells its peers of its load.
+type LoadReport struct {
 	Agent       netip.AddrPort
 	Incarnation Incarnation
 	// Sequence grows with each report of one incarnation.
 	Sequence uint64
-	// PerMille is work in hand over capacity, times 1,000.
-	PerMille uint32
+	Load     Load
 	// Leaving says that the agent takes no new work.
 	Leaving bool
 }
