Control logic as one machine without sockets

Cause: the glue between probing, spreading and loads lived beside the sockets and could not be driven or measured by itself. Change: jmcontrol.Machine takes messages and time and returns what to send; jmnode is the adapter.

--- a/internal/fleet/jmnode/exchange.go
+++ b/internal/fleet/jmnode/exchange.go
@@ -9,14 +9,13 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmlink"
 )
 
 const (
-	exchangeTimeout = 4 * time.Second
-	// pageSize bounds the settings in one reply in bytes.
-	pageSize         = 1 << 20
+	exchangeTimeout  = 4 * time.Second
 	maxReplySize     = 80 << 20
 	seedInterval     = 500 * time.Millisecond
 	maxSeedInterval  = 10 * time.Second
@@ -42,33 +41,20 @@
 }
 
 // pull asks a peer for what it knows better, on a goroutine of its own.
-func (n *Node) pull(peer netip.AddrPort) {
-	request := n.syncRequest()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+func (n *Node) pull(ctx context.Context, peer netip.AddrPort) {
+	request := n.machine.SyncRequest()
+	n.pulls.Go(func() {
+		attempt, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
-		reply, err := n.exchange(ctx, peer, request)
-		n.do(func(now time.Time) {
-			n.spread.EndPull(now, err == nil)
-			if err != nil {
-				n.Log.WithError(err).WithField("Peer", peer).Debug("settings: exchange failed")
-				return
-			}
-			n.takeReply(now, reply)
-		})
-	}()
-}
-
-func (n *Node) syncRequest() *SyncRequest {
-	return &SyncRequest{From: n.Identity.Agent, Revisions: n.spread.Revisions(), Members: n.members.Snapshot()}
-}
-
-func (n *Node) takeReply(now time.Time, reply *SyncReply) {
-	n.putSubtrees(reply.Subtrees)
-	n.members.Apply(now, reply.Members)
+		reply, err := n.exchange(attempt, peer, request)
+		if err != nil {
+			n.Log.WithError(err).WithField("Peer", peer).Debug("settings: exchange failed")
+		}
+		n.do(func(now time.Time) { n.act(ctx, n.machine.HandleSyncReply(now, reply)) })
+	})
 }
 
-func (n *Node) exchange(ctx context.Context, peer netip.AddrPort, request *SyncRequest) (reply *SyncReply, err error) {
+func (n *Node) exchange(ctx context.Context, peer netip.AddrPort, request *jmcontrol.SyncRequest) (reply *jmcontrol.SyncReply, err error) {
 	n.Counters.Exchanges.Add(1)
 	conn, err := n.Dial(ctx, peer, &Request{Sync: request})
 	if err != nil {
@@ -78,25 +64,20 @@
 	if deadline, found := ctx.Deadline(); found {
 		_ = conn.SetDeadline(deadline)
 	}
-	reply = &SyncReply{}
+	reply = &jmcontrol.SyncReply{}
 	if err = jmframe.Read(conn, reply, maxReplySize); err != nil {
 		return nil, err
 	}
 	return reply, nil
 }
 
-// ServeSync answers a peer's request for settings and members.
-func (n *Node) ServeSync(conn *jmlink.Conn, request *SyncRequest) (err error) {
-	replies := make(chan *SyncReply, 1)
+// serveSync answers a peer's request for settings and members.
+func (n *Node) serveSync(ctx context.Context, conn *jmlink.Conn, request *jmcontrol.SyncRequest) (err error) {
+	replies := make(chan *jmcontrol.SyncReply, 1)
 	n.do(func(now time.Time) {
-		n.members.Apply(now, request.Members)
-		replies <- &SyncReply{
-			Subtrees: n.spread.Missing(request.Revisions, pageSize),
-			Members:  n.members.Snapshot(),
-		}
-		if n.spread.HandleRevisions(now, request.Revisions) {
-			n.pull(request.From)
-		}
+		reply, out := n.machine.HandleSyncRequest(now, request)
+		replies <- reply
+		n.act(ctx, out)
 	})
 	select {
 	case reply := <-replies:
@@ -113,10 +94,10 @@
 	for i := 0; len(n.Seeds) > 0 && n.View().Config == nil; i++ {
 		peer := n.Seeds[i%len(n.Seeds)]
 		attempt, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		reply, err := n.exchange(attempt, peer, &SyncRequest{From: n.Identity.Agent})
+		reply, err := n.exchange(attempt, peer, &jmcontrol.SyncRequest{From: n.Identity.Agent})
 		cancel()
 		if err == nil {
-			n.do(func(now time.Time) { n.takeReply(now, reply) })
+			n.do(func(now time.Time) { n.act(ctx, n.machine.HandleSyncReply(now, reply)) })
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -1,6 +1,6 @@
 // Package jmnode is the control side of every process of the fleet: one
-// goroutine that owns the settings, the members and the peers' loads, and that
-// publishes an immutable view for the goroutines that carry traffic.
+// goroutine that owns the control state, and that publishes an immutable view
+// for the goroutines that carry traffic.
 package jmnode
 
 import (
@@ -16,18 +16,15 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
-	"github.com/jasminemoor/jasminemoor/internal/settings/jmspread"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
 const (
-	tickInterval  = 100 * time.Millisecond
-	inboxSize     = 1024
-	loadInterval  = time.Second
-	loadReceivers = 8 // peers that are told the load in each interval
+	tickInterval = 100 * time.Millisecond
+	inboxSize    = 1024
 )
 
 // Node is the control side of one process. The exported fields are set before Run.
@@ -51,17 +48,13 @@
 	// Counters counts control traffic.
 	Counters Counters
 
-	view    atomic.Pointer[View]
-	changed chan struct{}
-	inbox   chan event
-	start   sync.Once
-
-	members      jmmember.Machine
-	spread       jmspread.Machine
-	loadSent     time.Time
-	rng          *rand.Rand
-	isLeaving    atomic.Bool
-	hasAnnounced bool
+	view      atomic.Pointer[jmcontrol.View]
+	changed   chan struct{}
+	inbox     chan event
+	start     sync.Once
+	machine   jmcontrol.Machine
+	isLeaving atomic.Bool
+	pulls     conc.WaitGroup
 }
 
 // Counters counts control traffic since the process started.
@@ -74,43 +67,24 @@
 	Exchanges      atomic.Uint64
 }
 
-// View is what the control goroutine publishes. It is immutable.
-type View struct {
-	Config *jmtree.Config // nil before the first settings
-	States map[netip.AddrPort]jmmember.State
-	// IsStale is set after a pause until a peer has answered.
-	IsStale bool
-	// IsReader says that this process watches the platform.
-	IsReader bool
-}
-
-// StateOf returns what is believed of a member; an unknown one is taken to be alive.
-func (v *View) StateOf(addr netip.AddrPort) jmmember.State { return v.States[addr] }
-
-// IsUsable reports whether a member may get new work.
-func (v *View) IsUsable(addr netip.AddrPort) bool {
-	s := v.States[addr]
-	return s.Liveness == jmmember.Alive && !s.IsLeaving
-}
-
 // event is an input of the control goroutine.
 type event func(now time.Time)
 
 func (n *Node) init() {
 	n.start.Do(func() {
-		seed := uint64(n.Identity.Incarnation)
-		n.rng = rand.New(rand.NewPCG(seed, uint64(n.Identity.Agent.Port())))
-		self := jmmember.Member{Address: n.Identity.Agent, DataCentre: n.DataCentre}
-		n.members = jmmember.Machine{Self: self, Incarnation: n.Identity.Incarnation, Rand: n.rng}
-		n.spread = jmspread.Machine{Self: self, Rand: n.rng}
+		n.machine.Identity = n.Identity
+		n.machine.DataCentre = n.DataCentre
+		n.machine.Rand = rand.New(rand.NewPCG(uint64(n.Identity.Incarnation), uint64(n.Identity.Agent.Port())))
+		n.machine.OwnLoad = n.OwnLoad
+		n.machine.Loads = &n.Loads
 		n.changed = make(chan struct{}, 1)
 		n.inbox = make(chan event, inboxSize)
-		n.view.Store(&View{})
+		n.view.Store(&jmcontrol.View{})
 	})
 }
 
 // View returns the newest view.
-func (n *Node) View() *View {
+func (n *Node) View() *jmcontrol.View {
 	n.init()
 	return n.view.Load()
 }
@@ -122,14 +96,13 @@
 }
 
 // Leave announces that the process takes no new work.
-func (n *Node) Leave() {
-	n.isLeaving.Store(true)
-}
+func (n *Node) Leave() { n.isLeaving.Store(true) }
 
 // Run drives the node until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	n.init()
 	var wg conc.WaitGroup
+	defer n.pulls.Wait()
 	defer wg.Wait()
 	wg.Go(func() { n.followPlatform(ctx) })
 	wg.Go(func() { n.askSeeds(ctx) })
@@ -139,12 +112,13 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			n.tick(now)
+		case <-ticker.C:
+			// The ticker's own time is when the tick was due; after a pause
+			// that is long ago.
+			n.tick(ctx, time.Now())
 		case e := <-n.inbox:
 			e(time.Now())
 		}
-		n.publishIfChanged()
 	}
 }
 
@@ -158,94 +132,44 @@
 	}
 }
 
-func (n *Node) tick(now time.Time) {
-	// The ticker's time is when the tick was due; after a pause that is long ago.
-	now = latest(now, time.Now())
-	if n.isLeaving.Load() && !n.hasAnnounced {
-		n.hasAnnounced = true
-		n.members.Leave()
-		n.announceLeave()
-		n.sendLoad(now)
+func (n *Node) tick(ctx context.Context, now time.Time) {
+	if n.isLeaving.Load() {
+		n.act(ctx, n.machine.Leave(now))
 	}
-	n.sendProbes(n.members.Tick(now))
-	if now.Sub(n.loadSent) >= loadInterval {
-		n.sendLoad(now)
+	n.act(ctx, n.machine.Tick(now))
+	if n.machine.TakeChanged() || n.view.Load().IsStale != n.machine.IsStale() {
+		n.publish()
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// act carries out what the machine asks for.
+func (n *Node) act(ctx context.Context, out jmcontrol.Output) {
+	if out.HasNews {
+		old := n.view.Load().Config
+		n.publish()
+		n.logSettings(old, n.view.Load().Config)
 	}
-	return b
-}
-
-func (n *Node) publishIfChanged() {
-	old := n.view.Load()
-	membersChanged := n.members.TakeChanged()
-	if !membersChanged && old.IsStale == n.members.IsStale() {
-		return
+	for _, s := range out.Sends {
+		n.sendControl(s.To, s.Message)
+	}
+	for _, peer := range out.Pulls {
+		n.pull(ctx, peer)
 	}
-	states := n.members.States()
-	n.publish(&View{
-		Config:   old.Config,
-		States:   states,
-		IsStale:  n.members.IsStale(),
-		IsReader: n.spread.IsReader(states),
-	})
 }
 
-func (n *Node) publish(v *View) {
-	n.view.Store(v)
+func (n *Node) publish() {
+	n.view.Store(n.machine.View())
 	select {
 	case n.changed <- struct{}{}:
 	default:
 	}
 }
 
-// putSubtrees takes settings in and, if they are new, puts them in force and
-// tells a few peers.
-func (n *Node) putSubtrees(subtrees []jasminemoor.Subtree) {
-	news := n.spread.Put(subtrees)
-	if len(news) == 0 {
-		return
-	}
-	config := n.spread.Config()
-	if config == nil {
-		return
-	}
-	n.logSettings(n.view.Load().Config, config)
-	n.members.SetMembers(membersOf(config))
-	n.Loads.Retain(func(a netip.AddrPort) bool { _, _, found := config.ServiceOf(a); return found })
-	states := n.members.States()
-	n.publish(&View{
-		Config:   config,
-		States:   states,
-		IsStale:  n.members.IsStale(),
-		IsReader: n.spread.IsReader(states),
-	})
-	n.pushRumors(news)
-}
-
 func (n *Node) logSettings(old, config *jmtree.Config) {
-	log := n.Log.WithField("Revisions", config.Revisions)
 	if old == nil || !maps.Equal(old.Revisions, config.Revisions) {
-		log.Info("settings: new revision in force")
+		n.Log.WithField("Revisions", config.Revisions).Info("settings: new revision in force")
 	}
 	for _, fault := range config.Faults {
 		n.Log.WithField("Fault", fault.Error()).Error("settings: revision refused")
 	}
 }
-
-// membersOf lists every process that the settings name.
-func membersOf(config *jmtree.Config) (members []jmmember.Member) {
-	for _, b := range config.Fleet.Balancers {
-		members = append(members, jmmember.Member{Address: b.Address, DataCentre: b.DataCentre})
-	}
-	for _, s := range config.Services {
-		for _, u := range s.Upstreams {
-			members = append(members, jmmember.Member{Address: u.Agent, DataCentre: u.DataCentre})
-		}
-	}
-	return members
-}
--- a/internal/fleet/jmnode/platform.go
+++ b/internal/fleet/jmnode/platform.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		at, err := n.readPlatform(ctx, since)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			n.Counters.PlatformErrors.Add(1)
 			n.Log.WithError(err).Warn("settings: platform can't be read")
@@ -56,7 +59,7 @@
 func (n *Node) shouldRead(ctx context.Context) bool {
 	answer := make(chan bool, 1)
 	n.do(func(now time.Time) {
-		answer <- n.spread.IsQuiet(now) || n.view.Load().IsReader
+		answer <- n.machine.ShouldRead(now)
 	})
 	select {
 	case should := <-answer:
@@ -79,10 +82,7 @@
 		return since, err
 	}
 	needs := make(chan []string, 1)
-	n.do(func(now time.Time) {
-		n.spread.HeardPlatform(now)
-		needs <- n.spread.Needs(revisions)
-	})
+	n.do(func(now time.Time) { needs <- n.machine.Needs(now, revisions) })
 	select {
 	case paths := <-needs:
 		for _, path := range paths {
@@ -112,21 +112,21 @@
 
 func (n *Node) readSubtree(ctx context.Context, path string) (err error) {
 	n.Counters.PlatformCalls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	attempt, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := n.Platform.Read(ctx, path)
+	s, err := n.Platform.Read(attempt, path)
 	if err != nil {
 		return err
 	}
 	done := make(chan struct{})
 	n.do(func(time.Time) {
-		n.putSubtrees([]jasminemoor.Subtree{s})
+		n.act(ctx, n.machine.Put([]jasminemoor.Subtree{s}))
 		close(done)
 	})
 	select {
 	case <-done:
-	case <-ctx.Done():
-		return ctx.Err()
+	case <-attempt.Done():
+		return attempt.Err()
 	}
 	return nil
 }
--- a/internal/fleet/jmnode/serve.go
+++ b/internal/fleet/jmnode/serve.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	if request.Sync != nil {
-		return n.ServeSync(conn, request.Sync)
+		return n.serveSync(ctx, conn, request.Sync)
 	}
 	if handle == nil {
 		return eris.New("request is not for this role")
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -72,20 +72,20 @@
 			continue
 		}
 		r.size = n
-		if c.handle(r, from) {
+		if c.handle(ctx, r, from) {
 			r = c.pool.Get().(*received)
 		}
 	}
 }
 
 // handle sorts one datagram. It returns true if it has passed it on to quic-go.
-func (c *packetConn) handle(r *received, from netip.AddrPort) bool {
+func (c *packetConn) handle(ctx context.Context, r *received, from netip.AddrPort) bool {
 	datagram := r.buffer[:r.size]
 	if len(datagram) == 0 {
 		return false
 	}
 	if jmdatagram.Kind(datagram[0]) == jmdatagram.KindControl {
-		c.agent.Node.Receive(datagram)
+		c.agent.Node.Receive(ctx, datagram)
 		return false
 	}
 	v := c.agent.view.Load()
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jasminemoor/jasminemoor"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
@@ -23,7 +23,7 @@
 
 // view is what the agent's traffic goroutines work by. It is immutable.
 type view struct {
-	node     *jmnode.View
+	node     *jmcontrol.View
 	codec    *jmconnid.Codec
 	keys     []jmdatagram.Key
 	service  *jmtree.Service
--- a/internal/flow/jmbalancer/balancer.go
+++ b/internal/flow/jmbalancer/balancer.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		if jmdatagram.Kind(buffer[0]) == jmdatagram.KindControl {
-			b.Node.Receive(buffer[:n])
+			b.Node.Receive(ctx, buffer[:n])
 			continue
 		}
 		r.pass(buffer[:n], from)
--- a/internal/flow/jmbalancer/view.go
+++ b/internal/flow/jmbalancer/view.go
@@ -8,8 +8,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
@@ -94,7 +94,7 @@
 // newTable ranks a service's upstreams: those that seem to work, or else all
 // that do not leave. The view of who is alive may be wrong, so a whole service
 // is never taken out.
-func (b *Balancer) newTable(node *jmnode.View, s *jmtree.Service) *jmplacer.Table {
+func (b *Balancer) newTable(node *jmcontrol.View, s *jmtree.Service) *jmplacer.Table {
 	var working, suspect, rest []jmplacer.Candidate
 	for _, u := range s.Upstreams {
 		state := node.StateOf(u.Agent)
--- a/internal/measure/jmmodel/model_test.go
+++ b/internal/measure/jmmodel/model_test.go
@@ -42,7 +42,9 @@
 
 func TestSeedRepeats(t *testing.T) {
 	policy := jmmodel.Policies()[4]
-	require.Equal(t, jmmodel.Run(jmmodel.Rangla, load, policy), jmmodel.Run(jmmodel.Rangla, load, policy))
+	first := jmmodel.Run(jmmodel.Rangla, load, policy)
+	second := jmmodel.Run(jmmodel.Rangla, load, policy)
+	require.Equal(t, first, second)
 }
 
 func BenchmarkRun(b *testing.B) {
--- a/internal/settings/jmtree/tree.go
+++ b/internal/settings/jmtree/tree.go
@@ -13,6 +13,8 @@
 	Fleet *Fleet
 	// Services holds the services in force by their number.
 	Services map[jasminemoor.ServiceNumber]*Service
+	// Agents holds the place of each agent.
+	Agents map[netip.AddrPort]Place
 	// Revisions holds the revision in force of each subtree.
 	Revisions map[string]uint64
 	// Faults lists what is wrong with newer revisions that are not in force,
@@ -20,16 +22,19 @@
 	Faults []Fault
 }
 
+// Place is an agent's upstream in its service.
+type Place struct {
+	Service *Service
+	Index   int // in the service's upstreams
+}
+
 // ServiceOf returns the service and the upstream beside an agent.
 func (c *Config) ServiceOf(agent netip.AddrPort) (s *Service, u Upstream, found bool) {
-	for _, s = range c.Services {
-		for _, u = range s.Upstreams {
-			if u.Agent == agent {
-				return s, u, true
-			}
-		}
+	place, found := c.Agents[agent]
+	if !found {
+		return nil, Upstream{}, false
 	}
-	return nil, Upstream{}, false
+	return place.Service, place.Service.Upstreams[place.Index], true
 }
 
 // BalancerNamed returns a balancer of the fleet.
@@ -152,6 +157,7 @@
 	c := &Config{
 		Fleet:     fleet.fleet,
 		Services:  make(map[jasminemoor.ServiceNumber]*Service),
+		Agents:    make(map[netip.AddrPort]Place),
 		Revisions: make(map[string]uint64, len(t.entries)),
 	}
 	taken := newClaims()
@@ -165,13 +171,20 @@
 				c.Faults = append(c.Faults, Fault{Path: path + "/" + s.Name, Cause: cause})
 			}
 			if len(conflicts) == 0 {
-				c.Services[s.Number] = s
+				c.add(s)
 			}
 		}
 	}
 	return c
 }
 
+func (c *Config) add(s *Service) {
+	c.Services[s.Number] = s
+	for i, u := range s.Upstreams {
+		c.Agents[u.Agent] = Place{Service: s, Index: i}
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
