--- a/internal/fleet/jmmember/machine.go
+++ b/internal/fleet/jmmember/machine.go
@@ -22,6 +22,12 @@
 	remoteInterval = 4 // one period in so many probes another data centre
 	deadInterval   = 8 // one period in so many probes a dead member
 	helperMemory   = 2 * time.Second
+
+	// announceCount peers hear of a changed belief in each of announceRounds,
+	// and announceInterval bounds what a storm of changes costs.
+	announceCount    = 3
+	announceRounds   = 2
+	announceInterval = 300 * time.Millisecond
 )
 
 // Member is a process that the settings name.
@@ -60,6 +66,9 @@
 	// isStale is set after a pause until a peer has answered.
 	isStale bool
 	changed bool
+	// roundsLeft is above zero while a belief has changed that peers should hear of.
+	roundsLeft   int
+	lastAnnounce time.Time
 }
 
 type member struct {
@@ -137,6 +146,24 @@
 	m.lastTick = now
 	m.buryOldSuspects(now)
 	m.forgetHelped(now)
+	return append(m.announceNews(now), m.driveProbe(now)...)
+}
+
+// announceNews tells a few peers of changed beliefs at once; probes alone
+// would take much longer to carry them through a large fleet.
+func (m *Machine) announceNews(now time.Time) (out []Packet) {
+	if m.roundsLeft == 0 || now.Sub(m.lastAnnounce) < announceInterval {
+		return nil
+	}
+	m.roundsLeft--
+	m.lastAnnounce = now
+	for _, peer := range m.Pick(announceCount) {
+		out = append(out, m.Announce(peer)...)
+	}
+	return out
+}
+
+func (m *Machine) driveProbe(now time.Time) (out []Packet) {
 	if m.probe.sent.IsZero() || now.Sub(m.probe.sent) >= Period {
 		m.judgeProbe(now)
 		return m.startProbe(now)
@@ -287,14 +314,25 @@
 	if each == nil || !u.overrules(&each.update) {
 		return
 	}
-	wasDead := each.update.Liveness == Dead
+	known := each.update
+	if u.Incarnation == 0 {
+		u.Incarnation, u.Version = known.Incarnation, known.Version
+	}
 	each.update = u
 	if u.Liveness == Suspect {
 		each.suspectSince = now
 	}
-	m.rumors.put(u)
+	isNews := known.Liveness != u.Liveness || known.IsLeaving != u.IsLeaving
+	if isNews {
+		m.roundsLeft = announceRounds
+	}
+	// The first sign of a member that is alive anyway is worth no message; a
+	// fleet that starts would be busy with these for minutes.
+	if isNews || known.Incarnation != 0 {
+		m.rumors.put(u)
+	}
 	m.changed = true
-	if wasDead != (u.Liveness == Dead) {
+	if (known.Liveness == Dead) != (u.Liveness == Dead) {
 		m.rebuildRings()
 	}
 }
@@ -384,13 +422,13 @@
 	return updates
 }
 
-// Pick returns up to n distinct members that are not dead, at random, most of
-// them in the own data centre.
+// Pick returns up to n distinct members that are not dead, at random: one in
+// remoteInterval from other data centres, beginning with one of those.
 func (m *Machine) Pick(n int) (peers []netip.AddrPort) {
 	seen := make(map[netip.AddrPort]bool)
 	for i := range n * 2 {
 		r := &m.local
-		if i%remoteInterval == remoteInterval-1 || m.local.len() == 0 {
+		if i%remoteInterval == 0 || m.local.len() == 0 {
 			r = &m.remote
 		}
 		addr, found := r.pick(m.Rand)
--- a/internal/fleet/jmmember/messages.go
+++ b/internal/fleet/jmmember/messages.go
@@ -44,8 +44,13 @@
 	IsLeaving   bool
 }
 
-// overrules reports whether u says more than v of the same member.
+// overrules reports whether u says more than v of the same member. Who has
+// never heard from a member does not know its incarnation, which is 0 then: a
+// suspicion of it counts against any incarnation, and the member can refute it.
 func (u *Update) overrules(v *Update) bool {
+	if u.Liveness != Alive && (u.Incarnation == 0 || v.Incarnation == 0) {
+		return u.Liveness > v.Liveness
+	}
 	if u.Incarnation != v.Incarnation {
 		return u.Incarnation > v.Incarnation
 	}
--- /dev/null
+++ b/internal/measure/jmfleet/fleet_test.go
@@ -0,0 +1,112 @@
+package jmfleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
+	"github.com/jasminemoor/jasminemoor/internal/measure/jmfleet"
+)
+
+const (
+	// inForceLimit and byteLimit are the users' targets.
+	inForceLimit = 5 * time.Second
+	byteLimit    = 3000 // a second, for each process
+	step         = 100 * time.Millisecond
+)
+
+func startFleet(processes int, loss float64) *jmfleet.Fleet {
+	f := &jmfleet.Fleet{
+		Processes:   processes,
+		DataCentres: 5,
+		Seed:        1,
+		LossShare:   loss,
+		RemoteDelay: 10 * time.Millisecond,
+	}
+	f.Start()
+	f.Run(5 * time.Second)
+	return f
+}
+
+// awaitInForce returns how long a change takes until it is in force everywhere.
+func awaitInForce(t *testing.T, f *jmfleet.Fleet, limit time.Duration) time.Duration {
+	t.Helper()
+	path, revision := f.Change()
+	for waited := step; waited <= limit; waited += step {
+		f.Run(step)
+		if inForce, live := f.InForce(path, revision); inForce == live {
+			return waited
+		}
+	}
+	inForce, live := f.InForce(path, revision)
+	require.Equal(t, live, inForce, "processes in which the change is in force")
+	return limit
+}
+
+func TestChangesInForce(t *testing.T) {
+	f := startFleet(300, 0.05)
+	slowest := time.Duration(0)
+	for range 10 {
+		slowest = max(slowest, awaitInForce(t, f, inForceLimit))
+		f.Run(3 * time.Second)
+	}
+	t.Logf("slowest of 10 changes, 300 processes, 5%% loss: %s", slowest)
+}
+
+func TestCostAtRest(t *testing.T) {
+	f := startFleet(300, 0.01)
+	before := f.Counts()
+	const length = time.Minute
+	f.Run(length)
+	after := f.Counts()
+	perProcess := float64(after.Bytes-before.Bytes) / 300 / length.Seconds()
+	calls := float64(after.PlatformCalls-before.PlatformCalls) / length.Seconds()
+	t.Logf("%.0f bytes/s a process, %.2f platform calls/s, %d suspicions", perProcess, calls, f.Suspicions())
+	require.Less(t, perProcess, float64(byteLimit))
+	require.Zero(t, after.Errors)
+}
+
+func TestDeathIsNoticed(t *testing.T) {
+	f := startFleet(200, 0.05)
+	f.Kill(17)
+	for waited := step; ; waited += step {
+		f.Run(step)
+		if f.Believed(17, jmmember.Alive) == 0 {
+			t.Logf("no process sends it new work after %s", waited)
+			return
+		}
+		require.Less(t, waited, 15*time.Second)
+	}
+}
+
+// TestPauseIsForgiven pauses a process for longer than it takes to be held
+// dead; after it wakes all must believe in it again.
+func TestPauseIsForgiven(t *testing.T) {
+	f := startFleet(200, 0.05)
+	f.SetPaused(17, true)
+	f.Run(20 * time.Second)
+	require.Zero(t, f.Believed(17, jmmember.Alive))
+	f.SetPaused(17, false)
+	for waited := step; f.Believed(17, jmmember.Alive) < 199; waited += step {
+		f.Run(step)
+		require.Less(t, waited, 20*time.Second)
+	}
+}
+
+// TestPartitionHeals cuts two of five data centres off for half a minute. The
+// platform is reached from both sides, so news comes through all the while.
+func TestPartitionHeals(t *testing.T) {
+	f := startFleet(200, 0.01)
+	f.CutDataCentres(2)
+	f.Run(20 * time.Second)
+	awaitInForce(t, f, inForceLimit)
+	require.Positive(t, f.Suspicions())
+	f.CutDataCentres(0)
+	for waited := step; f.Suspicions() > 0; waited += step {
+		f.Run(step)
+		require.Less(t, waited, 90*time.Second)
+	}
+	awaitInForce(t, f, inForceLimit)
+}
--- a/internal/measure/jmmodel/model.go
+++ b/internal/measure/jmmodel/model.go
@@ -5,7 +5,6 @@
 package jmmodel
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 )
@@ -75,56 +74,6 @@
 	Crossing float64
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order int // breaks ties, so that a seed gives one run
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
-// clock runs events in the order of their times.
-type clock struct {
-	now    time.Duration
-	queue  eventQueue
-	pushed int
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.pushed++
-	heap.Push(&c.queue, event{at: c.now + d, order: c.pushed, do: do})
-}
-
-func (c *clock) runUntil(end time.Duration) {
-	for len(c.queue) > 0 && c.queue[0].at <= end {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-	}
-	c.now = end
-}
-
 // exponential returns a random time with the given mean.
 func exponential(rng *rand.Rand, mean time.Duration) time.Duration {
 	return time.Duration(rng.ExpFloat64() * float64(mean))
--- a/internal/measure/jmmodel/run.go
+++ b/internal/measure/jmmodel/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
+	"github.com/jasminemoor/jasminemoor/internal/measure/jmclock"
 )
 
 const (
@@ -22,7 +23,7 @@
 
 // world is the state of one run.
 type world struct {
-	clock
+	jmclock.Clock
 	site      Site
 	load      Load
 	policy    Policy
@@ -75,10 +76,10 @@
 func Run(site Site, load Load, policy Policy) Result {
 	w := newWorld(site, load, policy)
 	w.startFlows()
-	w.every(smoothInterval, w.smooth)
-	w.every(reportInterval, w.report)
-	w.every(sampleInterval, w.sample)
-	w.runUntil(load.Duration)
+	w.Every(smoothInterval, w.smooth)
+	w.Every(reportInterval, w.report)
+	w.Every(sampleInterval, w.sample)
+	w.RunUntil(load.Duration)
 	return w.result()
 }
 
@@ -105,17 +106,10 @@
 	return w
 }
 
-func (w *world) every(interval time.Duration, do func()) {
-	w.after(interval, func() {
-		do()
-		w.every(interval, do)
-	})
-}
-
 // startFlows begins with all flows open, and opens a new one for each that ends.
 func (w *world) startFlows() {
 	for range w.load.Flows {
-		w.after(time.Duration(w.rng.Int64N(int64(w.think))), w.openFlow)
+		w.After(time.Duration(w.rng.Int64N(int64(w.think))), w.openFlow)
 	}
 }
 
@@ -124,13 +118,13 @@
 	binary.BigEndian.PutUint64(id[:], w.rng.Uint64())
 	u := w.policy.place(w, id[:])
 	u.flows++
-	ends := w.now + exponential(w.rng, w.load.FlowLife)
+	ends := w.Now() + exponential(w.rng, w.load.FlowLife)
 	w.nextRequest(u, ends)
 }
 
 func (w *world) nextRequest(u *upstream, ends time.Duration) {
-	w.after(exponential(w.rng, w.think), func() {
-		if w.now >= ends {
+	w.After(exponential(w.rng, w.think), func() {
+		if w.Now() >= ends {
 			u.flows--
 			w.openFlow()
 			return
@@ -143,7 +137,7 @@
 // arrive has a request of a flow come to the flow's agent.
 func (w *world) arrive(u *upstream) {
 	w.arrivals++
-	r := &request{arrived: w.now, work: exponential(w.rng, w.site.ServiceTime)}
+	r := &request{arrived: w.Now(), work: exponential(w.rng, w.site.ServiceTime)}
 	u.offered += r.work
 	target := w.policy.relay(w, u)
 	if target == u {
@@ -157,7 +151,7 @@
 		w.crossings++
 		delay = w.site.LinkDelay
 	}
-	w.after(delay, func() { w.enter(target, r) })
+	w.After(delay, func() { w.enter(target, r) })
 }
 
 func (w *world) enter(u *upstream, r *request) {
@@ -179,12 +173,12 @@
 func (w *world) begin(u *upstream, r *request) {
 	u.running++
 	w.requests++
-	if w.now > w.load.Duration/warmUpShare {
-		w.waits = append(w.waits, w.now-r.arrived)
+	if w.Now() > w.load.Duration/warmUpShare {
+		w.waits = append(w.waits, w.Now()-r.arrived)
 	}
 	slowest := slices.Min(w.site.Weights)
 	length := time.Duration(float64(r.work) * float64(slowest) / float64(u.weight))
-	w.after(length, func() { w.end(u) })
+	w.After(length, func() { w.end(u) })
 }
 
 func (w *world) end(u *upstream) {
@@ -192,7 +186,7 @@
 	for len(u.waiting) > 0 && u.running < u.slots {
 		next := u.waiting[0]
 		u.waiting = u.waiting[1:]
-		if w.now-next.arrived > maxQueueWait {
+		if w.Now()-next.arrived > maxQueueWait {
 			w.refused++
 			continue
 		}
@@ -220,7 +214,7 @@
 		flows[i] = float64(u.flows)
 		u.offered = 0
 	}
-	if w.now < w.load.Duration/warmUpShare {
+	if w.Now() < w.load.Duration/warmUpShare {
 		return
 	}
 	w.peaks = append(w.peaks, w.peakOverMean(offered))
--- /dev/null
+++ b/internal/request/jmledger/ledger_test.go
@@ -0,0 +1,203 @@
+package jmledger_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
+)
+
+var (
+	id    = jasminemoor.RequestID{1}
+	other = jasminemoor.Identity{Incarnation: 9}
+)
+
+func begin(t *testing.T, l *jmledger.Ledger, id jasminemoor.RequestID) jmledger.Verdict {
+	t.Helper()
+	v, err := l.Begin(id)
+	require.NoError(t, err)
+	return v
+}
+
+func fence(t *testing.T, l *jmledger.Ledger, id jasminemoor.RequestID) jasminemoor.Fence {
+	t.Helper()
+	f, err := l.Fence(t.Context(), id, 0)
+	require.NoError(t, err)
+	return f
+}
+
+// TestFence takes a request to each state and asks for it.
+func TestFence(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(l *jmledger.Ledger)
+		fence   jasminemoor.Fence
+		// canStart says whether the request may still start here.
+		canStart bool
+	}{
+		"never seen": {func(*jmledger.Ledger) {}, jasminemoor.Fence{State: jasminemoor.FenceFenced}, false},
+		"pending": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+		}, jasminemoor.Fence{State: jasminemoor.FenceFenced}, false},
+		"running": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.Start(id)
+		}, jasminemoor.Fence{State: jasminemoor.FenceRunning}, false},
+		"done": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.Start(id)
+			l.Finish(id, []byte("answer"), true)
+		}, jasminemoor.Fence{State: jasminemoor.FenceDone, Answer: []byte("answer")}, false},
+		"cut short": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.Start(id)
+			l.Finish(id, []byte("ans"), false)
+		}, jasminemoor.Fence{State: jasminemoor.FenceLost}, false},
+		"answer too large": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.Start(id)
+			l.Finish(id, make([]byte, jmledger.MaxAnswer+1), true)
+		}, jasminemoor.Fence{State: jasminemoor.FenceLost}, false},
+		"passed on": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.PassOn(id, other)
+		}, jasminemoor.Fence{State: jasminemoor.FencePassedOn, To: other}, false},
+		"abandoned": {func(l *jmledger.Ledger) {
+			_, _ = l.Begin(id)
+			l.Abandon(id)
+		}, jasminemoor.Fence{State: jasminemoor.FenceFenced}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := &jmledger.Ledger{}
+			tc.prepare(l)
+			require.Equal(t, tc.fence, fence(t, l, id))
+			require.Equal(t, tc.canStart, l.Start(id))
+			require.False(t, l.PassOn(id, other))
+		})
+	}
+}
+
+func TestSameRequestTwice(t *testing.T) {
+	l := &jmledger.Ledger{}
+	require.Equal(t, jmledger.VerdictNew, begin(t, l, id))
+	require.Equal(t, jmledger.VerdictKnown, begin(t, l, id))
+	require.True(t, l.Start(id))
+	require.False(t, l.Start(id))
+	l.Finish(id, nil, true)
+	require.Equal(t, jmledger.VerdictKnown, begin(t, l, id))
+}
+
+func TestLateStreamAfterFence(t *testing.T) {
+	l := &jmledger.Ledger{}
+	fence(t, l, id)
+	require.Equal(t, jmledger.VerdictFenced, begin(t, l, id))
+	require.False(t, l.Start(id))
+}
+
+func TestRefusedMayTryAgain(t *testing.T) {
+	l := &jmledger.Ledger{}
+	begin(t, l, id)
+	l.Abandon(id)
+	require.Equal(t, jmledger.VerdictNew, begin(t, l, id))
+	l.Start(id)
+	l.Abandon(id)
+	require.Equal(t, jmledger.VerdictKnown, begin(t, l, id), "one that runs can't be abandoned")
+}
+
+// TestTakeBack is about a relay that the other agent refused: nobody may have
+// been told that the request was passed on, or both would run it.
+func TestTakeBack(t *testing.T) {
+	l := &jmledger.Ledger{}
+	begin(t, l, id)
+	l.PassOn(id, other)
+	require.True(t, l.TakeBack(id))
+	require.True(t, l.PassOn(id, other))
+	fence(t, l, id)
+	require.False(t, l.TakeBack(id))
+	require.False(t, l.Start(id))
+}
+
+// TestBeginAgain is about two retries at once, at two agents that are each
+// other's earlier attempt: a fence that comes while the other agent is asked
+// stays in force.
+func TestBeginAgain(t *testing.T) {
+	l := &jmledger.Ledger{}
+	fence(t, l, id)
+	before := l.Fences(id)
+	v, err := l.BeginAgain(id, before)
+	require.NoError(t, err)
+	require.Equal(t, jmledger.VerdictNew, v)
+
+	before = l.Fences(id)
+	fence(t, l, id)
+	v, err = l.BeginAgain(id, before)
+	require.NoError(t, err)
+	require.Equal(t, jmledger.VerdictFenced, v)
+}
+
+func TestFenceWaitsForTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &jmledger.Ledger{}
+		begin(t, l, id)
+		l.Start(id)
+		time.AfterFunc(time.Second, func() { l.Finish(id, []byte("late"), true) })
+		start := time.Now()
+		f, err := l.Fence(t.Context(), id, 5*time.Second)
+		require.NoError(t, err)
+		require.Equal(t, jasminemoor.FenceDone, f.State)
+		require.Equal(t, time.Second, time.Since(start))
+	})
+}
+
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &jmledger.Ledger{MaxEntries: 3, MaxAnswerBytes: 10, Keep: time.Minute}
+		for i := range 3 {
+			id := jasminemoor.RequestID{byte(i)}
+			begin(t, l, id)
+			l.Start(id)
+			l.Finish(id, []byte("sixsix"), true)
+		}
+		_, err := l.Begin(jasminemoor.RequestID{9})
+		require.ErrorIs(t, err, jmledger.ErrTooMany)
+		_, err = l.Fence(t.Context(), jasminemoor.RequestID{9}, 0)
+		require.ErrorIs(t, err, jmledger.ErrTooMany, "what can't be remembered is not promised")
+		entries, bytes := l.Len()
+		require.Equal(t, 3, entries)
+		require.LessOrEqual(t, bytes, 10)
+		require.Equal(t, jasminemoor.FenceLost, fence(t, l, jasminemoor.RequestID{0}).State, "the oldest answer goes first")
+		require.Equal(t, jasminemoor.FenceDone, fence(t, l, jasminemoor.RequestID{2}).State)
+
+		time.Sleep(2 * time.Minute)
+		require.Equal(t, jmledger.VerdictNew, begin(t, l, jasminemoor.RequestID{9}))
+		entries, bytes = l.Len()
+		require.Equal(t, 1, entries)
+		require.Zero(t, bytes)
+	})
+}
+
+// TestRunningIsNeverForgotten keeps a request that runs for longer than Keep.
+func TestRunningIsNeverForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &jmledger.Ledger{Keep: time.Minute}
+		begin(t, l, id)
+		l.Start(id)
+		time.Sleep(time.Hour)
+		require.Equal(t, jmledger.VerdictKnown, begin(t, l, id))
+	})
+}
+
+func BenchmarkRequest(b *testing.B) {
+	l := &jmledger.Ledger{MaxEntries: 1 << 30}
+	answer := make([]byte, 100)
+	for b.Loop() {
+		id := jasminemoor.NewRequestID()
+		_, _ = l.Begin(id)
+		l.Start(id)
+		l.Finish(id, answer, true)
+	}
+}
