--- /dev/null
+++ b/internal/fleet/jmload/load_test.go
@@ -0,0 +1,97 @@
+package jmload_test
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	agent = netip.MustParseAddrPort("10.0.0.1:7100")
+)
+
+func TestSlowStart(t *testing.T) {
+	m := &jmload.Meter{Start: start}
+	require.InDelta(t, 0.1, m.Factor(start), 0.001)
+	require.InDelta(t, 0.5, m.Factor(start.Add(jmload.SlowStart/2)), 0.001)
+	require.InDelta(t, 1, m.Factor(start.Add(time.Hour)), 0.001)
+}
+
+// TestSlowUpstream is about an upstream whose own endpoints still call it
+// healthy while its answers take ten times as long.
+func TestSlowUpstream(t *testing.T) {
+	var m jmload.Meter
+	for range 50 {
+		m.Answered(20 * time.Millisecond)
+	}
+	require.InDelta(t, 1, m.Factor(start), 0.001)
+	for range 50 {
+		m.Answered(200 * time.Millisecond)
+	}
+	require.Less(t, m.Factor(start), 0.35)
+	for range 50 {
+		m.Answered(20 * time.Millisecond)
+	}
+	require.InDelta(t, 1, m.Factor(start), 0.001, "it recovers")
+}
+
+func TestFailingUpstream(t *testing.T) {
+	var m jmload.Meter
+	for range 20 {
+		m.Failed()
+	}
+	require.Less(t, m.Factor(start), 0.2)
+	for range 50 {
+		m.Answered(time.Millisecond)
+	}
+	require.Greater(t, m.Factor(start), 0.9)
+}
+
+func TestOf(t *testing.T) {
+	require.EqualValues(t, 0, jmload.Of(0, 5, 1))
+	require.EqualValues(t, 1000, jmload.Of(5, 5, 1))
+	require.EqualValues(t, 4000, jmload.Of(5, 5, 0.25))
+	require.EqualValues(t, math.MaxUint32, jmload.Of(1, 0, 1))
+	require.EqualValues(t, math.MaxUint32, jmload.Density(1, 0))
+	require.EqualValues(t, 40_000, jmload.Density(10, 0.25))
+}
+
+func TestSmoother(t *testing.T) {
+	var s jmload.Smoother
+	for range 600 {
+		s.Add(1000, 100*time.Millisecond)
+	}
+	require.InDelta(t, 1000, s.Mean(), 2)
+	s.Add(0, 100*time.Millisecond)
+	require.Greater(t, s.Mean(), uint32(900), "one idle moment is no idle agent")
+}
+
+func TestBoard(t *testing.T) {
+	var b jmload.Board
+	report := func(incarnation jasminemoor.Incarnation, sequence uint64, mean uint32) jasminemoor.LoadReport {
+		return jasminemoor.LoadReport{Agent: agent, Incarnation: incarnation, Sequence: sequence, Load: jasminemoor.Load{Mean: mean}}
+	}
+	_, found := b.Recent(agent, start)
+	require.False(t, found)
+	b.Put(report(5, 2, 100), start)
+	b.Put(report(5, 1, 200), start)
+	b.Put(report(4, 9, 300), start)
+	r, found := b.Recent(agent, start)
+	require.True(t, found)
+	require.EqualValues(t, 100, r.Load.Mean, "late and old reports don't count")
+	b.Put(report(6, 1, 400), start)
+	r, _ = b.Recent(agent, start)
+	require.EqualValues(t, 400, r.Load.Mean, "a new run begins its own sequence")
+	_, found = b.Recent(agent, start.Add(time.Minute))
+	require.False(t, found, "an old report is not acted on")
+	b.Retain(func(netip.AddrPort) bool { return false })
+	_, found = b.Recent(agent, start)
+	require.False(t, found)
+}
--- a/internal/flow/jmbalancer/balancer.go
+++ b/internal/flow/jmbalancer/balancer.go
@@ -17,7 +17,6 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
 const (
@@ -143,58 +142,3 @@
 		}
 	}
 }
-
-// returnLoop passes the agents' answers back to the callers, and control
-// datagrams to the node.
-func (b *Balancer) returnLoop(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = b.fleet.SetReadDeadline(time.Now()) })
-	defer stop()
-	var buffer [jmdatagram.MaxSize]byte
-	r := returner{balancer: b}
-	for ctx.Err() == nil {
-		n, from, err := b.fleet.ReadFromUDPAddrPort(buffer[:])
-		if err != nil || n == 0 {
-			continue
-		}
-		if jmdatagram.Kind(buffer[0]) == jmdatagram.KindControl {
-			b.Node.Receive(ctx, buffer[:n])
-			continue
-		}
-		r.pass(buffer[:n], from)
-	}
-}
-
-// returner passes answers back. It is for one goroutine.
-type returner struct {
-	balancer *Balancer
-	view     *view
-	sealer   *jmdatagram.Sealer
-	header   jmdatagram.Header
-}
-
-func (r *returner) pass(datagram []byte, from netip.AddrPort) {
-	b := r.balancer
-	v := b.view.Load()
-	if v == nil {
-		return
-	}
-	if v != r.view {
-		r.view, r.sealer = v, v.newSealer()
-	}
-	if err := r.sealer.Unmarshal(datagram, &r.header); err != nil || r.header.Kind != jmdatagram.KindReturn {
-		b.Counters.BadTag.Add(1)
-		return
-	}
-	b.silence.heard(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
-	if len(datagram) == jmdatagram.HeaderSize {
-		return // an agent's sign of life
-	}
-	socket := b.sockets.find(r.header.Local)
-	if socket == nil {
-		b.Counters.NoService.Add(1)
-		return
-	}
-	if _, err := socket.WriteToUDPAddrPort(datagram[jmdatagram.HeaderSize:], r.header.Caller); err == nil {
-		b.Counters.Returned.Add(1)
-	}
-}
--- a/internal/flow/jmbalancer/silence.go
+++ b/internal/flow/jmbalancer/silence.go
@@ -2,9 +2,10 @@
 
 import (
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
 const (
@@ -18,9 +19,10 @@
 )
 
 // silenceTable finds agents that answer no first flights, sooner than the
-// probing does. It counts by agent, never by flow. The zero value is empty.
+// probing does. It counts by agent, never by flow. The zero value knows no
+// agents; it is safe for concurrent use.
 type silenceTable struct {
-	agents sync.Map // of *silenceEntry by netip.AddrPort
+	agents atomic.Pointer[map[netip.AddrPort]*silenceEntry]
 }
 
 type silenceEntry struct {
@@ -29,17 +31,33 @@
 	silentUntil atomic.Int64
 }
 
+// setAgents replaces the known agents. What is known of those that stay is kept.
+func (t *silenceTable) setAgents(agents map[netip.AddrPort]jmtree.Place) {
+	next := make(map[netip.AddrPort]*silenceEntry, len(agents))
+	for agent := range agents {
+		e := t.entry(agent)
+		if e == nil {
+			e = &silenceEntry{}
+		}
+		next[agent] = e
+	}
+	t.agents.Store(&next)
+}
+
+// entry returns what is known of an agent, or nil.
 func (t *silenceTable) entry(agent netip.AddrPort) *silenceEntry {
-	if e, found := t.agents.Load(agent); found {
-		return e.(*silenceEntry)
+	if agents := t.agents.Load(); agents != nil {
+		return (*agents)[agent]
 	}
-	e, _ := t.agents.LoadOrStore(agent, &silenceEntry{})
-	return e.(*silenceEntry)
+	return nil
 }
 
 // sent records a first flight sent to an agent.
 func (t *silenceTable) sent(agent netip.AddrPort) {
 	e := t.entry(agent)
+	if e == nil {
+		return
+	}
 	e.unanswered.Add(1)
 	e.firstSent.CompareAndSwap(0, time.Now().UnixNano())
 }
@@ -47,6 +65,9 @@
 // heard records any answer of an agent.
 func (t *silenceTable) heard(agent netip.AddrPort) {
 	e := t.entry(agent)
+	if e == nil {
+		return
+	}
 	if e.firstSent.Load() != 0 {
 		e.unanswered.Store(0)
 		e.firstSent.Store(0)
@@ -59,26 +80,35 @@
 // judge finds the agents that have become silent, or are so no more, and
 // reports whether there were any.
 func (t *silenceTable) judge(now time.Time) (hasChanged bool) {
-	t.agents.Range(func(_, value any) bool {
-		e := value.(*silenceEntry)
-		if until := e.silentUntil.Load(); until != 0 && until <= now.UnixNano() {
-			e.silentUntil.Store(0)
-			e.firstSent.Store(0)
-			e.unanswered.Store(0)
-			hasChanged = true
-			return true
-		}
-		first := e.firstSent.Load()
-		isSilent := first != 0 && e.unanswered.Load() >= silenceCount && now.UnixNano()-first >= int64(silenceTime)
-		if isSilent && e.silentUntil.CompareAndSwap(0, now.Add(silenceHold).UnixNano()) {
-			hasChanged = true
+	agents := t.agents.Load()
+	if agents == nil {
+		return false
+	}
+	for _, e := range *agents {
+		hasChanged = e.judge(now) || hasChanged
+	}
+	return hasChanged
+}
+
+func (e *silenceEntry) judge(now time.Time) (hasChanged bool) {
+	if until := e.silentUntil.Load(); until != 0 {
+		if until > now.UnixNano() {
+			return false
 		}
+		e.silentUntil.Store(0)
+		e.firstSent.Store(0)
+		e.unanswered.Store(0)
 		return true
-	})
-	return hasChanged
+	}
+	first := e.firstSent.Load()
+	isSilent := first != 0 && e.unanswered.Load() >= silenceCount && now.UnixNano()-first >= int64(silenceTime)
+	if isSilent {
+		e.silentUntil.Store(now.Add(silenceHold).UnixNano())
+	}
+	return isSilent
 }
 
 func (t *silenceTable) isSilent(agent netip.AddrPort) bool {
-	e, found := t.agents.Load(agent)
-	return found && e.(*silenceEntry).silentUntil.Load() != 0
+	e := t.entry(agent)
+	return e != nil && e.silentUntil.Load() != 0
 }
--- a/internal/flow/jmbalancer/view.go
+++ b/internal/flow/jmbalancer/view.go
@@ -72,6 +72,7 @@
 	if _, err = jmdatagram.NewSealer(v.keys); err != nil {
 		return err
 	}
+	b.silence.setAgents(node.Config.Agents)
 	v.services = make(map[netip.AddrPort]*placement, len(node.Config.Services))
 	for _, s := range node.Config.Services {
 		v.services[s.Address] = &placement{number: s.Number, table: b.newTable(node, s)}
--- /dev/null
+++ b/internal/flow/jmreturn/return_test.go
@@ -0,0 +1,75 @@
+package jmreturn_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmreturn"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	caller = netip.MustParseAddrPort("198.51.100.1:5000")
+	local  = netip.MustParseAddrPort("192.0.2.1:443")
+	b1     = netip.MustParseAddrPort("10.0.0.1:7000")
+	b2     = netip.MustParseAddrPort("10.0.0.2:7000")
+	b3     = netip.MustParseAddrPort("10.0.0.3:7000")
+	all    = []netip.AddrPort{b1, b2, b3}
+)
+
+func route(t *testing.T, table *jmreturn.Table, live []netip.AddrPort, after time.Duration) netip.AddrPort {
+	t.Helper()
+	balancer, gotLocal, found := table.Route(caller, live, start.Add(after))
+	require.True(t, found)
+	require.Equal(t, local, gotLocal)
+	return balancer
+}
+
+func TestRoute(t *testing.T) {
+	var table jmreturn.Table
+	_, _, found := table.Route(caller, all, start)
+	require.False(t, found, "an unknown caller")
+
+	table.Heard(caller, local, b1, start)
+	table.Heard(caller, local, b2, start)
+	require.Equal(t, b2, route(t, &table, all, 0), "the balancer heard last")
+	require.Equal(t, b1, route(t, &table, []netip.AddrPort{b1, b3}, 0), "one that is out is passed over at once")
+	require.Equal(t, b3, route(t, &table, []netip.AddrPort{b3}, 0), "all that were heard are out")
+	require.Equal(t, b2, route(t, &table, nil, 0), "when none is believed in, the last heard is still best")
+}
+
+// TestSilentCaller is about a caller that only listens, behind a balancer that
+// has died without a word: answers go through the others in turn.
+func TestSilentCaller(t *testing.T) {
+	var table jmreturn.Table
+	table.Heard(caller, local, b1, start)
+	require.Equal(t, b1, route(t, &table, all, 0))
+	require.Equal(t, b1, route(t, &table, all, jmreturn.SilenceLimit-1))
+	tried := make(map[netip.AddrPort]bool)
+	for i := range 3 {
+		tried[route(t, &table, all, jmreturn.SilenceLimit+time.Duration(i))] = true
+	}
+	require.Len(t, tried, 3)
+	table.Heard(caller, local, b3, start.Add(time.Second))
+	require.Equal(t, b3, route(t, &table, all, 2*time.Second), "it has been heard again")
+}
+
+func TestOldCallersAreForgotten(t *testing.T) {
+	var table jmreturn.Table
+	table.Heard(caller, local, b1, start)
+	other := netip.MustParseAddrPort("198.51.100.2:5000")
+	table.Heard(other, local, b1, start.Add(3*time.Minute))
+	require.Equal(t, 1, table.Len())
+}
+
+func BenchmarkHeardAndRoute(b *testing.B) {
+	var table jmreturn.Table
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Heard(caller, local, b1, start)
+		table.Route(caller, all, start)
+	}
+}
