Settings under faults: rotation, moved address, bad and stale revisions, a cut

Cause of a fault found by the race detector: asking a node for its view before Run fixed its load report to none, so that agent could never report its load. Change: the load is asked for when it is sent. New tests in one process with real sockets: three-step rotation of all keys under load, an address that moves between services, a wrong revision with a process that starts meanwhile, a platform that falls behind or is down, a data centre cut off under load.

--- a/internal/fleet/jmnode/datagrams.go
+++ b/internal/fleet/jmnode/datagrams.go
@@ -47,7 +47,9 @@
 		return
 	}
 	n.count(to, len(datagram)+ipAndUDPHeaderSize)
-	n.Send(to, datagram)
+	if n.CanReach(to) {
+		n.Send(to, datagram)
+	}
 }
 
 func (n *Node) count(to netip.AddrPort, size int) {
--- a/internal/fleet/jmnode/exchange.go
+++ b/internal/fleet/jmnode/exchange.go
@@ -29,6 +29,9 @@
 	if len(keys) == 0 {
 		return nil, eris.New("no control key is known yet")
 	}
+	if !n.CanReach(peer) {
+		return nil, errors.Join(jasminemoor.ErrNotSent, eris.Errorf("%s can't be reached", peer))
+	}
 	conn, err = jmlink.Dial(ctx, peer, keys[0])
 	if err != nil {
 		return nil, errors.Join(jasminemoor.ErrNotSent, err)
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -42,6 +42,9 @@
 	// OwnLoad returns the process's load, and nil where it has none to report.
 	OwnLoad func() *jasminemoor.LoadReport
 	Log     logrus.FieldLogger
+	// Reach, where set, says whether anything sent to an address gets out.
+	// Tests cut the fleet in two with it.
+	Reach func(to netip.AddrPort) bool
 
 	// Loads holds the recent loads of the peers.
 	Loads jmload.Board
@@ -75,7 +78,8 @@
 		n.machine.Identity = n.Identity
 		n.machine.DataCentre = n.DataCentre
 		n.machine.Rand = rand.New(rand.NewPCG(uint64(n.Identity.Incarnation), uint64(n.Identity.Agent.Port())))
-		n.machine.OwnLoad = n.OwnLoad
+		// A view may be asked for before Run, while OwnLoad is not set yet.
+		n.machine.OwnLoad = n.ownLoad
 		n.machine.Loads = &n.Loads
 		n.changed = make(chan struct{}, 1)
 		n.inbox = make(chan event, inboxSize)
@@ -83,6 +87,13 @@
 	})
 }
 
+func (n *Node) ownLoad() *jasminemoor.LoadReport {
+	if n.OwnLoad == nil {
+		return nil
+	}
+	return n.OwnLoad()
+}
+
 // View returns the newest view.
 func (n *Node) View() *jmcontrol.View {
 	n.init()
@@ -95,6 +106,9 @@
 	return n.changed
 }
 
+// CanReach reports whether anything sent to an address gets out.
+func (n *Node) CanReach(to netip.AddrPort) bool { return n.Reach == nil || n.Reach(to) }
+
 // Leave announces that the process takes no new work.
 func (n *Node) Leave() { n.isLeaving.Store(true) }
 
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -164,6 +164,14 @@
 	return nil
 }
 
+// send sends a datagram from the fleet socket. One that does not get out is a
+// lost datagram like any other.
+func (a *Agent) send(datagram []byte, to netip.AddrPort) {
+	if a.Node.CanReach(to) {
+		_, _ = a.udp.WriteToUDPAddrPort(datagram, to)
+	}
+}
+
 func (a *Agent) prepareServer() {
 	a.meter.Start = time.Now()
 	a.server.Identity = a.Identity
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -193,7 +193,7 @@
 	header.Kind = jmdatagram.KindReturn
 	var datagram [jmdatagram.HeaderSize]byte
 	c.sealer.Marshal(datagram[:], &header)
-	_, _ = c.agent.udp.WriteToUDPAddrPort(datagram[:], balancer)
+	c.agent.send(datagram[:], balancer)
 }
 
 func (c *packetConn) handOn(v *view, r *received, to, balancer netip.AddrPort) {
@@ -206,7 +206,7 @@
 	r.header.Other = balancer
 	datagram := r.buffer[:r.size]
 	c.sealer.Marshal(datagram, &r.header)
-	_, _ = c.agent.udp.WriteToUDPAddrPort(datagram, to)
+	c.agent.send(datagram, to)
 	c.agent.Counters.HandedOn.Add(1)
 	if v.node.StateOf(to).DataCentre != v.upstream.DataCentre {
 		c.agent.Counters.CrossingHand.Add(1)
@@ -281,7 +281,7 @@
 	}
 	s.sealer.Marshal(s.buffer[:size], &header)
 	// A full socket buffer is a lost packet like any other.
-	_, _ = c.agent.udp.WriteToUDPAddrPort(s.buffer[:size], balancer)
+	c.agent.send(s.buffer[:size], balancer)
 	return len(p), nil
 }
 
--- a/internal/flow/jmbalancer/bench_test.go
+++ b/internal/flow/jmbalancer/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -50,7 +51,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b = &Balancer{Log: log, fleet: listenUDP(t)}
+	b = &Balancer{Log: log, fleet: listenUDP(t), Node: &jmnode.Node{}}
 	table := jmplacer.NewTable([]jmplacer.Candidate{{Agent: addrOf(sink), Weight: 1}})
 	b.view.Store(&view{
 		codec:    codec,
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -52,7 +52,7 @@
 	for i := range in {
 		datagram := in[i].Buffer[:jmdatagram.HeaderSize+in[i].Length]
 		to, ok := f.route(datagram, in[i].Addr)
-		if !ok {
+		if !ok || !f.balancer.Node.CanReach(to) {
 			continue
 		}
 		out[count] = jmbatch.Datagram{Buffer: datagram, Addr: to}
--- a/internal/standin/jmlab/lab.go
+++ b/internal/standin/jmlab/lab.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,34 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
+	cut    atomic.Pointer[map[string]bool] // data centres on one side of a cut
+}
+
+// CutOff cuts the named data centres off from the others, or mends the cut if
+// none is named. The platform and the fabric are reached from both sides.
+func (l *Lab) CutOff(dataCentres ...string) {
+	names := make(map[string]bool)
+	for _, name := range dataCentres {
+		names[name] = true
+	}
+	l.cut.Store(&names)
+}
+
+// dataCentreOf returns the data centre of a process.
+func (l *Lab) dataCentreOf(address netip.AddrPort) string {
+	for _, b := range l.Layout.Fleet.Balancers {
+		if b.Address == address {
+			return b.DataCentre
+		}
+	}
+	for _, s := range l.Layout.Services {
+		for _, u := range s.Upstreams {
+			if u.Agent == address {
+				return u.DataCentre
+			}
+		}
+	}
+	return ""
 }
 
 // Balancer is a balancer that runs in the lab.
@@ -182,6 +211,10 @@
 		DataCentre: dataCentre,
 		Platform:   &jmwatch.Client{URL: "http://" + l.Layout.PlatformAddress().String()},
 		Log:        l.Log,
+		Reach: func(to netip.AddrPort) bool {
+			cut := l.cut.Load()
+			return cut == nil || (*cut)[dataCentre] == (*cut)[l.dataCentreOf(to)]
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/standin/jmlab/settings_test.go
@@ -0,0 +1,228 @@
+package jmlab_test
+
+import (
+	"context"
+	"crypto/tls"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/client"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
+)
+
+// inForceLimit is the users' target for a change.
+const inForceLimit = 5 * time.Second
+
+func nodes(lab *jmlab.Lab) (all []*jmnode.Node) {
+	for _, a := range lab.Agents {
+		all = append(all, a.Node)
+	}
+	for _, b := range lab.Balancers {
+		all = append(all, b.Node)
+	}
+	return all
+}
+
+// awaitRevision waits until a subtree's revision is in force at all nodes.
+func awaitRevision(t *testing.T, lab *jmlab.Lab, path string, revision uint64) {
+	t.Helper()
+	start := time.Now()
+	require.Eventually(t, func() bool {
+		for _, n := range nodes(lab) {
+			if n.View().Config.Revisions[path] < revision {
+				return false
+			}
+		}
+		return true
+	}, inForceLimit, 10*time.Millisecond)
+	t.Logf("revision %d of %s in force everywhere after %s", revision, path, time.Since(start))
+}
+
+// publish publishes the layout's documents and returns the fleet's and the
+// team's new revisions.
+func publish(t *testing.T, lab *jmlab.Lab) {
+	t.Helper()
+	documents, err := lab.Layout.Documents()
+	require.NoError(t, err)
+	for path, values := range documents {
+		awaitRevision(t, lab, path, lab.Platform.PutAll(path, values))
+	}
+}
+
+// TestKeyRotation rotates the connection-ID key in three steps under load, and
+// the other keys with it.
+func TestKeyRotation(t *testing.T) {
+	lab := startLab(t, 50)
+	l := startLoad(t, lab, lab.Layout.Services[0], 6, 3)
+	keys := &lab.Layout.Fleet.Keys
+	oldDatagram, oldControl := keys.Datagram[0], keys.Control[0]
+	newDatagram, newControl := jmlab.NewSecret(16), jmlab.NewSecret(32)
+	next := jmtree.ConnectionIDKey{Number: 2, Secret: jmlab.NewSecret(16)}
+	time.Sleep(300 * time.Millisecond)
+
+	keys.ConnectionID = append(keys.ConnectionID, next)
+	keys.Datagram = []jmtree.Secret{oldDatagram, newDatagram}
+	keys.Control = []jmtree.Secret{oldControl, newControl}
+	publish(t, lab)
+	keys.ConnectionID[0].Sealing, keys.ConnectionID[1].Sealing = false, true
+	keys.Datagram = []jmtree.Secret{newDatagram, oldDatagram}
+	keys.Control = []jmtree.Secret{newControl, oldControl}
+	publish(t, lab)
+	keys.Datagram = []jmtree.Secret{newDatagram}
+	keys.Control = []jmtree.Secret{newControl}
+	publish(t, lab)
+	time.Sleep(500 * time.Millisecond)
+
+	caller := lab.NewCaller(lab.Layout.Services[0])
+	defer caller.Close()
+	_, err := caller.Do(t.Context(), client.Request{Body: []byte("SHEET 10"), Idempotent: true})
+	require.NoError(t, err)
+	renewed := uint64(0)
+	for _, b := range lab.Balancers {
+		renewed += b.Counters.ByKey[2].Load()
+	}
+	require.Positive(t, renewed, "new flows use the new key")
+	l.finish()
+}
+
+// TestAddressMoves moves an address from one service to another while the
+// balancers don't know of it yet: who asks for a service by name never gets
+// another one.
+func TestAddressMoves(t *testing.T) {
+	lab := startLab(t, 51)
+	shop, catalogue := lab.Layout.Services[0], lab.Layout.Services[1]
+	l := startLoad(t, lab, shop, 4, 0)
+	shop.Address, catalogue.Address = catalogue.Address, shop.Address
+	documents, err := lab.Layout.Documents()
+	require.NoError(t, err)
+	lab.Platform.PutAll("Teams/rangla", documents["Teams/rangla"])
+
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		caller := lab.NewCaller(shop)
+		attempt, cancelAttempt := context.WithTimeout(ctx, 400*time.Millisecond)
+		answer, err := caller.Do(attempt, client.Request{Body: []byte("BOOK order"), Idempotent: true})
+		cancelAttempt()
+		_ = caller.Close()
+		if err == nil {
+			require.Contains(t, string(answer.Body), "shop-floor-", "another service answered")
+		}
+	}
+	caller := lab.NewCaller(shop)
+	defer caller.Close()
+	answer, err := caller.Do(ctx, client.Request{Body: []byte("BOOK order"), Idempotent: true})
+	require.NoError(t, err)
+	require.Contains(t, string(answer.Body), "shop-floor-")
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	require.Empty(t, faults, "the open feeds stay with their service")
+}
+
+// TestNaiveAddressMoves shows what the checks are for: a caller that trusts
+// any certificate and names no service gets the other one.
+func TestNaiveAddressMoves(t *testing.T) {
+	lab := startLab(t, 52)
+	shop, catalogue := lab.Layout.Services[0], lab.Layout.Services[1]
+	naive := &client.Caller{
+		Address:    catalogue.Address,
+		ServerName: catalogue.ServerName,
+		TLS:        &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13},
+	}
+	defer naive.Close()
+	answer, err := naive.Do(t.Context(), client.Request{Body: []byte("BOOK order")})
+	require.NoError(t, err)
+	require.NotContains(t, string(answer.Body), shop.Name)
+
+	wrong := lab.NewCaller(shop)
+	wrong.Address = catalogue.Address
+	defer wrong.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = wrong.Do(ctx, client.Request{Body: []byte("BOOK order")})
+	var refusal *client.Error
+	require.ErrorAs(t, err, &refusal)
+	require.Zero(t, lab.Upstreams["catalogue-1"].Runs()["order"]-1+lab.Upstreams["catalogue-2"].Runs()["order"])
+}
+
+// TestBadRevision publishes a wrong subtree: the team's last good one stays in
+// force, and a process that starts meanwhile gets it from its peers.
+func TestBadRevision(t *testing.T) {
+	lab := startLab(t, 53)
+	l := startLoad(t, lab, lab.Layout.Services[0], 2, 2)
+	lab.Platform.Put("Teams/rangla", "shop-floor", `{"Number": "seven"}`)
+	require.Eventually(t, func() bool {
+		for _, n := range nodes(lab) {
+			if len(n.View().Config.Faults) == 0 {
+				return false
+			}
+		}
+		return true
+	}, inForceLimit, 10*time.Millisecond, "the fault is shown everywhere")
+	spec := lab.Layout.Fleet.Balancers[2]
+	lab.Balancers[spec.Name].Kill()
+	b := lab.StartBalancer(spec)
+	require.Eventually(t, func() bool {
+		config := b.Node.View().Config
+		return config != nil && len(config.Services) == 2
+	}, inForceLimit, 10*time.Millisecond, "the new process has the last good revision")
+	l.finish()
+}
+
+// TestPlatformStale has the platform go back to an old state and down after a
+// change: no process goes back, and one that starts gets the newest from peers.
+func TestPlatformStale(t *testing.T) {
+	lab := startLab(t, 54)
+	service := lab.Layout.Services[0]
+	lab.Platform.SetStale(true)
+	service.Upstreams[0].Weight = 9
+	documents, err := lab.Layout.Documents()
+	require.NoError(t, err)
+	lab.Platform.SetStale(false)
+	revision := lab.Platform.Put("Teams/rangla", service.Name, documents["Teams/rangla"][service.Name])
+	awaitRevision(t, lab, "Teams/rangla", revision)
+
+	lab.Platform.Rewind("Teams/rangla", revision-1)
+	spec := lab.Layout.Fleet.Balancers[0]
+	lab.Balancers[spec.Name].Kill()
+	lab.StartBalancer(spec)
+	require.NoError(t, lab.AwaitReady(t.Context()))
+	awaitRevision(t, lab, "Teams/rangla", revision)
+
+	lab.Platform.SetDown(true)
+	time.Sleep(time.Second)
+	for _, n := range nodes(lab) {
+		require.Equal(t, revision, n.View().Config.Revisions["Teams/rangla"])
+	}
+	l := startLoad(t, lab, service, 2, 2)
+	time.Sleep(500 * time.Millisecond)
+	l.finish()
+}
+
+// TestCutOffDataCentre cuts the data centres off from each other under load
+// and mends the cut. Open feeds whose packets still find a way go on.
+func TestCutOffDataCentre(t *testing.T) {
+	lab := startLab(t, 55)
+	l := startLoad(t, lab, lab.Layout.Services[0], 6, 4)
+	time.Sleep(500 * time.Millisecond)
+	lab.CutOff("lahore")
+	time.Sleep(6 * time.Second)
+	lab.CutOff()
+	time.Sleep(2 * time.Second)
+	l.finish()
+	for _, n := range nodes(lab) {
+		require.Eventually(t, func() bool {
+			for _, s := range n.View().States {
+				if s.Liveness != 0 {
+					return false
+				}
+			}
+			return true
+		}, 20*time.Second, 50*time.Millisecond, "all are believed in again")
+	}
+}
--- a/internal/standin/jmplatform/platform.go
+++ b/internal/standin/jmplatform/platform.go
@@ -95,6 +95,17 @@
 	p.wakeLocked()
 }
 
+// Rewind has the platform tell an old revision of a subtree, as a replica that
+// has fallen behind.
+func (p *Platform) Rewind(path string, revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.subtrees[path]
+	s.Revision = revision
+	p.subtrees[path] = s
+	p.wakeLocked()
+}
+
 // SetDelay delays every call.
 func (p *Platform) SetDelay(delay time.Duration) {
 	p.mu.Lock()
