--- /dev/null
+++ b/client/forwarder.go
@@ -0,0 +1,103 @@
+package client
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+const (
+	openTimeout   = 30 * time.Second
+	acceptBackoff = 50 * time.Millisecond
+	maxBody       = 16 << 20 // bytes of a request from a TCP connection
+)
+
+// Forwarder carries TCP connections of programs that know nothing of flows:
+// each as one feed, or as one request that ends with its sending direction.
+// The exported fields are set before Run.
+type Forwarder struct {
+	Caller *Caller
+	// Kind says what each connection is.
+	Kind jasminemoor.Kind
+	// Idempotent says that the requests may run more than once.
+	Idempotent bool
+	// Timeout bounds a request.
+	Timeout time.Duration
+	Log     logrus.FieldLogger
+
+	wg sync.WaitGroup
+}
+
+// Run accepts connections until ctx ends, and then waits for the open ones to
+// end. A connection whose request was not answered, or whose feed was cut, is
+// reset rather than closed, so that its program can tell.
+func (f *Forwarder) Run(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer f.wg.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.Log.WithError(err).Warn("forwarder: accept failed")
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		f.wg.Go(func() { f.carry(conn.(*net.TCPConn)) })
+	}
+}
+
+func (f *Forwarder) carry(conn *net.TCPConn) {
+	defer conn.Close()
+	carry := f.carryRequest
+	if f.Kind == jasminemoor.KindFeed {
+		carry = f.carryFeed
+	}
+	if err := carry(conn); err != nil {
+		f.Log.WithError(err).WithField("Program", conn.RemoteAddr()).Warn("forwarder: connection reset")
+		_ = conn.SetLinger(0)
+	}
+}
+
+func (f *Forwarder) carryRequest(conn *net.TCPConn) error {
+	body, err := io.ReadAll(io.LimitReader(conn, maxBody))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	answer, err := f.Caller.Do(ctx, Request{Body: body, Idempotent: f.Idempotent})
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(answer.Body)
+	return err
+}
+
+func (f *Forwarder) carryFeed(conn *net.TCPConn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	feed, err := f.Caller.OpenFeed(ctx)
+	if err != nil {
+		return err
+	}
+	defer feed.Close()
+	f.wg.Go(func() {
+		// The program's end of sending ends the feed's; its end ends the feed.
+		if _, err := io.Copy(feed, conn); err != nil {
+			_ = feed.Close()
+			return
+		}
+		_ = feed.CloseWrite()
+	})
+	_, err = io.Copy(conn, feed)
+	return err
+}
--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -40,8 +40,9 @@
 				a.Certificate = &pair
 			}
 			return f.runRole(ctx, log, a, &jmoperator.Server{
-				Metrics: jmoperator.AgentMetrics(a),
-				Status:  func() any { return jmoperator.AgentStatus(a) },
+				Metrics:   jmoperator.AgentMetrics(a),
+				Status:    func() *jmoperator.Status { return jmoperator.AgentStatus(a) },
+				Explainer: func() *jmoperator.Explainer { return jmoperator.AgentExplainer(a) },
 			})
 		},
 	}
--- a/cmd/jasminemoor/balancer.go
+++ b/cmd/jasminemoor/balancer.go
@@ -37,8 +37,9 @@
 				Log:        log,
 			}
 			return f.runRole(ctx, log, b, &jmoperator.Server{
-				Metrics: jmoperator.BalancerMetrics(b),
-				Status:  func() any { return jmoperator.BalancerStatus(b) },
+				Metrics:   jmoperator.BalancerMetrics(b),
+				Status:    func() *jmoperator.Status { return jmoperator.BalancerStatus(b) },
+				Explainer: func() *jmoperator.Explainer { return jmoperator.BalancerExplainer(b) },
 			})
 		},
 	}
--- a/cmd/jasminemoor/call.go
+++ b/cmd/jasminemoor/call.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -26,6 +27,9 @@
 With -feed, standard input is sent as it comes, and the feed is printed until
 the service ends it or the command is interrupted.
 
+With -listen, connections of other programs are carried until the command is
+asked to stop; it then waits for the open ones to end.
+
 Exit codes: 0 answered, or the feed ended; 1 other failure; 2 wrong usage;
 3 not run, and it never will; 4 unknown, it may have run; 5 the feed was cut.`
 
@@ -37,6 +41,8 @@
 	timeout    time.Duration
 	idempotent bool
 	feed       bool
+	listen     string
+	log        logFlags
 }
 
 func (f *callFlags) add(flags *flag.FlagSet) {
@@ -46,6 +52,8 @@
 	flags.DurationVar(&f.timeout, "timeout", defaultCallTimeout, "how long to wait for a request's answer, or for a feed to open")
 	flags.BoolVar(&f.idempotent, "idempotent", false, "the request may run more than once")
 	flags.BoolVar(&f.feed, "feed", false, "open a feed")
+	flags.StringVar(&f.listen, "listen", "", "TCP address to accept connections on, each of which is one request or, with -feed, one feed")
+	f.log.add(flags, "info")
 }
 
 func (f *callFlags) caller() (c *client.Caller, err error) {
@@ -87,6 +95,9 @@
 				return err
 			}
 			defer caller.Close()
+			if f.listen != "" {
+				return f.forward(ctx, t, caller)
+			}
 			if f.feed {
 				return f.openFeed(ctx, t, caller)
 			}
@@ -138,3 +149,27 @@
 	}
 	return nil
 }
+
+func (f *callFlags) forward(ctx context.Context, t *terminal, caller *client.Caller) error {
+	log, err := f.log.logger(t.err)
+	if err != nil {
+		return err
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", f.listen)
+	if err != nil {
+		return err
+	}
+	forwarder := &client.Forwarder{
+		Caller:     caller,
+		Kind:       jasminemoor.KindRequest,
+		Idempotent: f.idempotent,
+		Timeout:    f.timeout,
+		Log:        log,
+	}
+	if f.feed {
+		forwarder.Kind = jasminemoor.KindFeed
+	}
+	log.WithField("Address", listener.Addr()).Info("forwarder: accepting")
+	forwarder.Run(ctx, listener)
+	return nil
+}
--- /dev/null
+++ b/cmd/jasminemoor/explain.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+)
+
+const (
+	operatorTimeout = 5 * time.Second
+	randomIDSize    = 8 // bytes, as most callers have it
+	maxErrorText    = 4 << 10
+)
+
+// printable is what a command prints for people or as JSON.
+type printable interface {
+	Print(out io.Writer) error
+}
+
+func printResult(t *terminal, p printable, asJSON bool) error {
+	if !asJSON {
+		return p.Print(t.out)
+	}
+	encoder := json.NewEncoder(t.out)
+	encoder.SetIndent("", "\t")
+	return encoder.Encode(p)
+}
+
+func statusCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "status")
+	operator := flags.String("operator", "http://"+defaultOperator, "URL of a process's operator endpoint")
+	asJSON := flags.Bool("json", false, "print JSON")
+	configFlag(flags)
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "jasminemoor status [-operator <url>]",
+		ShortHelp:  "Show what a running process knows: members, revisions, flows, refusals.",
+		FlagSet:    flags,
+		Options:    parseOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			s := &jmoperator.Status{}
+			if err := askOperator(ctx, *operator, "/status", nil, s); err != nil {
+				return err
+			}
+			return printResult(t, s, *asJSON)
+		},
+	}
+}
+
+// explainFlags are the flags of explain.
+type explainFlags struct {
+	service, id, settings, operator string
+	asJSON                          bool
+}
+
+func (f *explainFlags) add(flags *flag.FlagSet) {
+	flags.StringVar(&f.service, "service", "", "service, as <team>/<service>")
+	flags.StringVar(&f.id, "id", "", "first connection ID of the flow in hexadecimal, a random one if empty")
+	flags.StringVar(&f.settings, "settings", "", "directory with a settings tree, to explain without a running process")
+	flags.StringVar(&f.operator, "operator", "http://"+defaultOperator, "URL of a process's operator endpoint")
+	flags.BoolVar(&f.asJSON, "json", false, "print JSON")
+}
+
+func explainCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "explain")
+	var f explainFlags
+	f.add(flags)
+	configFlag(flags)
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "jasminemoor explain -service <team>/<service> [-settings <directory> | -operator <url>]",
+		ShortHelp:  "Say where a new flow of a service would go now, and why.",
+		FlagSet:    flags,
+		Options:    parseOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			x, err := f.explain(ctx)
+			if err != nil {
+				return err
+			}
+			return printResult(t, x, f.asJSON)
+		},
+	}
+}
+
+func (f *explainFlags) explain(ctx context.Context) (x *jmoperator.Explanation, err error) {
+	if f.service == "" {
+		return nil, &exitError{code: exitUsage, text: "-service is missing"}
+	}
+	id, err := hex.DecodeString(f.id)
+	if err != nil {
+		return nil, &exitError{code: exitUsage, text: "-id is not hexadecimal"}
+	}
+	if len(id) == 0 {
+		id = make([]byte, randomIDSize)
+		_, _ = rand.Read(id) // never fails on supported systems
+	}
+	if f.settings != "" {
+		return explainOffline(f.settings, f.service, id)
+	}
+	x = &jmoperator.Explanation{}
+	query := url.Values{"service": {f.service}, "id": {hex.EncodeToString(id)}}
+	return x, askOperator(ctx, f.operator, "/explain", query, x)
+}
+
+// explainOffline takes every upstream that does not leave to be working.
+func explainOffline(dir, service string, id []byte) (x *jmoperator.Explanation, err error) {
+	subtrees, err := jmtree.ReadDir(dir, 1)
+	if err != nil {
+		return nil, err
+	}
+	var tree jmtree.Tree
+	for _, s := range subtrees {
+		tree.Put(s)
+	}
+	view := &jmcontrol.View{Config: tree.Config()}
+	if view.Config == nil {
+		return nil, eris.New("the settings have faults; see jasminemoor check")
+	}
+	return (&jmoperator.Explainer{View: view, ConditionOf: view.ConditionOf}).Explain(service, id)
+}
+
+func askOperator(ctx context.Context, base, path string, query url.Values, target any) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "operator endpoint %s", base)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+		return eris.Errorf("%s: %s", response.Status, text)
+	}
+	return json.NewDecoder(response.Body).Decode(target)
+}
--- a/cmd/jasminemoor/main.go
+++ b/cmd/jasminemoor/main.go
@@ -60,6 +60,8 @@
 			agentCommand(t),
 			checkCommand(t),
 			callCommand(t),
+			explainCommand(t),
+			statusCommand(t),
 			demoCommand(t),
 			measureCommand(t),
 			standinCommand(t),
--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -11,6 +11,7 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmspread"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
@@ -44,6 +45,20 @@
 	return s.Liveness == jmmember.Alive && !s.IsLeaving
 }
 
+// ConditionOf returns what the members' states say of an upstream.
+func (v *View) ConditionOf(u *jmtree.Upstream) jmplacer.Condition {
+	state := v.States[u.Agent]
+	switch {
+	case u.Leaving || state.IsLeaving:
+		return jmplacer.Leaving
+	case state.Liveness == jmmember.Alive:
+		return jmplacer.Working
+	case state.Liveness == jmmember.Suspect:
+		return jmplacer.Suspect
+	}
+	return jmplacer.Dead
+}
+
 // Send is a message to send.
 type Send struct {
 	To      netip.AddrPort
--- a/internal/fleet/jmoperator/operator.go
+++ b/internal/fleet/jmoperator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net"
@@ -25,7 +26,9 @@
 	Address string
 	Metrics *metrics.Set
 	// Status returns what /status shows.
-	Status func() any
+	Status func() *Status
+	// Explainer returns what /explain works by.
+	Explainer func() *Explainer
 }
 
 // Run serves until ctx ends.
@@ -59,10 +62,31 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "\t")
-		_ = encoder.Encode(s.Status())
+		reply(w, s.Status())
 	})
+	mux.HandleFunc("GET /explain", s.serveExplain)
 	return mux
 }
+
+// serveExplain answers for the query's service and, if given, its id in
+// hexadecimal.
+func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
+	id, err := hex.DecodeString(r.URL.Query().Get("id"))
+	if err != nil {
+		http.Error(w, "id is not hexadecimal", http.StatusBadRequest)
+		return
+	}
+	x, err := s.Explainer().Explain(r.URL.Query().Get("service"), id)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	reply(w, x)
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "\t")
+	_ = encoder.Encode(body)
+}
--- a/internal/fleet/jmoperator/status.go
+++ b/internal/fleet/jmoperator/status.go
@@ -1,13 +1,20 @@
 package jmoperator
 
 import (
+	"fmt"
+	"io"
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
+	"text/tabwriter"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
 // Status is what /status shows of a process.
@@ -92,3 +99,48 @@
 	}
 	return s
 }
+
+// BalancerExplainer explains from what a balancer knows.
+func BalancerExplainer(b *jmbalancer.Balancer) *Explainer {
+	view := b.Node.View()
+	return &Explainer{
+		View:        view,
+		ConditionOf: func(u *jmtree.Upstream) jmplacer.Condition { return b.ConditionOf(view, u) },
+		Loads:       &b.Node.Loads,
+	}
+}
+
+// AgentExplainer explains from what an agent knows.
+func AgentExplainer(a *jmagent.Agent) *Explainer {
+	view := a.Node.View()
+	return &Explainer{View: view, ConditionOf: view.ConditionOf, Loads: &a.Node.Loads}
+}
+
+// Print writes the status for people.
+func (s *Status) Print(out io.Writer) error {
+	_, _ = fmt.Fprintf(out, "%s %s in %s\n", s.Role, s.Identity, s.DataCentre)
+	if s.IsStale {
+		_, _ = fmt.Fprintln(out, "woke after a pause and has not heard from a peer since")
+	}
+	if s.IsReader {
+		_, _ = fmt.Fprintln(out, "watches the platform for its data centre")
+	}
+	for _, path := range slices.Sorted(maps.Keys(s.Revisions)) {
+		_, _ = fmt.Fprintf(out, "settings %s: revision %d in force\n", path, s.Revisions[path])
+	}
+	for _, fault := range s.Faults {
+		_, _ = fmt.Fprintf(out, "refused: %s\n", fault)
+	}
+	if s.Role == "agent" {
+		_, _ = fmt.Fprintf(out, "%d flows, %d requests running, %d waiting, %d feeds\n", s.Flows, s.Running, s.Waiting, s.Feeds)
+	}
+	for _, cause := range slices.Sorted(maps.Keys(s.Refusals)) {
+		_, _ = fmt.Fprintf(out, "refusals, %s: %d\n", cause, s.Refusals[cause])
+	}
+	w := tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
+	_, _ = fmt.Fprintln(w, "member\tdata centre\tstate\tleaving")
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", m.Address, m.DataCentre, m.State, m.IsLeaving)
+	}
+	return w.Flush()
+}
--- a/internal/flow/jmbalancer/view.go
+++ b/internal/flow/jmbalancer/view.go
@@ -9,7 +9,6 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
@@ -92,29 +91,25 @@
 	return nil
 }
 
-// newTable ranks a service's upstreams: those that seem to work, or else all
-// that do not leave. The view of who is alive may be wrong, so a whole service
-// is never taken out.
+// newTable ranks the upstreams of a service that new flows may go to.
 func (b *Balancer) newTable(node *jmcontrol.View, s *jmtree.Service) *jmplacer.Table {
-	var working, suspect, rest []jmplacer.Candidate
-	for _, u := range s.Upstreams {
-		state := node.StateOf(u.Agent)
-		c := jmplacer.Candidate{Agent: u.Agent, Weight: u.Weight}
-		switch {
-		case u.Leaving || state.IsLeaving:
-		case state.Liveness == jmmember.Alive && !b.silence.isSilent(u.Agent):
-			working = append(working, c)
-		case state.Liveness != jmmember.Dead:
-			suspect = append(suspect, c)
-		default:
-			rest = append(rest, c)
-		}
+	upstreams := make([]jmplacer.Upstream, 0, len(s.Upstreams))
+	for i := range s.Upstreams {
+		u := &s.Upstreams[i]
+		upstreams = append(upstreams, jmplacer.Upstream{
+			Candidate: jmplacer.Candidate{Agent: u.Agent, Weight: u.Weight},
+			Condition: b.ConditionOf(node, u),
+		})
 	}
-	switch {
-	case len(working) > 0:
-		return jmplacer.NewTable(working)
-	case len(suspect) > 0:
-		return jmplacer.NewTable(suspect)
+	candidates, _ := jmplacer.Select(upstreams)
+	return jmplacer.NewTable(candidates)
+}
+
+// ConditionOf returns what this balancer believes of an upstream.
+func (b *Balancer) ConditionOf(node *jmcontrol.View, u *jmtree.Upstream) jmplacer.Condition {
+	condition := node.ConditionOf(u)
+	if condition == jmplacer.Working && b.silence.isSilent(u.Agent) {
+		return jmplacer.Suspect
 	}
-	return jmplacer.NewTable(rest)
+	return condition
 }
--- a/internal/standin/jmprocess/fleet.go
+++ b/internal/standin/jmprocess/fleet.go
@@ -57,7 +57,7 @@
 	if err = f.writeSettings(); err != nil {
 		return err
 	}
-	if err = f.run("platform", "standin", "platform", "-listen", f.Layout.PlatformAddress().String(), "-settings", f.settingsDir()); err != nil {
+	if err = f.run("platform", "standin", "platform", "-listen", f.Layout.PlatformAddress().String(), "-settings", f.SettingsDir()); err != nil {
 		return err
 	}
 	for _, s := range f.Layout.Services {
@@ -73,7 +73,8 @@
 	return nil
 }
 
-func (f *Fleet) settingsDir() string { return filepath.Join(f.Dir, "settings") }
+// SettingsDir is the directory of the settings tree that the fleet began with.
+func (f *Fleet) SettingsDir() string { return filepath.Join(f.Dir, "settings") }
 
 // RootFile is the path of the root certificate that callers trust.
 func (f *Fleet) RootFile() string { return filepath.Join(f.Dir, "root.pem") }
@@ -84,7 +85,7 @@
 		return err
 	}
 	for path, values := range documents {
-		dir := filepath.Join(f.settingsDir(), filepath.FromSlash(path))
+		dir := filepath.Join(f.SettingsDir(), filepath.FromSlash(path))
 		if err = os.MkdirAll(dir, dirMode); err != nil {
 			return err
 		}
@@ -104,13 +105,13 @@
 	}
 	name := "fabric-" + s.Name
 	err := f.run(name, "standin", "fabric", "-listen", s.Address.String(),
-		"-balancers", strings.Join(balancers, ","), "-control", f.controlOf(name))
+		"-balancers", strings.Join(balancers, ","), "-control", f.ControlOf(name))
 	if err != nil {
 		return err
 	}
 	for _, u := range s.Upstreams {
 		name = "upstream-" + u.Name
-		err = f.run(name, "standin", "upstream", "-listen", u.Address.String(), "-name", u.Name, "-control", f.controlOf(name))
+		err = f.run(name, "standin", "upstream", "-listen", u.Address.String(), "-name", u.Name, "-control", f.ControlOf(name))
 		if err != nil {
 			return err
 		}
@@ -121,8 +122,8 @@
 	return nil
 }
 
-// controlOf gives a process the address for its HTTP endpoint.
-func (f *Fleet) controlOf(name string) string {
+// ControlOf returns the address of a process's HTTP endpoint.
+func (f *Fleet) ControlOf(name string) string {
 	if _, found := f.control[name]; !found {
 		f.control[name] = f.Layout.ControlAddress(len(f.control))
 	}
@@ -134,14 +135,14 @@
 func (f *Fleet) StartAgent(u jmtree.Upstream) error {
 	name := "agent-" + u.Name
 	return f.run(name, "agent", "-address", u.Agent.String(), "-data-centre", u.DataCentre,
-		"-platform", f.platformURL(), "-operator", f.controlOf(name), "-log-level", "debug")
+		"-platform", f.platformURL(), "-operator", f.ControlOf(name), "-log-level", "debug")
 }
 
 // StartBalancer starts a balancer, again if it has ended. The process has the
 // balancer's name.
 func (f *Fleet) StartBalancer(b jmtree.Balancer) error {
 	return f.run(b.Name, "balancer", "-address", b.Address.String(), "-data-centre", b.DataCentre,
-		"-service-ip", b.ServiceIP.String(), "-platform", f.platformURL(), "-operator", f.controlOf(b.Name), "-log-level", "debug")
+		"-service-ip", b.ServiceIP.String(), "-platform", f.platformURL(), "-operator", f.ControlOf(b.Name), "-log-level", "debug")
 }
 
 func (f *Fleet) platformURL() string { return "http://" + f.Layout.PlatformAddress().String() }
