--- a/cmd/jasminemoor/measure.go
+++ b/cmd/jasminemoor/measure.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
 
+	"github.com/jasminemoor/jasminemoor/internal/measure/jmfleet"
 	"github.com/jasminemoor/jasminemoor/internal/measure/jmmodel"
 )
 
@@ -19,10 +23,10 @@
 func measureCommand(t *terminal) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "measure",
-		ShortUsage:  "jasminemoor measure <placement> [flags]",
+		ShortUsage:  "jasminemoor measure <placement|control> [flags]",
 		ShortHelp:   "Measure the decisions against naive ones, in a model of the systems served.",
 		FlagSet:     newFlagSet(t, "measure"),
-		Subcommands: []*ffcli.Command{measurePlacementCommand(t)},
+		Subcommands: []*ffcli.Command{measurePlacementCommand(t), measureControlCommand(t)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
@@ -66,3 +70,53 @@
 	}
 	return w.Flush()
 }
+
+func measureControlCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "control")
+	sizes := []int{300, 600, 1200}
+	flags.Func("processes", "sizes of fleets, with commas between them (default 300,600,1200)", func(text string) (err error) {
+		sizes, err = parseInts(text)
+		return err
+	})
+	dataCentres := flags.Int("data-centres", 5, "data centres")
+	seed := flags.Uint64("seed", 1, "seed of the run")
+	loss := flags.Float64("loss", 0.01, "share of the datagrams that are lost")
+	delay := flags.Duration("remote-delay", 10*time.Millisecond, "largest one-way delay between data centres")
+	asJSON := flags.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name:      "control",
+		ShortHelp: "Measure what control costs and how fast news spreads, over fleets of several sizes.",
+		FlagSet:   flags,
+		Exec: func(context.Context, []string) error {
+			results := make([]jmfleet.Result, 0, len(sizes))
+			for _, size := range sizes {
+				results = append(results, jmfleet.Measure(size, *dataCentres, *seed, *loss, *delay))
+			}
+			if *asJSON {
+				return json.NewEncoder(t.out).Encode(results)
+			}
+			return printControl(t, results)
+		},
+	}
+}
+
+func parseInts(text string) (values []int, err error) {
+	for _, each := range strings.Split(text, ",") {
+		value, err := strconv.Atoi(strings.TrimSpace(each))
+		if err != nil || value < 1 {
+			return nil, eris.Errorf("%q is not a positive number", each)
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
+func printControl(t *terminal, results []jmfleet.Result) error {
+	w := tabwriter.NewWriter(t.out, 0, 0, tablePadding, ' ', 0)
+	_, _ = fmt.Fprintln(w, "processes\tin force\tdeath noticed\track noticed\tbytes/s\tcrossing\tbytes/s, rack lost\tcore\theap\tplatform calls/s")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%.0f\t%.0f%%\t%.0f\t%.3f%%\t%.2f MB\t%.2f\n", r.Processes, r.InForce,
+			r.DeathNoticed, r.RackNoticed, r.BytesPerSecond, r.CrossingShare*100, r.RackBytesPerSecond, r.CorePercent, r.HeapBytes/1e6, r.PlatformCalls)
+	}
+	return w.Flush()
+}
--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -20,6 +20,9 @@
 	loadInterval = time.Second
 	// loadReceivers is how many peers are told the load in each interval.
 	loadReceivers = 8
+	// remoteLoadInterval is how many loads there are to one that peers in other
+	// data centres are told of. It must stay within jmload.MaxReportAge.
+	remoteLoadInterval = 2
 	// leaveReceivers is how many members hear at once that this one leaves.
 	leaveReceivers = 12
 	// PageSize bounds the settings in one reply in bytes.
@@ -91,6 +94,11 @@
 	hasBegun  bool
 	isLeaving bool
 	loadSent  time.Time
+	loadCount uint64
+
+	// isReader is kept from when the members last changed.
+	isReader   bool
+	readerAsOf uint64
 }
 
 func (m *Machine) begin() {
@@ -135,7 +143,7 @@
 		m.sendProbes(&out, m.members.Handle(now, message.From, message.Probe))
 	}
 	if message.Load != nil {
-		m.Loads.Put(*message.Load, now)
+		m.Loads.Put(message.Load.report(message.From), now)
 	}
 	shouldPull := m.spread.HandleDigest(now, message.Digest)
 	for _, rumor := range message.Rumors {
@@ -209,7 +217,14 @@
 // of its data centre, or because it hears of the settings from nobody else.
 func (m *Machine) ShouldRead(now time.Time) bool {
 	m.begin()
-	return m.spread.IsQuiet(now) || m.spread.IsReader(m.members.States())
+	if m.spread.IsQuiet(now) {
+		return true
+	}
+	if generation := m.members.Generation(); generation != m.readerAsOf {
+		m.readerAsOf = generation
+		m.isReader = m.spread.IsReader(m.members.States())
+	}
+	return m.isReader
 }
 
 // TakeChanged reports whether the view has changed since the last call.
@@ -254,18 +269,19 @@
 	if load == nil || !found {
 		return
 	}
-	load.Agent, load.Incarnation = m.Identity.Agent, m.Identity.Incarnation
-	load.Sequence = uint64(now.UnixNano())
+	m.loadCount++
+	load.Incarnation, load.Sequence = m.Identity.Incarnation, m.loadCount
 	load.Leaving = load.Leaving || m.isLeaving
 	order := m.Rand.Perm(len(service.Upstreams))
 	sent := 0
 	for _, at := range order {
-		peer := service.Upstreams[at].Agent
-		if peer == m.Identity.Agent || sent == loadReceivers {
+		peer := &service.Upstreams[at]
+		isSkipped := peer.DataCentre != m.DataCentre && m.loadCount%remoteLoadInterval != 0 && !load.Leaving
+		if peer.Agent == m.Identity.Agent || isSkipped || sent == loadReceivers {
 			continue
 		}
 		sent++
-		m.send(out, peer, &Message{Load: load})
+		m.send(out, peer.Agent, &Message{Load: newLoadMessage(load)})
 	}
 }
 
--- a/internal/fleet/jmcontrol/messages.go
+++ b/internal/fleet/jmcontrol/messages.go
@@ -17,7 +17,39 @@
 	Digest uint64
 	Probe  *jmmember.Message
 	Rumors []jmspread.Rumor
-	Load   *jasminemoor.LoadReport
+	Load   *LoadMessage
+}
+
+// LoadMessage is a jasminemoor.LoadReport of the sender, in few bytes.
+type LoadMessage struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Incarnation jasminemoor.Incarnation
+	Sequence    uint64
+	Now         uint32
+	Mean        uint32
+	Density     uint32
+	IsLeaving   bool
+}
+
+func newLoadMessage(r *jasminemoor.LoadReport) *LoadMessage {
+	return &LoadMessage{
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Now:         r.Load.Now,
+		Mean:        r.Load.Mean,
+		Density:     r.Load.Density,
+		IsLeaving:   r.Leaving,
+	}
+}
+
+func (m *LoadMessage) report(from netip.AddrPort) jasminemoor.LoadReport {
+	return jasminemoor.LoadReport{
+		Agent:       from,
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		Load:        jasminemoor.Load{Now: m.Now, Mean: m.Mean, Density: m.Density},
+		Leaving:     m.IsLeaving,
+	}
 }
 
 // SyncRequest asks a peer for the settings and the members that it knows
--- a/internal/fleet/jmmember/machine.go
+++ b/internal/fleet/jmmember/machine.go
@@ -27,7 +27,7 @@
 	// and announceInterval bounds what a storm of changes costs.
 	announceCount    = 3
 	announceRounds   = 2
-	announceInterval = 300 * time.Millisecond
+	announceInterval = 500 * time.Millisecond
 )
 
 // Member is a process that the settings name.
@@ -54,6 +54,7 @@
 
 	own      Update
 	members  map[netip.AddrPort]*member
+	suspects map[netip.AddrPort]*member // may hold some that are so no more
 	local    ring
 	remote   ring
 	dead     ring
@@ -64,8 +65,9 @@
 	periods  uint64
 	lastTick time.Time
 	// isStale is set after a pause until a peer has answered.
-	isStale bool
-	changed bool
+	isStale    bool
+	changed    bool
+	generation uint64
 	// roundsLeft is above zero while a belief has changed that peers should hear of.
 	roundsLeft   int
 	lastAnnounce time.Time
@@ -96,6 +98,9 @@
 // stay is kept; new ones are taken to be alive.
 func (m *Machine) SetMembers(members []Member) {
 	known := m.members
+	if m.suspects == nil {
+		m.suspects = make(map[netip.AddrPort]*member)
+	}
 	m.members = make(map[netip.AddrPort]*member, len(members))
 	for _, each := range members {
 		if each.Address == m.Self.Address {
@@ -110,7 +115,12 @@
 	}
 	m.rumors.retain(func(a netip.AddrPort) bool { return a == m.Self.Address || m.members[a] != nil })
 	m.rebuildRings()
+	m.noteChange()
+}
+
+func (m *Machine) noteChange() {
 	m.changed = true
+	m.generation++
 }
 
 func (m *Machine) rebuildRings() {
@@ -183,10 +193,8 @@
 	m.isStale = true
 	// The silence was this process's own, so nobody else is suspected for it.
 	m.probe = probe{}
-	for _, each := range m.members {
-		if each.update.Liveness == Suspect {
-			each.suspectSince = now
-		}
+	for _, each := range m.suspects {
+		each.suspectSince = now
 	}
 }
 
@@ -321,6 +329,7 @@
 	each.update = u
 	if u.Liveness == Suspect {
 		each.suspectSince = now
+		m.suspects[u.Member] = each
 	}
 	isNews := known.Liveness != u.Liveness || known.IsLeaving != u.IsLeaving
 	if isNews {
@@ -331,7 +340,7 @@
 	if isNews || known.Incarnation != 0 {
 		m.rumors.put(u)
 	}
-	m.changed = true
+	m.noteChange()
 	if (known.Liveness == Dead) != (u.Liveness == Dead) {
 		m.rebuildRings()
 	}
@@ -368,8 +377,12 @@
 }
 
 func (m *Machine) buryOldSuspects(now time.Time) {
-	for _, each := range m.members {
-		if each.update.Liveness != Suspect || now.Sub(each.suspectSince) < SuspectTimeout {
+	for addr, each := range m.suspects {
+		if each.update.Liveness != Suspect || m.members[addr] != each {
+			delete(m.suspects, addr)
+			continue
+		}
+		if now.Sub(each.suspectSince) < SuspectTimeout {
 			continue
 		}
 		death := each.update
@@ -389,6 +402,9 @@
 	return Packet{To: to, Message: message}
 }
 
+// Generation grows with each change of a belief or of the list of members.
+func (m *Machine) Generation() uint64 { return m.generation }
+
 // TakeChanged reports whether a belief changed since the last call.
 func (m *Machine) TakeChanged() bool {
 	changed := m.changed
