Pages for operators, settings reference, design, glossary, style, examples

Cause: others could not run it. Change: the pages, an example for each deployment of the users, a key command; tests keep the metrics' list and the examples true.

--- a/cmd/jasminemoor/main.go
+++ b/cmd/jasminemoor/main.go
@@ -63,6 +63,7 @@
 			explainCommand(t),
 			statusCommand(t),
 			demoCommand(t),
+			keyCommand(t),
 			measureCommand(t),
 			standinCommand(t),
 			versionCommand(t),
--- /dev/null
+++ b/internal/fleet/jmoperator/operator_test.go
@@ -0,0 +1,92 @@
+package jmoperator_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+)
+
+var metricName = regexp.MustCompile("(?m)^(?:\\| `)?(jm_[a-z_]+)")
+
+func namesIn(text []byte) (names []string) {
+	for _, match := range metricName.FindAllSubmatch(text, -1) {
+		names = append(names, string(match[1]))
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// TestMetricsAreListed keeps the operators' page true.
+func TestMetricsAreListed(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	var shown bytes.Buffer
+	node := &jmnode.Node{Log: logrus.New()}
+	jmoperator.BalancerMetrics(&jmbalancer.Balancer{Node: node}).WritePrometheus(&shown)
+	jmoperator.AgentMetrics(&jmagent.Agent{Node: node}).WritePrometheus(&shown)
+	require.Equal(t, namesIn(shown.Bytes()), namesIn(page))
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	for _, example := range []string{"rangla", "halloran"} {
+		subtrees, err := jmtree.ReadDir("../../../examples/"+example, 1)
+		require.NoError(t, err)
+		require.Empty(t, jmtree.Check(subtrees))
+		var tree jmtree.Tree
+		for _, s := range subtrees {
+			tree.Put(s)
+		}
+		config := tree.Config()
+		require.Len(t, config.Services, 2)
+		require.Len(t, config.Services[1].Upstreams, 7)
+		codec, err := config.Fleet.Codec()
+		require.NoError(t, err)
+		require.NotNil(t, codec)
+	}
+}
+
+func TestEndpoint(t *testing.T) {
+	node := &jmnode.Node{Log: logrus.New()}
+	b := &jmbalancer.Balancer{Node: node}
+	s := &jmoperator.Server{
+		Address:   "127.0.0.1:9871",
+		Metrics:   metrics.NewSet(),
+		Status:    func() *jmoperator.Status { return jmoperator.BalancerStatus(b) },
+		Explainer: func() *jmoperator.Explainer { return jmoperator.BalancerExplainer(b) },
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Run(t.Context()) }()
+	get := func(path string) (code int, body string) {
+		response, err := http.Get("http://" + s.Address + path)
+		if err != nil {
+			return 0, ""
+		}
+		defer response.Body.Close()
+		text, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(text)
+	}
+	require.Eventually(t, func() bool { code, _ := get("/metrics"); return code == http.StatusOK }, 5*time.Second, 10*time.Millisecond)
+	code, body := get("/status")
+	require.Equal(t, http.StatusOK, code)
+	require.Contains(t, body, `"Role": "balancer"`)
+	code, body = get("/explain?service=shop/shop-floor&id=01")
+	require.Equal(t, http.StatusNotFound, code)
+	require.Contains(t, body, `no service "shop/shop-floor" is in force`)
+	code, _ = get("/explain?id=xyz")
+	require.Equal(t, http.StatusBadRequest, code)
+}
