Tests that show the checks at the agent, and certificates that go wrong

Cause: a scratch copy with single checks taken out still passed two of the tests: the agent's own check of the server name was hidden behind the caller's, and a balancer was out of the fabric before it could end too early. Change: a caller that trusts any certificate and names the service; a balancer must go on while the fabric uses it; tables for the agent's fleet socket. After: both fail with the check taken out and pass with it.

--- /dev/null
+++ b/internal/settings/jmtree/certificate_test.go
@@ -0,0 +1,76 @@
+package jmtree_test
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/json"
+	"encoding/pem"
+	"math/big"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+)
+
+// certificate returns a self-signed certificate for a name and its key, in PEM.
+func certificate(t *testing.T, name string, until time.Time) (chain, key string) {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{name}, NotAfter: until}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
+	require.NoError(t, err)
+	return string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})),
+		string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}))
+}
+
+// TestCertificates checks that a wrong certificate leaves the last good one in force.
+func TestCertificates(t *testing.T) {
+	later := time.Now().Add(time.Hour)
+	goodChain, goodKey := certificate(t, "s1.example", later)
+	expiredChain, expiredKey := certificate(t, "s1.example", time.Now().Add(-time.Hour))
+	wrongChain, wrongKey := certificate(t, "other.example", later)
+	cases := map[string]struct {
+		chain, key, fault string
+	}{
+		"good":            {goodChain, goodKey, ""},
+		"expired":         {expiredChain, expiredKey, "certificate expired at"},
+		"another name":    {wrongChain, wrongKey, "not s1.example"},
+		"another's key":   {goodChain, wrongKey, "certificate can't be used"},
+		"key missing":     {goodChain, "", "certificate can't be used"},
+		"not PEM":         {"abc", goodKey, "certificate can't be used"},
+		"key in its text": {goodKey, goodKey, "certificate can't be used"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var tree jmtree.Tree
+			tree.Put(fleet())
+			tree.Put(team("rangla", 2, withCertificate(t, goodChain, goodKey)))
+			tree.Put(team("rangla", 3, withCertificate(t, tc.chain, tc.key)))
+			c := tree.Config()
+			require.NotNil(t, c.Services[1].Certificate.Parsed())
+			if tc.fault == "" {
+				require.Empty(t, c.Faults)
+				require.EqualValues(t, 3, c.Revisions["Teams/rangla"])
+				return
+			}
+			require.Len(t, c.Faults, 1)
+			require.Contains(t, c.Faults[0].Error(), tc.fault)
+			require.NotContains(t, c.Faults[0].Error(), strings.TrimSpace(goodKey))
+			require.EqualValues(t, 2, c.Revisions["Teams/rangla"])
+		})
+	}
+}
+
+func withCertificate(t *testing.T, chain, key string) string {
+	t.Helper()
+	text, err := json.Marshal(map[string]string{"Chain": chain, "Key": key})
+	require.NoError(t, err)
+	return strings.Replace(serviceText(1), `"Number": 1,`, `"Number": 1, "Certificate": `+string(text)+`,`, 1)
+}
--- a/internal/standin/jmlab/settings_test.go
+++ b/internal/standin/jmlab/settings_test.go
@@ -139,8 +139,8 @@
 	require.NoError(t, err)
 	require.NotContains(t, string(answer.Body), shop.Name)
 
-	wrong := lab.NewCaller(shop)
-	wrong.Address = catalogue.Address
+	// This one names the service it means, so the agent itself refuses it.
+	wrong := &client.Caller{Address: catalogue.Address, ServerName: shop.ServerName, TLS: naive.TLS}
 	defer wrong.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/internal/standin/jmlab/stops_test.go
+++ b/internal/standin/jmlab/stops_test.go
@@ -77,7 +77,12 @@
 	for _, spec := range lab.Layout.Fleet.Balancers {
 		b := lab.Balancers[spec.Name]
 		b.Leave()
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(time.Second)
+		select {
+		case <-b.Drained():
+			require.Fail(t, "a balancer ended while the fabric still used it")
+		default:
+		}
 		lab.SetFabrics(jmfabric.Settings{}, spec.Name)
 		awaitDone(t, b.Drained(), 5*time.Second, "balancer drained")
 		b.Kill()
