A silent pair of ports between balancer and agent is replaced

Cause: 'open connections can go silent for good while new ones work' held for callers' ports only; a balancer kept on sending into a silent pair of ports. Change: a balancer that passes 20 datagrams in a second or more and hears nothing of the agent goes on from a spare port. TestSilentAgentPath drops everything between one balancer's port and all agents.

--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -242,6 +242,12 @@
 	}
 }
 
+// Config returns the settings in force, or nil.
+func (m *Machine) Config() *jmtree.Config { return m.config }
+
+// LivenessOf returns what is believed of a member.
+func (m *Machine) LivenessOf(addr netip.AddrPort) jmmember.Liveness { return m.members.LivenessOf(addr) }
+
 // IsStale reports whether the process woke after a pause and has not heard
 // from a peer since.
 func (m *Machine) IsStale() bool { return m.members.IsStale() }
--- a/internal/fleet/jmmember/machine.go
+++ b/internal/fleet/jmmember/machine.go
@@ -426,6 +426,14 @@
 	return states
 }
 
+// LivenessOf returns what is believed of a member; an unknown one is taken to be alive.
+func (m *Machine) LivenessOf(addr netip.AddrPort) Liveness {
+	if each := m.members[addr]; each != nil {
+		return each.update.Liveness
+	}
+	return Alive
+}
+
 // Snapshot returns an update for this process and for each member that is not
 // simply alive, for a full exchange.
 func (m *Machine) Snapshot() []Update {
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -42,7 +42,7 @@
 	// OwnLoad returns the process's load, and nil where it has none to report.
 	OwnLoad func() *jasminemoor.LoadReport
 	Log     logrus.FieldLogger
-	// Reach, where set, says whether anything sent to an address gets out.
+	// Reach, where set, says whether anything gets to an address and back.
 	// Tests cut the fleet in two with it.
 	Reach func(to netip.AddrPort) bool
 
@@ -106,7 +106,7 @@
 	return n.changed
 }
 
-// CanReach reports whether anything sent to an address gets out.
+// CanReach reports whether anything gets to an address and back.
 func (n *Node) CanReach(to netip.AddrPort) bool { return n.Reach == nil || n.Reach(to) }
 
 // Leave announces that the process takes no new work.
--- a/internal/fleet/jmoperator/metrics.go
+++ b/internal/fleet/jmoperator/metrics.go
@@ -59,6 +59,7 @@
 	counter(set, "jm_balancer_forwarded_total", &c.Forwarded)
 	counter(set, "jm_balancer_placed_total", &c.Placed)
 	counter(set, "jm_balancer_returned_total", &c.Returned)
+	counter(set, "jm_balancer_spare_port_total", &c.SparePort)
 	counter(set, `jm_balancer_dropped_total{cause="not_quic"}`, &c.NotQUIC)
 	counter(set, `jm_balancer_dropped_total{cause="forged"}`, &c.Forged)
 	counter(set, `jm_balancer_dropped_total{cause="no_upstream"}`, &c.NoUpstream)
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -81,7 +81,7 @@
 // handle sorts one datagram. It returns true if it has passed it on to quic-go.
 func (c *packetConn) handle(ctx context.Context, r *received, from netip.AddrPort) bool {
 	datagram := r.buffer[:r.size]
-	if len(datagram) == 0 {
+	if len(datagram) == 0 || !c.agent.Node.CanReach(from) {
 		return false
 	}
 	if jmdatagram.Kind(datagram[0]) == jmdatagram.KindControl {
--- a/internal/flow/jmbalancer/balancer.go
+++ b/internal/flow/jmbalancer/balancer.go
@@ -40,6 +40,7 @@
 
 	view      atomic.Pointer[view]
 	fleet     *net.UDPConn
+	spare     *net.UDPConn // for agents that the fleet socket's port no longer gets through to
 	sockets   socketSet
 	silence   silenceTable
 	lastHeard atomic.Int64 // nanoseconds since the Unix epoch
@@ -59,6 +60,7 @@
 	NoService  atomic.Uint64 // answers from an address that has no socket here
 	BadTag     atomic.Uint64 // datagrams on the fleet socket that fail their check
 	TooShort   atomic.Uint64 // first flights below the size that QUIC asks for
+	SparePort  atomic.Uint64 // datagrams passed to agents from the spare port
 	ByKey      [256]atomic.Uint64
 }
 
@@ -96,6 +98,12 @@
 	}
 	defer b.fleet.Close()
 	setBuffers(b.fleet)
+	spare := netip.AddrPortFrom(b.Identity.Agent.Addr(), 0)
+	if b.spare, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(spare)); err != nil {
+		return err
+	}
+	defer b.spare.Close()
+	setBuffers(b.spare)
 	tcp, err := (&net.ListenConfig{}).Listen(ctx, "tcp", b.Identity.Agent.String())
 	if err != nil {
 		return err
@@ -109,7 +117,8 @@
 	defer cancel()
 	wg.Go(func() { b.Node.Run(ctx) })
 	wg.Go(func() { b.Node.Serve(ctx, tcp, nil) })
-	wg.Go(func() { b.returnLoop(ctx) })
+	wg.Go(func() { b.returnLoop(ctx, b.fleet) })
+	wg.Go(func() { b.returnLoop(ctx, b.spare) })
 	wg.Go(func() { b.drainLoop(ctx) })
 	wg.Go(func() {
 		<-ctx.Done()
--- a/internal/flow/jmbalancer/bench_test.go
+++ b/internal/flow/jmbalancer/bench_test.go
@@ -51,7 +51,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b = &Balancer{Log: log, fleet: listenUDP(t), Node: &jmnode.Node{}}
+	b = &Balancer{Log: log, fleet: listenUDP(t), spare: listenUDP(t), Node: &jmnode.Node{}}
 	table := jmplacer.NewTable([]jmplacer.Candidate{{Agent: addrOf(sink), Weight: 1}})
 	b.view.Store(&view{
 		codec:    codec,
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -18,21 +18,26 @@
 		b.Log.WithError(err).Error("balancer: service address can't be read")
 		return
 	}
-	writer, err := jmbatch.NewWriter(b.fleet)
+	main, err := newOutBatch(b.fleet)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: fleet address can't be written")
 		return
 	}
+	spare, err := newOutBatch(b.spare)
+	if err != nil {
+		b.Log.WithError(err).Error("balancer: spare port can't be written")
+		return
+	}
 	f := forwarder{balancer: b, local: local}
-	in, out := newBatch(jmdatagram.HeaderSize), make([]jmbatch.Datagram, jmbatch.Size)
+	in := newBatch(jmdatagram.HeaderSize)
 	for ctx.Err() == nil {
 		n, err := reader.Read(in)
 		if err != nil {
 			continue
 		}
-		if count := f.routeBatch(in[:n], out); count > 0 {
-			_ = writer.Write(out[:count])
-		}
+		f.routeBatch(in[:n], main, spare)
+		main.flush()
+		spare.flush()
 	}
 }
 
@@ -47,21 +52,26 @@
 }
 
 // routeBatch routes the datagrams of a batch that was read into buffers with
-// room for a header before them. It returns how many there are to write.
-func (f *forwarder) routeBatch(in, out []jmbatch.Datagram) (count int) {
+// room for a header before them.
+func (f *forwarder) routeBatch(in []jmbatch.Datagram, main, spare *outBatch) {
+	isAnyRouted := false
 	for i := range in {
 		datagram := in[i].Buffer[:jmdatagram.HeaderSize+in[i].Length]
 		to, ok := f.route(datagram, in[i].Addr)
 		if !ok || !f.balancer.Node.CanReach(to) {
 			continue
 		}
-		out[count] = jmbatch.Datagram{Buffer: datagram, Addr: to}
-		count++
+		isAnyRouted = true
+		if f.usesSparePort {
+			f.balancer.Counters.SparePort.Add(1)
+			spare.add(datagram, to)
+			continue
+		}
+		main.add(datagram, to)
 	}
-	if count > 0 {
+	if isAnyRouted {
 		f.balancer.lastHeard.Store(time.Now().UnixNano())
 	}
-	return count
 }
 
 // minFirstSize is the least size in bytes of a datagram that may begin a flow
@@ -77,6 +87,8 @@
 	opener   jmconnid.Opener
 	sealer   *jmdatagram.Sealer
 	header   jmdatagram.Header
+	// usesSparePort says how the datagram that was routed last is to be sent.
+	usesSparePort bool
 }
 
 // route finds the agent of a datagram and puts the encapsulation before its
@@ -105,6 +117,7 @@
 	case err == nil:
 		f.header.Service = route.Service
 		to = route.Agent
+		f.usesSparePort = f.balancer.silence.passedOn(to)
 		f.balancer.Counters.Forwarded.Add(1)
 		f.balancer.Counters.ByKey[packet.Destination[0]].Add(1)
 	case packet.IsLong && packet.IsFirst:
@@ -135,6 +148,7 @@
 	f.header.Service = service.number
 	f.header.Other = second
 	b.silence.sent(first)
+	f.usesSparePort = false
 	b.Counters.Placed.Add(1)
 	return first, true
 }
--- a/internal/flow/jmbalancer/return.go
+++ b/internal/flow/jmbalancer/return.go
@@ -12,10 +12,10 @@
 
 // returnLoop passes the agents' answers back to the callers, and control
 // datagrams to the node.
-func (b *Balancer) returnLoop(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = b.fleet.SetReadDeadline(time.Now()) })
+func (b *Balancer) returnLoop(ctx context.Context, conn *net.UDPConn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
 	defer stop()
-	reader, err := jmbatch.NewReader(b.fleet)
+	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: fleet address can't be read")
 		return
@@ -50,6 +50,26 @@
 	count  int
 }
 
+func newOutBatch(conn *net.UDPConn) (o *outBatch, err error) {
+	o = &outBatch{}
+	o.writer, err = jmbatch.NewWriter(conn)
+	return o, err
+}
+
+func (o *outBatch) add(datagram []byte, to netip.AddrPort) {
+	o.batch[o.count] = jmbatch.Datagram{Buffer: datagram, Addr: to}
+	o.count++
+}
+
+// flush writes what was added. No more is added than one read returns, so that
+// each batch has room.
+func (o *outBatch) flush() {
+	if o.count > 0 {
+		_ = o.writer.Write(o.batch[:o.count])
+		o.count = 0
+	}
+}
+
 func (r *returner) take(ctx context.Context, datagram []byte, from netip.AddrPort) {
 	b := r.balancer
 	if len(datagram) == 0 {
@@ -85,25 +105,18 @@
 func (r *returner) add(socket *net.UDPConn, payload []byte) {
 	out := r.outs[socket]
 	if out == nil {
-		writer, err := jmbatch.NewWriter(socket)
-		if err != nil {
+		var err error
+		if out, err = newOutBatch(socket); err != nil {
 			return
 		}
-		out = &outBatch{writer: writer}
 		r.outs[socket] = out
 	}
-	out.batch[out.count] = jmbatch.Datagram{Buffer: payload, Addr: r.header.Caller}
-	out.count++
+	out.add(payload, r.header.Caller)
 	r.balancer.Counters.Returned.Add(1)
 }
 
-// flush writes what was taken. No more was taken than one read returns, so
-// that each batch has room.
 func (r *returner) flush() {
 	for _, out := range r.outs {
-		if out.count > 0 {
-			_ = out.writer.Write(out.batch[:out.count])
-			out.count = 0
-		}
+		out.flush()
 	}
 }
--- a/internal/flow/jmbalancer/route_test.go
+++ b/internal/flow/jmbalancer/route_test.go
@@ -129,6 +129,30 @@
 	require.False(t, table.isSilent(agent))
 }
 
+// TestSilentPath takes the path to an agent to the spare port, and back again
+// if that is silent as well.
+func TestSilentPath(t *testing.T) {
+	agent := netip.MustParseAddrPort("127.0.0.1:7100")
+	var table silenceTable
+	table.setAgents(map[netip.AddrPort]jmtree.Place{agent: {}})
+	pass := func(count int) (usesSparePort bool) {
+		for range count {
+			usesSparePort = table.passedOn(agent)
+		}
+		return usesSparePort
+	}
+	require.False(t, pass(pathCount))
+	table.judge(time.Now())
+	require.False(t, pass(1), "too soon")
+	table.heard(agent)
+	table.judge(time.Now().Add(pathTime))
+	require.False(t, pass(pathCount), "it was heard")
+	table.judge(time.Now().Add(pathTime))
+	require.True(t, pass(pathCount))
+	table.judge(time.Now().Add(pathTime))
+	require.False(t, pass(1))
+}
+
 // TestNeverAllOut is the floor of the ejection: whatever is believed of the
 // upstreams, a service keeps some, unless all of them leave.
 func TestNeverAllOut(t *testing.T) {
--- a/internal/flow/jmbalancer/silence.go
+++ b/internal/flow/jmbalancer/silence.go
@@ -16,11 +16,18 @@
 	// silenceHold is how long a silent agent gets no new flows, unless it is
 	// heard of first.
 	silenceHold = 5 * time.Second
+
+	// pathCount datagrams of open flows without any answer, over pathTime, make
+	// the path to an agent silent, so that another local port is used.
+	pathCount = 20
+	pathTime  = time.Second
 )
 
 // silenceTable finds agents that answer no first flights, sooner than the
-// probing does. It counts by agent, never by flow. The zero value knows no
-// agents; it is safe for concurrent use.
+// probing does, and paths to agents that have gone silent: something between
+// the two ends may have lost track of a pair of ports while new ones work. It
+// counts by agent, never by flow. The zero value knows no agents; it is safe
+// for concurrent use.
 type silenceTable struct {
 	agents atomic.Pointer[map[netip.AddrPort]*silenceEntry]
 }
@@ -29,6 +36,10 @@
 	unanswered  atomic.Int64
 	firstSent   atomic.Int64 // nanoseconds since the Unix epoch, 0 if none is unanswered
 	silentUntil atomic.Int64
+
+	forwarded     atomic.Int64 // datagrams of open flows since the agent was heard
+	firstForward  atomic.Int64 // when the first of them was sent, as firstSent
+	usesSparePort atomic.Bool
 }
 
 // setAgents replaces the known agents. What is known of those that stay is kept.
@@ -62,12 +73,26 @@
 	e.firstSent.CompareAndSwap(0, time.Now().UnixNano())
 }
 
+// passedOn records a datagram of an open flow sent to an agent, and reports
+// whether the spare port is to be used for it.
+func (t *silenceTable) passedOn(agent netip.AddrPort) (usesSparePort bool) {
+	e := t.entry(agent)
+	if e == nil {
+		return false
+	}
+	if e.forwarded.Add(1) == 1 {
+		e.firstForward.Store(time.Now().UnixNano())
+	}
+	return e.usesSparePort.Load()
+}
+
 // heard records any answer of an agent.
 func (t *silenceTable) heard(agent netip.AddrPort) {
 	e := t.entry(agent)
 	if e == nil {
 		return
 	}
+	e.forwarded.Store(0)
 	if e.firstSent.Load() != 0 {
 		e.unanswered.Store(0)
 		e.firstSent.Store(0)
@@ -91,6 +116,11 @@
 }
 
 func (e *silenceEntry) judge(now time.Time) (hasChanged bool) {
+	isPathSilent := e.forwarded.Load() >= pathCount && now.UnixNano()-e.firstForward.Load() >= int64(pathTime)
+	if isPathSilent {
+		e.usesSparePort.Store(!e.usesSparePort.Load())
+		e.forwarded.Store(0)
+	}
 	if until := e.silentUntil.Load(); until != 0 {
 		if until > now.UnixNano() {
 			return false
--- a/internal/flow/jmreturn/return.go
+++ b/internal/flow/jmreturn/return.go
@@ -82,7 +82,7 @@
 	isSilent := now.Sub(p.waitingSince) >= SilenceLimit
 	if !isSilent {
 		for _, known := range p.recent {
-			if slices.Contains(live, known) {
+			if isLive(live, known) {
 				return known, p.local, true
 			}
 		}
@@ -94,6 +94,12 @@
 	return live[p.turn%len(live)], p.local, true
 }
 
+// isLive reports whether a balancer may be used. One that the caller was heard
+// through may have sent from another port than its own.
+func isLive(live []netip.AddrPort, known netip.AddrPort) bool {
+	return slices.ContainsFunc(live, func(a netip.AddrPort) bool { return a.Addr() == known.Addr() })
+}
+
 // Len returns the number of callers that are remembered.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/measure/jmfleet/fleet.go
+++ b/internal/measure/jmfleet/fleet.go
@@ -268,7 +268,7 @@
 			continue
 		}
 		live++
-		if n.machine.View().Config.Revisions[path] >= revision {
+		if n.machine.Config().Revisions[path] >= revision {
 			inForce++
 		}
 	}
@@ -282,7 +282,7 @@
 		if n.isDead || n.index == index {
 			continue
 		}
-		if n.machine.View().States[address].Liveness == l {
+		if n.machine.LivenessOf(address) == l {
 			count++
 		}
 	}
--- a/internal/standin/jmlab/lab.go
+++ b/internal/standin/jmlab/lab.go
@@ -44,8 +44,14 @@
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 	cut    atomic.Pointer[map[string]bool] // data centres on one side of a cut
+	silent atomic.Pointer[netip.AddrPort]
 }
 
+// SilencePort drops everything between a balancer's fleet address and the
+// agents, as if something on the way had lost track of that port, while the
+// balancer's other ports work.
+func (l *Lab) SilencePort(balancer netip.AddrPort) { l.silent.Store(&balancer) }
+
 // CutOff cuts the named data centres off from the others, or mends the cut if
 // none is named. The platform and the fabric are reached from both sides.
 func (l *Lab) CutOff(dataCentres ...string) {
@@ -59,7 +65,7 @@
 // dataCentreOf returns the data centre of a process.
 func (l *Lab) dataCentreOf(address netip.AddrPort) string {
 	for _, b := range l.Layout.Fleet.Balancers {
-		if b.Address == address {
+		if b.Address.Addr() == address.Addr() {
 			return b.DataCentre
 		}
 	}
@@ -212,6 +218,9 @@
 		Platform:   &jmwatch.Client{URL: "http://" + l.Layout.PlatformAddress().String()},
 		Log:        l.Log,
 		Reach: func(to netip.AddrPort) bool {
+			if silent := l.silent.Load(); silent != nil && *silent == to {
+				return false
+			}
 			cut := l.cut.Load()
 			return cut == nil || (*cut)[dataCentre] == (*cut)[l.dataCentreOf(to)]
 		},
--- a/internal/standin/jmlab/silence_test.go
+++ b/internal/standin/jmlab/silence_test.go
@@ -45,3 +45,16 @@
 	time.Sleep(3 * time.Second)
 	l.finish()
 }
+
+// TestSilentAgentPath drops everything between one balancer's port and all
+// agents for good: the balancer gets through from another port.
+func TestSilentAgentPath(t *testing.T) {
+	lab := startLab(t, 18)
+	l := startLoad(t, lab, lab.Layout.Services[0], 6, 3)
+	time.Sleep(500 * time.Millisecond)
+	b := lab.Balancers["b1"]
+	lab.SilencePort(b.Identity.Agent)
+	require.Eventually(t, func() bool { return b.Counters.SparePort.Load() > 100 }, 10*time.Second, 50*time.Millisecond)
+	time.Sleep(time.Second)
+	l.finish()
+}
