Ledger no longer walks all old requests once its answers are bounded

Cause: beyond 16 MB of kept answers, each further one walked from the oldest request past all whose answers were gone: quadratic. Change: the requests with a kept answer are in a list of their own.

--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -246,7 +246,9 @@
 func (m *Machine) Config() *jmtree.Config { return m.config }
 
 // LivenessOf returns what is believed of a member.
-func (m *Machine) LivenessOf(addr netip.AddrPort) jmmember.Liveness { return m.members.LivenessOf(addr) }
+func (m *Machine) LivenessOf(addr netip.AddrPort) jmmember.Liveness {
+	return m.members.LivenessOf(addr)
+}
 
 // IsStale reports whether the process woke after a pause and has not heard
 // from a peer since.
--- a/internal/request/jmledger/ledger.go
+++ b/internal/request/jmledger/ledger.go
@@ -51,6 +51,7 @@
 	mu          sync.Mutex
 	entries     map[jasminemoor.RequestID]*entry
 	byAge       list.List // of *entry, the oldest change first
+	answered    list.List // of *entry, those with a kept answer, the oldest first
 	answerBytes int
 }
 
@@ -64,6 +65,8 @@
 	changed  time.Time
 	ended    chan struct{} // closed when the state is final
 	place    *list.Element
+	// answerPlace is in Ledger.answered, nil if no answer is kept.
+	answerPlace *list.Element
 }
 
 // Verdict is what Begin says of a request.
@@ -181,6 +184,7 @@
 		return
 	}
 	e.answer = answer
+	e.answerPlace = l.answered.PushBack(e)
 	l.answerBytes += len(answer)
 	l.change(e, stateDone)
 	l.dropOldAnswers()
@@ -265,7 +269,16 @@
 func (l *Ledger) remove(e *entry) {
 	delete(l.entries, e.id)
 	l.byAge.Remove(e.place)
+	l.dropAnswer(e)
+}
+
+func (l *Ledger) dropAnswer(e *entry) {
+	if e.answerPlace == nil {
+		return
+	}
+	l.answered.Remove(e.answerPlace)
 	l.answerBytes -= len(e.answer)
+	e.answer, e.answerPlace = nil, nil
 }
 
 // expire forgets old requests. One that runs stays, however old.
@@ -288,12 +301,10 @@
 // as lost: the request ran, but nobody can have its answer again.
 func (l *Ledger) dropOldAnswers() {
 	bound := orDefault(l.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	for place := l.byAge.Front(); place != nil && l.answerBytes > bound; place = place.Next() {
-		e := place.Value.(*entry)
-		if e.state == stateDone && len(e.answer) > 0 {
-			l.answerBytes -= len(e.answer)
-			e.answer, e.state = nil, stateLost
-		}
+	for l.answerBytes > bound {
+		e := l.answered.Front().Value.(*entry)
+		l.dropAnswer(e)
+		e.state = stateLost
 	}
 }
 
--- a/internal/settings/jmtree/tree_test.go
+++ b/internal/settings/jmtree/tree_test.go
@@ -219,3 +219,22 @@
 		require.NotEmpty(t, parsed.ControlKeys())
 	})
 }
+
+// BenchmarkTeam parses and checks a team's subtree of five services with ten
+// upstreams each, as one change does at every process.
+func BenchmarkTeam(b *testing.B) {
+	var services []string
+	for n := range 5 {
+		var upstreams strings.Builder
+		for u := range 10 {
+			fmt.Fprintf(&upstreams, "{\"Name\": \"u%d\", \"DataCentre\": \"lahore\", \"Agent\": \"10.%d.2.%d:7100\", \"Address\": \"10.%d.2.%d:80\", \"Weight\": 1},\n", u, n, u+1, n, u+1)
+		}
+		services = append(services, fmt.Sprintf("{\"Number\": %d, \"Address\": \"192.0.2.%d:443\", \"ServerName\": \"s%d.example\", \"Upstreams\": [%s]}", n+1, n+1, n+1, upstreams.String()))
+	}
+	s := team("rangla", 1, services...)
+	for b.Loop() {
+		if _, faults := jmtree.ParseTeam(s); len(faults) > 0 {
+			b.Fatal(faults)
+		}
+	}
+}
