Overload of four agents; shared listening, feeds and beliefs in one place

Cause: the retry budget was only tested by itself; the same lines stood twice in agent and balancer, and in four readers of feeds. Change: a test of callers with and without the budget; jmnode.Listen, jmupstream.Ticks; the probing machine in three files by job.

--- /dev/null
+++ b/client/overload_test.go
@@ -0,0 +1,81 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
+)
+
+// overload has callers offer three times what the agents can do, and returns
+// how many requests there were, how often they were sent, and how many were
+// answered. A naive caller tries again for as long as its time lasts.
+func overload(t *testing.T, isNaive bool) (requests, sent, answered int) {
+	trial := newTrial(0, callerOurs)
+	for _, addr := range trial.addrs {
+		trial.fleet.Agent(addr).Gate.SetLimits(jmgate.Limits{Slots: 2, Streams: 1000, Queue: 2, QueueWait: 200 * time.Millisecond})
+	}
+	const (
+		callers = 40 // each with a budget of its own, as each has one library
+		rounds  = 60
+	)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for caller := range callers {
+		retries := &budget{}
+		wg.Go(func() {
+			for i := range rounds {
+				// 40 callers at 6 a second are 240; the agents can do 80.
+				time.Sleep(time.Second / 6)
+				if isNaive {
+					retries = &budget{isUsed: true, tokens: 1000}
+				}
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+					defer cancel()
+					retries.earn()
+					a := &attempts{
+						pick:      trial.pick,
+						budget:    retries,
+						maxAnswer: 1 << 20,
+						request:   Request{ID: jasminemoor.NewRequestID(), Body: fmt.Appendf(nil, "order-%d-%d", caller, i)},
+					}
+					answer, _ := a.run(ctx)
+					mu.Lock()
+					defer mu.Unlock()
+					requests++
+					sent += a.count
+					if answer != nil {
+						answered++
+					}
+				})
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Minute) // what is left at the upstreams ends
+	return requests, sent, answered
+}
+
+// TestRetriesDoNotMultiplyOverload compares the budget with retries without one.
+func TestRetriesDoNotMultiplyOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests, sent, answered := overload(t, false)
+		t.Logf("ours:  %d requests, sent %d times, %d answered", requests, sent, answered)
+		// Each caller may save up a few retries at first.
+		require.LessOrEqual(t, float64(sent), float64(requests)*(1+budgetShare)+40*budgetReserve)
+		require.Positive(t, answered)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		requests, sent, answered := overload(t, true)
+		t.Logf("naive: %d requests, sent %d times, %d answered", requests, sent, answered)
+		require.Greater(t, sent, 2*requests)
+	})
+}
--- a/internal/fleet/jmmember/machine.go
+++ b/internal/fleet/jmmember/machine.go
@@ -79,21 +79,6 @@
 	suspectSince time.Time
 }
 
-type probe struct {
-	target      netip.AddrPort
-	sequence    uint32
-	sent        time.Time
-	isAnswered  bool
-	askedHelper bool
-}
-
-// helped is a ping that was sent for another member.
-type helped struct {
-	asker    netip.AddrPort
-	sequence uint32
-	sent     time.Time
-}
-
 // SetMembers replaces the list of members. What is believed of those that
 // stay is kept; new ones are taken to be alive.
 func (m *Machine) SetMembers(members []Member) {
@@ -173,19 +158,6 @@
 	return out
 }
 
-func (m *Machine) driveProbe(now time.Time) (out []Packet) {
-	if m.probe.sent.IsZero() || now.Sub(m.probe.sent) >= Period {
-		m.judgeProbe(now)
-		return m.startProbe(now)
-	}
-	isOverdue := now.Sub(m.probe.sent) >= DirectTimeout
-	if isOverdue && !m.probe.isAnswered && !m.probe.askedHelper {
-		m.probe.askedHelper = true
-		return m.askHelpers()
-	}
-	return nil
-}
-
 func (m *Machine) noticePause(now time.Time) {
 	if m.lastTick.IsZero() || now.Sub(m.lastTick) < PauseLimit {
 		return
@@ -202,62 +174,6 @@
 // peer since. It is never stale when it has no peers.
 func (m *Machine) IsStale() bool { return m.isStale && len(m.members) > 0 }
 
-func (m *Machine) judgeProbe(now time.Time) {
-	if m.probe.sent.IsZero() || m.probe.isAnswered {
-		return
-	}
-	each := m.members[m.probe.target]
-	if each == nil || each.update.Liveness != Alive {
-		return
-	}
-	suspicion := each.update
-	suspicion.Liveness = Suspect
-	m.apply(suspicion, now)
-}
-
-func (m *Machine) startProbe(now time.Time) (out []Packet) {
-	m.periods++
-	target, found := m.nextTarget()
-	if !found {
-		m.probe = probe{}
-		return nil
-	}
-	m.sequence++
-	m.probe = probe{target: target, sequence: m.sequence, sent: now}
-	return []Packet{m.packet(target, Message{Type: TypePing, Sequence: m.sequence})}
-}
-
-func (m *Machine) nextTarget() (target netip.AddrPort, found bool) {
-	order := []*ring{&m.local, &m.remote, &m.dead}
-	switch {
-	case m.periods%deadInterval == 0:
-		order = []*ring{&m.dead, &m.local, &m.remote}
-	case m.periods%remoteInterval == 0:
-		order = []*ring{&m.remote, &m.local, &m.dead}
-	}
-	for _, r := range order {
-		if target, found = r.next(m.Rand); found {
-			return target, true
-		}
-	}
-	return target, false
-}
-
-func (m *Machine) askHelpers() (out []Packet) {
-	for range helperCount {
-		helper, found := m.local.pick(m.Rand)
-		if !found || helper == m.probe.target {
-			helper, found = m.remote.pick(m.Rand)
-		}
-		if !found || helper == m.probe.target {
-			continue
-		}
-		request := Message{Type: TypePingRequest, Sequence: m.probe.sequence, Target: m.probe.target}
-		out = append(out, m.packet(helper, request))
-	}
-	return out
-}
-
 // Handle takes a message in and returns the answers.
 func (m *Machine) Handle(now time.Time, from netip.AddrPort, message *Message) (out []Packet) {
 	for _, u := range message.Updates {
@@ -274,123 +190,6 @@
 	return nil
 }
 
-func (m *Machine) help(now time.Time, from netip.AddrPort, message *Message) (out []Packet) {
-	if m.members[message.Target] == nil {
-		return nil
-	}
-	m.sequence++
-	if m.helping == nil {
-		m.helping = make(map[uint32]helped)
-	}
-	m.helping[m.sequence] = helped{asker: from, sequence: message.Sequence, sent: now}
-	return []Packet{m.packet(message.Target, Message{Type: TypePing, Sequence: m.sequence})}
-}
-
-func (m *Machine) handleAck(message *Message) (out []Packet) {
-	if h, found := m.helping[message.Sequence]; found {
-		delete(m.helping, message.Sequence)
-		return []Packet{m.packet(h.asker, Message{Type: TypeAck, Sequence: h.sequence})}
-	}
-	m.isStale = false
-	if message.Sequence == m.probe.sequence {
-		m.probe.isAnswered = true
-	}
-	return nil
-}
-
-func (m *Machine) forgetHelped(now time.Time) {
-	for sequence, h := range m.helping {
-		if now.Sub(h.sent) > helperMemory {
-			delete(m.helping, sequence)
-		}
-	}
-}
-
-// Apply takes updates from another source than a message, as a full exchange.
-func (m *Machine) Apply(now time.Time, updates []Update) {
-	for _, u := range updates {
-		m.apply(u, now)
-	}
-}
-
-func (m *Machine) apply(u Update, now time.Time) {
-	if u.Member == m.Self.Address {
-		m.refute(u)
-		return
-	}
-	each := m.members[u.Member]
-	if each == nil || !u.overrules(&each.update) {
-		return
-	}
-	known := each.update
-	if u.Incarnation == 0 {
-		u.Incarnation, u.Version = known.Incarnation, known.Version
-	}
-	each.update = u
-	if u.Liveness == Suspect {
-		each.suspectSince = now
-		m.suspects[u.Member] = each
-	}
-	isNews := known.Liveness != u.Liveness || known.IsLeaving != u.IsLeaving
-	if isNews {
-		m.roundsLeft = announceRounds
-	}
-	// The first sign of a member that is alive anyway is worth no message; a
-	// fleet that starts would be busy with these for minutes.
-	if isNews || known.Incarnation != 0 {
-		m.rumors.put(u)
-	}
-	m.noteChange()
-	if (known.Liveness == Dead) != (u.Liveness == Dead) {
-		m.rebuildRings()
-	}
-}
-
-// refute answers what others believe of this process, if it is wrong.
-func (m *Machine) refute(u Update) {
-	if u.Incarnation > m.Incarnation {
-		return
-	}
-	isWrong := u.Liveness != Alive || u.IsLeaving != m.own.IsLeaving
-	if u.Incarnation == m.Incarnation && u.Version >= m.own.Version && isWrong {
-		m.own.Version = u.Version
-		m.raiseOwnVersion()
-		return
-	}
-	if u.Incarnation < m.Incarnation {
-		m.rumors.put(m.ownUpdate())
-	}
-}
-
-func (m *Machine) raiseOwnVersion() {
-	m.own.Version++
-	m.rumors.put(m.ownUpdate())
-}
-
-func (m *Machine) ownUpdate() Update {
-	return Update{
-		Member:      m.Self.Address,
-		Incarnation: m.Incarnation,
-		Version:     m.own.Version,
-		IsLeaving:   m.own.IsLeaving,
-	}
-}
-
-func (m *Machine) buryOldSuspects(now time.Time) {
-	for addr, each := range m.suspects {
-		if each.update.Liveness != Suspect || m.members[addr] != each {
-			delete(m.suspects, addr)
-			continue
-		}
-		if now.Sub(each.suspectSince) < SuspectTimeout {
-			continue
-		}
-		death := each.update
-		death.Liveness = Dead
-		m.apply(death, now)
-	}
-}
-
 // packet adds the updates that a message carries along. The receiver always
 // hears what is believed of itself, so that it can refute it, and who sends.
 func (m *Machine) packet(to netip.AddrPort, message Message) Packet {
@@ -412,40 +211,6 @@
 	return changed
 }
 
-// States returns what is believed of each member.
-func (m *Machine) States() map[netip.AddrPort]State {
-	states := make(map[netip.AddrPort]State, len(m.members))
-	for addr, each := range m.members {
-		states[addr] = State{
-			Member:      each.Member,
-			Incarnation: each.update.Incarnation,
-			Liveness:    each.update.Liveness,
-			IsLeaving:   each.update.IsLeaving,
-		}
-	}
-	return states
-}
-
-// LivenessOf returns what is believed of a member; an unknown one is taken to be alive.
-func (m *Machine) LivenessOf(addr netip.AddrPort) Liveness {
-	if each := m.members[addr]; each != nil {
-		return each.update.Liveness
-	}
-	return Alive
-}
-
-// Snapshot returns an update for this process and for each member that is not
-// simply alive, for a full exchange.
-func (m *Machine) Snapshot() []Update {
-	updates := []Update{m.ownUpdate()}
-	for _, each := range m.members {
-		if each.update.Liveness != Alive || each.update.IsLeaving {
-			updates = append(updates, each.update)
-		}
-	}
-	return updates
-}
-
 // Pick returns up to n distinct members that are not dead, at random: one in
 // remoteInterval from other data centres, beginning with one of those.
 func (m *Machine) Pick(n int) (peers []netip.AddrPort) {
--- /dev/null
+++ b/internal/fleet/jmnode/listen.go
@@ -0,0 +1,31 @@
+package jmnode
+
+import (
+	"context"
+	"net"
+	"net/netip"
+)
+
+// fleetBuffer is asked of the kernel for each direction of the fleet socket, in
+// bytes. It may grant less; that costs datagrams under bursts, nothing else.
+const fleetBuffer = 8 << 20
+
+// Listen opens the process's address towards the fleet, over UDP and TCP, and
+// has the node send from it.
+func (n *Node) Listen(ctx context.Context) (udp *net.UDPConn, tcp net.Listener, err error) {
+	udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.Identity.Agent))
+	if err != nil {
+		return nil, nil, err
+	}
+	_ = udp.SetReadBuffer(fleetBuffer)
+	_ = udp.SetWriteBuffer(fleetBuffer)
+	tcp, err = (&net.ListenConfig{}).Listen(ctx, "tcp", n.Identity.Agent.String())
+	if err != nil {
+		_ = udp.Close()
+		return nil, nil, err
+	}
+	n.Send = func(to netip.AddrPort, datagram []byte) {
+		_, _ = udp.WriteToUDPAddrPort(datagram, to)
+	}
+	return udp, tcp, nil
+}
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -28,8 +28,6 @@
 )
 
 const (
-	socketBuffer = 4 << 20 // bytes asked of the kernel for each direction
-
 	idleTimeout      = 30 * time.Second
 	handshakeTimeout = 5 * time.Second
 	keepAlivePeriod  = 5 * time.Second
@@ -47,7 +45,7 @@
 type Agent struct {
 	Identity   jasminemoor.Identity
 	DataCentre string
-	// Node is the control side; Run sets its Send and OwnLoad.
+	// Node is the control side; Run sets its OwnLoad.
 	Node *jmnode.Node
 	// Certificate is used while the settings give the service none.
 	Certificate *tls.Certificate
@@ -121,13 +119,15 @@
 		}
 	}()
 	a.init()
-	if err = a.listen(); err != nil {
+	udp, tcp, err := a.Node.Listen(ctx)
+	if err != nil {
 		return err
 	}
+	a.udp = udp
 	defer a.udp.Close()
-	tcp, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.Identity.Agent.String())
-	if err != nil {
-		return err
+	a.conn = newPacketConn(a)
+	a.Node.OwnLoad = func() *jasminemoor.LoadReport {
+		return &jasminemoor.LoadReport{Load: a.ownLoad(), Leaving: a.isLeaving()}
 	}
 	a.prepareServer()
 	ctx, cancel := context.WithCancel(ctx)
@@ -146,24 +146,6 @@
 	return a.serveFlows(ctx)
 }
 
-func (a *Agent) listen() (err error) {
-	a.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.Identity.Agent))
-	if err != nil {
-		return err
-	}
-	// The kernel may grant less; that costs speed under bursts, nothing else.
-	_ = a.udp.SetReadBuffer(socketBuffer)
-	_ = a.udp.SetWriteBuffer(socketBuffer)
-	a.conn = newPacketConn(a)
-	a.Node.Send = func(to netip.AddrPort, datagram []byte) {
-		_, _ = a.udp.WriteToUDPAddrPort(datagram, to)
-	}
-	a.Node.OwnLoad = func() *jasminemoor.LoadReport {
-		return &jasminemoor.LoadReport{Load: a.ownLoad(), Leaving: a.isLeaving()}
-	}
-	return nil
-}
-
 // send sends a datagram from the fleet socket. One that does not get out is a
 // lost datagram like any other.
 func (a *Agent) send(datagram []byte, to netip.AddrPort) {
--- a/internal/flow/jmbalancer/balancer.go
+++ b/internal/flow/jmbalancer/balancer.go
@@ -33,7 +33,7 @@
 	DataCentre string
 	// ServiceIP, where valid, takes the place of each service's IP address.
 	ServiceIP netip.Addr
-	// Node is the control side; Run sets its Send.
+	// Node is the control side.
 	Node     *jmnode.Node
 	Log      logrus.FieldLogger
 	Counters Counters
@@ -93,24 +93,18 @@
 		}
 	}()
 	b.init()
-	if b.fleet, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(b.Identity.Agent)); err != nil {
+	fleet, tcp, err := b.Node.Listen(ctx)
+	if err != nil {
 		return err
 	}
+	b.fleet = fleet
 	defer b.fleet.Close()
-	setBuffers(b.fleet)
 	spare := netip.AddrPortFrom(b.Identity.Agent.Addr(), 0)
 	if b.spare, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(spare)); err != nil {
 		return err
 	}
 	defer b.spare.Close()
 	setBuffers(b.spare)
-	tcp, err := (&net.ListenConfig{}).Listen(ctx, "tcp", b.Identity.Agent.String())
-	if err != nil {
-		return err
-	}
-	b.Node.Send = func(to netip.AddrPort, datagram []byte) {
-		_, _ = b.fleet.WriteToUDPAddrPort(datagram, to)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/internal/standin/jmdemo/demo.go
+++ b/internal/standin/jmdemo/demo.go
@@ -3,7 +3,6 @@
 package jmdemo
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -21,6 +20,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
 )
 
 const (
@@ -135,8 +135,9 @@
 	caller := d.lab.NewCaller(d.shop)
 	defer caller.Close()
 	feed, err := caller.OpenFeed(ctx)
+	var ticks *jmupstream.Ticks
 	if err == nil {
-		_, err = fmt.Fprintf(feed, "FEED %s\n", tickInterval)
+		ticks, err = jmupstream.OpenTicks(feed, tickInterval)
 	}
 	opened <- err
 	if err != nil {
@@ -145,12 +146,7 @@
 	d.countFeed(feed.RanAt.Agent.String())
 	stop := context.AfterFunc(ctx, func() { _ = feed.Close() })
 	defer stop()
-	scanner := bufio.NewScanner(feed)
-	for n := 1; scanner.Scan(); n++ {
-		if scanner.Text() != fmt.Sprintf("TICK %d", n) {
-			d.broken.Add(1)
-			return
-		}
+	for ticks.Next() == nil {
 		d.ticks.Add(1)
 	}
 	if ctx.Err() == nil {
--- a/internal/standin/jmlab/load_test.go
+++ b/internal/standin/jmlab/load_test.go
@@ -1,7 +1,6 @@
 package jmlab_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/jasminemoor/jasminemoor/client"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
 )
 
 // load is feeds and bookings of one service that run beside a test's changes.
@@ -85,8 +85,9 @@
 	caller := l.lab.NewCaller(l.service)
 	defer caller.Close()
 	feed, err := caller.OpenFeed(ctx)
+	var ticks *jmupstream.Ticks
 	if err == nil {
-		_, err = fmt.Fprintf(feed, "FEED %s\n", loadTick)
+		ticks, err = jmupstream.OpenTicks(feed, loadTick)
 	}
 	opened <- err
 	if err != nil {
@@ -97,18 +98,16 @@
 	l.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = feed.Close() })
 	defer stop()
-	scanner := bufio.NewScanner(feed)
-	for n := 1; scanner.Scan(); n++ {
-		if scanner.Text() != fmt.Sprintf("TICK %d", n) {
-			l.fault("feed at %s: %q is not tick %d", feed.RanAt, scanner.Text(), n)
-			return
+	for {
+		if err = ticks.Next(); err != nil {
+			break
 		}
 		l.mu.Lock()
 		l.ticks++
 		l.mu.Unlock()
 	}
 	if ctx.Err() == nil {
-		l.fault("feed at %s was cut: %v", feed.RanAt, scanner.Err())
+		l.fault("feed at %s: %v", feed.RanAt, err)
 	}
 }
 
--- a/internal/standin/jmprocess/faults_test.go
+++ b/internal/standin/jmprocess/faults_test.go
@@ -1,7 +1,6 @@
 package jmprocess_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"flag"
@@ -21,6 +20,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmplatform"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmprocess"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
 )
 
 var (
@@ -78,12 +78,10 @@
 	defer feed.Close()
 	stop := context.AfterFunc(ctx, func() { _ = feed.Close() })
 	defer stop()
-	_, _ = fmt.Fprint(feed, "FEED 20ms\n")
-	scanner := bufio.NewScanner(feed)
-	for n := 1; scanner.Scan(); n++ {
-		if scanner.Text() != fmt.Sprintf("TICK %d", n) {
-			f.fault("feed at %s: %q is not tick %d", feed.RanAt, scanner.Text(), n)
-			return
+	ticks, err := jmupstream.OpenTicks(feed, 20*time.Millisecond)
+	for err == nil {
+		if err = ticks.Next(); err != nil {
+			break
 		}
 		f.mu.Lock()
 		f.ticks++
@@ -93,7 +91,7 @@
 	wasKilled := f.killed[feed.RanAt.Agent.String()]
 	f.mu.Unlock()
 	if ctx.Err() == nil && !wasKilled {
-		f.fault("feed at %s was cut: %v", feed.RanAt, scanner.Err())
+		f.fault("feed at %s: %v", feed.RanAt, err)
 	}
 }
 
--- a/internal/standin/jmprocess/fleet_test.go
+++ b/internal/standin/jmprocess/fleet_test.go
@@ -1,9 +1,7 @@
 package jmprocess_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -17,6 +15,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmprocess"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
 )
 
 const testTimeout = 60 * time.Second
@@ -59,26 +58,23 @@
 	return fleet
 }
 
-// ticks reads a feed's lines and checks that none is missing or doubled.
+// ticks reads a feed's lines in a test.
 type ticks struct {
-	t       *testing.T
-	scanner *bufio.Scanner
-	last    int
+	t    *testing.T
+	feed *jmupstream.Ticks
 }
 
 func openTicks(t *testing.T, feed io.ReadWriter, interval time.Duration) *ticks {
 	t.Helper()
-	_, err := fmt.Fprintf(feed, "FEED %s\n", interval)
+	opened, err := jmupstream.OpenTicks(feed, interval)
 	require.NoError(t, err)
-	return &ticks{t: t, scanner: bufio.NewScanner(feed)}
+	return &ticks{t: t, feed: opened}
 }
 
 func (k *ticks) next(count int) {
 	k.t.Helper()
 	for range count {
-		require.True(k.t, k.scanner.Scan(), "feed ended after tick %d: %v", k.last, k.scanner.Err())
-		k.last++
-		require.Equal(k.t, fmt.Sprintf("TICK %d", k.last), k.scanner.Text())
+		require.NoError(k.t, k.feed.Next())
 	}
 }
 
