Answers name the agent that ran them; accepted streams are counted

Cause, found by reading: the counter of accepted streams was never raised, and a kept answer named the agent that repeated it as the one that had run it. After: TestRequestRuns and TestRetryElsewhereWhileItRuns fail before and pass after.

--- a/internal/fleet/jmmember/beliefs.go
+++ b/internal/fleet/jmmember/beliefs.go
@@ -75,7 +75,9 @@
 	}
 }
 
-func (m *Machine) buryOldSuspects(now time.Time) {
+// declareDead holds the members to be dead that have been suspect for
+// SuspectTimeout.
+func (m *Machine) declareDead(now time.Time) {
 	for addr, each := range m.suspects {
 		if each.update.Liveness != Suspect || m.members[addr] != each {
 			delete(m.suspects, addr)
--- a/internal/fleet/jmmember/machine.go
+++ b/internal/fleet/jmmember/machine.go
@@ -139,7 +139,7 @@
 func (m *Machine) Tick(now time.Time) (out []Packet) {
 	m.noticePause(now)
 	m.lastTick = now
-	m.buryOldSuspects(now)
+	m.declareDead(now)
 	m.forgetHelped(now)
 	return append(m.announceNews(now), m.driveProbe(now)...)
 }
--- a/internal/flow/jmagent/flows.go
+++ b/internal/flow/jmagent/flows.go
@@ -27,10 +27,10 @@
 	conn     *quic.Conn
 	greeting *quic.SendStream
 
-	mu        sync.Mutex
-	streams   int
-	idleSince time.Time
-	hasLeft   bool // the caller has been told to go elsewhere
+	mu               sync.Mutex
+	streams          int
+	idleSince        time.Time
+	isLeaveAnnounced bool // the caller has been told to go elsewhere
 }
 
 // serveFlow greets a caller and serves its streams.
@@ -82,10 +82,10 @@
 func (f *flow) announceLeaving() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.hasLeft {
+	if f.isLeaveAnnounced {
 		return
 	}
-	f.hasLeft = true
+	f.isLeaveAnnounced = true
 	_ = jmframe.Write(f.greeting, f.message(true))
 	_ = f.greeting.Close()
 }
--- a/internal/request/jmserver/relay.go
+++ b/internal/request/jmserver/relay.go
@@ -73,7 +73,7 @@
 	fence := v.fence(ctx, peer, s.Header.ID)
 	switch fence.State {
 	case jasminemoor.FenceDone:
-		v.repeat(s, fence.Answer)
+		v.repeat(s, &fence)
 	case jasminemoor.FenceFenced:
 		v.Ledger.TakeBack(s.Header.ID)
 		v.refuse(s, reasonRelayLost, v.Gate.RetryAfter())
--- a/internal/request/jmserver/run.go
+++ b/internal/request/jmserver/run.go
@@ -35,7 +35,7 @@
 		return
 	}
 	r := &run{server: v, stream: s, up: up, start: time.Now()}
-	r.writer = &answerWriter{stream: s, identity: v.Identity}
+	r.writer = &answerWriter{server: v, stream: s, ranAt: v.Identity}
 	r.do(ctx)
 }
 
@@ -53,8 +53,8 @@
 	writer *answerWriter
 	start  time.Time
 
-	kept        []byte
-	isCallerOut bool // the caller can't be reached, but the answer is kept
+	kept         []byte
+	isCallerLost bool // the caller can't be reached, but the answer is kept
 }
 
 func (r *run) do(ctx context.Context) {
@@ -111,14 +111,14 @@
 	if r.stream.isRecorded() && len(r.kept) <= jmledger.MaxAnswer {
 		r.kept = append(r.kept, b...)
 	}
-	if r.isCallerOut {
+	if r.isCallerLost {
 		return nil
 	}
 	if _, err := r.writer.Write(b); err != nil {
 		if !r.stream.isRecorded() {
 			return err
 		}
-		r.isCallerOut = true
+		r.isCallerLost = true
 	}
 	return nil
 }
@@ -128,7 +128,7 @@
 	isEmpty := !r.writer.hasBegun && len(r.kept) == 0
 	r.server.finish(r.stream, r.kept, err == nil && !isEmpty)
 	switch {
-	case r.isCallerOut:
+	case r.isCallerLost:
 		r.stream.In.Abort()
 	case err == nil && r.writer.hasBegun:
 		_ = r.stream.In.CloseWrite()
@@ -150,14 +150,16 @@
 
 // answerWriter sends the accepting status before the answer's first byte.
 type answerWriter struct {
+	server   *Server
 	stream   *Stream
-	identity jasminemoor.Identity
+	ranAt    jasminemoor.Identity
 	hasBegun bool
 }
 
 func (w *answerWriter) begin() error {
 	w.hasBegun = true
-	return jmframe.Write(w.stream.In, jasminemoor.Status{Outcome: jasminemoor.OutcomeAccepted, RanAt: w.identity})
+	w.server.Counters.Accepted.Add(1)
+	return jmframe.Write(w.stream.In, jasminemoor.Status{Outcome: jasminemoor.OutcomeAccepted, RanAt: w.ranAt})
 }
 
 // Write implements io.Writer.
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -50,7 +50,7 @@
 
 // Counters counts streams since the process started.
 type Counters struct {
-	Accepted  atomic.Uint64 // streams whose answer began here
+	Accepted  atomic.Uint64 // streams whose answer began here, repeated ones included
 	Relayed   atomic.Uint64 // streams that another agent took
 	NotRun    atomic.Uint64
 	Unknown   atomic.Uint64
--- a/internal/request/jmserver/server_test.go
+++ b/internal/request/jmserver/server_test.go
@@ -30,6 +30,7 @@
 		require.Equal(t, jasminemoor.OutcomeAccepted, status.Outcome)
 		require.Equal(t, agents[0].Identity(), status.RanAt)
 		require.Equal(t, "ran order", answer)
+		require.EqualValues(t, 1, agents[0].Server.Counters.Accepted.Load())
 	})
 }
 
@@ -56,6 +57,7 @@
 		require.NoError(t, err)
 		require.Equal(t, jasminemoor.OutcomeAccepted, status.Outcome)
 		require.Equal(t, "ran order", answer)
+		require.Equal(t, agents[0].Identity(), status.RanAt)
 		require.Equal(t, 1, agents[0].Upstream.Total()+agents[1].Upstream.Total())
 	})
 }
--- a/internal/request/jmserver/settle.go
+++ b/internal/request/jmserver/settle.go
@@ -76,7 +76,7 @@
 func (v *Server) passFences(s *Stream, fences []jasminemoor.Fence) bool {
 	for _, f := range fences {
 		if f.State == jasminemoor.FenceDone {
-			v.repeat(s, f.Answer)
+			v.repeat(s, &f)
 			return false
 		}
 	}
@@ -92,10 +92,10 @@
 }
 
 // repeat answers with the kept answer of an earlier attempt.
-func (v *Server) repeat(s *Stream, kept []byte) {
+func (v *Server) repeat(s *Stream, f *jasminemoor.Fence) {
 	v.Counters.Repeated.Add(1)
-	w := &answerWriter{stream: s, identity: v.Identity}
-	if _, err := w.Write(kept); err != nil {
+	w := &answerWriter{server: v, stream: s, ranAt: f.RanAt}
+	if _, err := w.Write(f.Answer); err != nil {
 		s.In.Abort()
 		return
 	}
@@ -112,6 +112,7 @@
 	if f.State == jasminemoor.FencePassedOn {
 		return v.fence(ctx, f.To, id)
 	}
+	f.RanAt = v.Identity
 	return f
 }
 
@@ -128,6 +129,7 @@
 			return jasminemoor.Fence{State: jasminemoor.FenceLost}
 		}
 		if f.State != jasminemoor.FencePassedOn {
+			f.RanAt = at
 			return f
 		}
 		at = f.To
@@ -141,6 +143,7 @@
 	if err != nil || f.State == jasminemoor.FencePassedOn {
 		return jasminemoor.Fence{State: jasminemoor.FenceLost}
 	}
+	f.RanAt = v.Identity
 	return f
 }
 
--- a/ports.go
+++ b/ports.go
@@ -56,6 +56,8 @@
 	Answer []byte
 	// To is the agent that the request was passed on to.
 	To Identity
+	// RanAt is the agent that the answer is from. Who asks sets it.
+	RanAt Identity
 }
 
 // Fencer asks the agent of an earlier attempt never to run a request. Wait is
