--- a/cmd/jasminemoor/standin.go
+++ b/cmd/jasminemoor/standin.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmplatform"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
 )
@@ -23,13 +24,14 @@
 func standinCommand(t *terminal) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "standin",
-		ShortUsage: "jasminemoor standin <platform|fabric|upstream> [flags]",
+		ShortUsage: "jasminemoor standin <platform|fabric|upstream|certificate> [flags]",
 		ShortHelp:  "Run a stand-in for an outside system, for tests and trials.",
 		FlagSet:    newFlagSet(t, "standin"),
 		Subcommands: []*ffcli.Command{
 			platformCommand(t),
 			fabricCommand(t),
 			upstreamCommand(t),
+			certificateCommand(t),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -105,6 +107,23 @@
 	}
 }
 
+func certificateCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "certificate")
+	name := flags.String("name", "", "server name")
+	dir := flags.String("dir", ".", "directory for "+jmlab.RootFile+", "+jmlab.CertificateFile+" and "+jmlab.KeyFile)
+	return &ffcli.Command{
+		Name:      "certificate",
+		ShortHelp: "Write a certificate for a trial, valid for a day.",
+		FlagSet:   flags,
+		Exec: func(context.Context, []string) error {
+			if *name == "" {
+				return &exitError{code: exitUsage, text: "-name is missing"}
+			}
+			return jmlab.WriteCertificate(*dir, *name)
+		},
+	}
+}
+
 // serveHTTP serves until ctx ends; without an address it only waits.
 func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
 	if address == "" {
