Data centres cut off between separate processes; two tests made steady

Cause: a partition had only been seen in one process. Change: -trial-cut keeps a process from reaching address ranges of a file; the fault trials use it. The two tests wait for, and own, what they look at.

--- a/client/overload_test.go
+++ b/client/overload_test.go
@@ -29,15 +29,16 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for caller := range callers {
-		retries := &budget{}
+		shared := &budget{}
 		wg.Go(func() {
 			for i := range rounds {
 				// 40 callers at 6 a second are 240; the agents can do 80.
 				time.Sleep(time.Second / 6)
-				if isNaive {
-					retries = &budget{isUsed: true, tokens: 1000}
-				}
 				wg.Go(func() {
+					retries := shared
+					if isNaive {
+						retries = &budget{isUsed: true, tokens: 1000}
+					}
 					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 					defer cancel()
 					retries.earn()
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -29,6 +29,7 @@
 	dataCentre string
 	platform   string
 	operator   string
+	cut        cutFile
 	log        logFlags
 }
 
@@ -39,6 +40,7 @@
 	flags.StringVar(&f.dataCentre, "data-centre", "", "data centre of this process")
 	flags.StringVar(&f.platform, "platform", "", "base URL of the platform's configuration service")
 	flags.StringVar(&f.operator, "operator", defaultOperator, "address of the HTTP endpoint for metrics and status, or none")
+	flags.StringVar(&f.cut.path, "trial-cut", "", "file with address ranges that this process is kept from reaching, for trials of partitions")
 	configFlag(flags)
 	f.log.add(flags, "info")
 }
@@ -71,6 +73,9 @@
 	if f.platform != "" {
 		n.Platform = &jmwatch.Client{URL: f.platform}
 	}
+	if f.cut.path != "" {
+		n.Reach = f.cut.reaches
+	}
 	return n
 }
 
@@ -89,6 +94,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	if f.cut.path != "" {
+		go f.cut.watch(ctx.Done())
+	}
 	isForced := false
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	p.Go(func(ctx context.Context) error {
--- a/internal/request/jmserver/server_test.go
+++ b/internal/request/jmserver/server_test.go
@@ -103,6 +103,7 @@
 		require.NoError(t, err)
 		require.Equal(t, jasminemoor.OutcomeUnknown, status.Outcome)
 		require.Equal(t, time.Second, time.Since(start))
+		synctest.Wait()
 		require.Equal(t, jmgate.Usage{}, agents[0].Gate.Usage())
 		time.Sleep(time.Minute)
 	})
--- a/internal/standin/jmprocess/faults_test.go
+++ b/internal/standin/jmprocess/faults_test.go
@@ -125,7 +125,7 @@
 	balancer := f.fleet.Layout.Fleet.Balancers[f.rng.IntN(len(f.fleet.Layout.Fleet.Balancers))]
 	upstream := f.service.Upstreams[f.rng.IntN(len(f.service.Upstreams))]
 	yes, no := true, false
-	kind := f.rng.IntN(7)
+	kind := f.rng.IntN(8)
 	if kind < 2 && f.isBusy(balancer.Name) || kind >= 2 && kind < 4 && f.isBusy("agent-"+upstream.Name) {
 		kind = 6
 	}
@@ -150,6 +150,11 @@
 		require.NoError(f.t, f.fleet.ControlPlatform(ctx, jmplatform.Control{IsStale: &yes}))
 		return func() { _ = f.fleet.ControlPlatform(ctx, jmplatform.Control{IsStale: &no}) }
 	}
+	if kind == 7 {
+		f.note("cut off lahore")
+		require.NoError(f.t, f.fleet.CutOff("lahore"))
+		return func() { _ = f.fleet.CutOff("") }
+	}
 	f.note("bad fabric")
 	bad := jmfabric.Settings{LossShare: 0.05, CopyShare: 0.05, MaxDelay: 8 * time.Millisecond}
 	require.NoError(f.t, f.fleet.SetFabric(ctx, f.service, bad))
@@ -180,16 +185,31 @@
 	}
 }
 
-func (f *faultTrial) run(ctx context.Context) {
-	load, stop := context.WithTimeout(ctx, *faultTime)
-	defer stop()
-	var wg sync.WaitGroup
+func newFaultTrial(t *testing.T, fleet *jmprocess.Fleet, seed uint64) *faultTrial {
+	return &faultTrial{
+		t:        t,
+		fleet:    fleet,
+		service:  fleet.Layout.Services[0],
+		rng:      rand.New(rand.NewPCG(seed, 3)),
+		killed:   make(map[string]bool),
+		outcomes: make(map[string]jasminemoor.Outcome),
+	}
+}
+
+func (f *faultTrial) startLoad(ctx context.Context, wg *sync.WaitGroup) {
 	for range trialFeeds {
-		wg.Go(func() { f.watch(load) })
+		wg.Go(func() { f.watch(ctx) })
 	}
 	for i := range trialBookers {
-		wg.Go(func() { f.book(load, i) })
+		wg.Go(func() { f.book(ctx, i) })
 	}
+}
+
+func (f *faultTrial) run(ctx context.Context) {
+	load, stop := context.WithTimeout(ctx, *faultTime)
+	defer stop()
+	var wg sync.WaitGroup
+	f.startLoad(load, &wg)
 	for load.Err() == nil {
 		first := f.disturb(ctx)
 		time.Sleep(time.Duration(f.rng.IntN(1000)) * time.Millisecond)
@@ -237,15 +257,25 @@
 				jmlab.ServiceSpec{Team: "rangla", Name: "shop-floor", Weights: []uint32{1, 2, 4}})
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout+*faultTime)
 			defer cancel()
-			f := &faultTrial{
-				t:        t,
-				fleet:    fleet,
-				service:  fleet.Layout.Services[0],
-				rng:      rand.New(rand.NewPCG(seed, 3)),
-				killed:   make(map[string]bool),
-				outcomes: make(map[string]jasminemoor.Outcome),
-			}
+			f := newFaultTrial(t, fleet, seed)
 			f.run(ctx)
 		})
 	}
 }
+
+// TestDataCentreCutOff cuts one of two data centres off for four seconds.
+func TestDataCentreCutOff(t *testing.T) {
+	fleet := startFleet(t, 25, jmlab.ServiceSpec{Team: "rangla", Name: "shop-floor", Weights: []uint32{1, 1}})
+	f := newFaultTrial(t, fleet, 0)
+	load, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	f.startLoad(load, &wg)
+	time.Sleep(time.Second)
+	require.NoError(t, fleet.CutOff("lahore"))
+	time.Sleep(4 * time.Second)
+	require.NoError(t, fleet.CutOff(""))
+	time.Sleep(2 * time.Second)
+	stop()
+	wg.Wait()
+	f.judge(t.Context())
+}
--- a/internal/standin/jmprocess/fleet.go
+++ b/internal/standin/jmprocess/fleet.go
@@ -135,14 +135,47 @@
 func (f *Fleet) StartAgent(u jmtree.Upstream) error {
 	name := "agent-" + u.Name
 	return f.run(name, "agent", "-address", u.Agent.String(), "-data-centre", u.DataCentre,
-		"-platform", f.platformURL(), "-operator", f.ControlOf(name), "-log-level", "debug")
+		"-platform", f.platformURL(), "-operator", f.ControlOf(name), "-log-level", "debug", "-trial-cut", f.cutFile(u.DataCentre))
+}
+
+func (f *Fleet) cutFile(dataCentre string) string { return filepath.Join(f.Dir, "cut-"+dataCentre) }
+
+// CutOff cuts a data centre off from the others, or mends the cut for an empty
+// name. The platform and the fabric are reached from both sides.
+func (f *Fleet) CutOff(name string) error {
+	ranges := make(map[string]*strings.Builder)
+	for _, dc := range f.Layout.DataCentres {
+		ranges[dc] = &strings.Builder{}
+	}
+	cut := func(address netip.AddrPort, dataCentre string) {
+		for _, dc := range f.Layout.DataCentres {
+			if name != "" && (dc == name) != (dataCentre == name) {
+				fmt.Fprintf(ranges[dc], "%s/32\n", address.Addr())
+			}
+		}
+	}
+	for _, b := range f.Layout.Fleet.Balancers {
+		cut(b.Address, b.DataCentre)
+	}
+	for _, s := range f.Layout.Services {
+		for _, u := range s.Upstreams {
+			cut(u.Agent, u.DataCentre)
+		}
+	}
+	for dc, text := range ranges {
+		if err := os.WriteFile(f.cutFile(dc), []byte(text.String()), fileMode); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // StartBalancer starts a balancer, again if it has ended. The process has the
 // balancer's name.
 func (f *Fleet) StartBalancer(b jmtree.Balancer) error {
 	return f.run(b.Name, "balancer", "-address", b.Address.String(), "-data-centre", b.DataCentre,
-		"-service-ip", b.ServiceIP.String(), "-platform", f.platformURL(), "-operator", f.ControlOf(b.Name), "-log-level", "debug")
+		"-service-ip", b.ServiceIP.String(), "-platform", f.platformURL(), "-operator", f.ControlOf(b.Name),
+		"-log-level", "debug", "-trial-cut", f.cutFile(b.DataCentre))
 }
 
 func (f *Fleet) platformURL() string { return "http://" + f.Layout.PlatformAddress().String() }
