A certificate that expires no longer decides which revision is in force

Cause, found by reading: a process that started after a certificate had expired refused a revision that all others had in force, and so lost the team's services and differed from its peers for good. Change: expiry is shown as a fault and agents go on with the certificate before it, but a revision is judged by what does not depend on the time. A test that starts an agent and a balancer while the platform is down.

--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -34,6 +34,7 @@
 	// weightShare is the upstream's weight over the largest of the service.
 	weightShare float64
 	balancers   []netip.AddrPort // those that answers may go through
+	certificate *tls.Certificate // nil if there is none
 	peers       []jmtree.Upstream
 }
 
@@ -109,11 +110,26 @@
 		}
 		v.service, v.upstream = last.service, last.upstream
 	}
+	v.certificate = a.chooseCertificate(v, last)
 	v.addPeers(a.Identity.Agent)
 	v.addBalancers()
 	return v, nil
 }
 
+// chooseCertificate returns the settings' certificate, or the one before it if
+// it has expired, or else that of the command line.
+func (a *Agent) chooseCertificate(v, last *view) *tls.Certificate {
+	c := &v.service.Certificate
+	switch {
+	case c.Parsed() == nil:
+		return a.Certificate
+	case c.HasExpired(time.Now()) && last != nil && last.certificate != nil:
+		a.Log.Error("agent: the settings' certificate has expired, the last one stays in use")
+		return last.certificate
+	}
+	return c.Parsed()
+}
+
 func (v *view) addPeers(own netip.AddrPort) {
 	largest := v.upstream.Weight
 	for _, u := range v.service.Upstreams {
@@ -165,10 +181,7 @@
 		a.Counters.WrongName.Add(1)
 		return nil, eris.Errorf("server name %q is not that of the service", serverName)
 	}
-	certificate := a.Certificate
-	if c := v.service.Certificate.Parsed(); c != nil {
-		certificate = c
-	}
+	certificate := v.certificate
 	if certificate == nil {
 		return nil, eris.New("the service has no certificate")
 	}
--- a/internal/settings/jmtree/check.go
+++ b/internal/settings/jmtree/check.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
@@ -229,7 +228,9 @@
 }
 
 // checkCertificate refuses a certificate that does not fit its key or the
-// server name, or that has expired.
+// server name. Whether it has expired depends on when one asks, and all
+// processes must come to the same verdict on a revision, so that is no reason
+// to refuse it; see Config.Faults.
 func checkCertificate(d *document, s *Service) {
 	c := &s.Certificate
 	if !c.IsSet() {
@@ -244,10 +245,6 @@
 		d.add("/Certificate/Chain", "%s", err)
 		return
 	}
-	if time.Now().After(parsed.Leaf.NotAfter) {
-		d.add("/Certificate/Chain", "certificate expired at %s", parsed.Leaf.NotAfter.Format(time.RFC3339))
-		return
-	}
 	c.parsed = &parsed
 }
 
--- a/internal/settings/jmtree/documents.go
+++ b/internal/settings/jmtree/documents.go
@@ -123,6 +123,11 @@
 // Parsed returns the certificate, or nil if none is set.
 func (c *Certificate) Parsed() *tls.Certificate { return c.parsed }
 
+// HasExpired reports whether a certificate is set and past its time.
+func (c *Certificate) HasExpired(now time.Time) bool {
+	return c.parsed != nil && now.After(c.parsed.Leaf.NotAfter)
+}
+
 // IsSet reports whether the settings give a certificate.
 func (c *Certificate) IsSet() bool { return c.Chain != "" || c.Key != "" }
 
--- a/internal/settings/jmtree/tree.go
+++ b/internal/settings/jmtree/tree.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/jasminemoor/jasminemoor"
 )
@@ -18,7 +19,8 @@
 	// Revisions holds the revision in force of each subtree.
 	Revisions map[string]uint64
 	// Faults lists what is wrong with newer revisions that are not in force,
-	// and services left out because another team claims the same.
+	// services left out because another team claims the same, and certificates
+	// that have expired.
 	Faults []Fault
 }
 
@@ -167,6 +169,9 @@
 		c.Revisions[path] = e.good.Revision
 		for _, s := range e.services {
 			conflicts := taken.add(s)
+			if s.Certificate.HasExpired(time.Now()) {
+				c.Faults = append(c.Faults, expiry(path, s))
+			}
 			for _, cause := range conflicts {
 				c.Faults = append(c.Faults, Fault{Path: path + "/" + s.Name, Cause: cause})
 			}
@@ -178,6 +183,11 @@
 	return c
 }
 
+func expiry(path string, s *Service) Fault {
+	until := s.Certificate.Parsed().Leaf.NotAfter.Format(time.RFC3339)
+	return Fault{Path: path + "/" + s.Name, Pointer: "/Certificate/Chain", Cause: "certificate expired at " + until}
+}
+
 func (c *Config) add(s *Service) {
 	c.Services[s.Number] = s
 	for i, u := range s.Upstreams {
--- a/internal/standin/jmlab/lab.go
+++ b/internal/standin/jmlab/lab.go
@@ -23,6 +23,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmplatform"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmupstream"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
 const (
@@ -32,8 +33,11 @@
 
 // Lab runs a whole fleet with its stand-ins in one process.
 type Lab struct {
-	Layout    *Layout
-	Log       logrus.FieldLogger
+	Layout *Layout
+	Log    logrus.FieldLogger
+	// WithSeeds gives the processes that are started from now on the others'
+	// addresses and the control key, so that they need no platform.
+	WithSeeds bool
 	Platform  jmplatform.Platform
 	Fabrics   []*jmfabric.Fabric // one for each service
 	Balancers map[string]*Balancer
@@ -212,7 +216,7 @@
 }
 
 func (l *Lab) newNode(address netip.AddrPort, dataCentre string) *jmnode.Node {
-	return &jmnode.Node{
+	n := &jmnode.Node{
 		Identity:   jasminemoor.Identity{Agent: address, Incarnation: jasminemoor.NewIncarnation(time.Now())},
 		DataCentre: dataCentre,
 		Platform:   &jmwatch.Client{URL: "http://" + l.Layout.PlatformAddress().String()},
@@ -225,6 +229,14 @@
 			return cut == nil || (*cut)[dataCentre] == (*cut)[l.dataCentreOf(to)]
 		},
 	}
+	if l.WithSeeds {
+		key := jmdatagram.ControlKey(l.Layout.Fleet.Keys.Control[0])
+		n.SeedKey = &key
+		for _, b := range l.Layout.Fleet.Balancers {
+			n.Seeds = append(n.Seeds, b.Address)
+		}
+	}
+	return n
 }
 
 // StartAgent starts the agent of an upstream, again if it has ended.
--- a/internal/standin/jmlab/settings_test.go
+++ b/internal/standin/jmlab/settings_test.go
@@ -204,6 +204,26 @@
 	l.finish()
 }
 
+// TestStartWithoutPlatform starts an agent and a balancer while the platform is
+// down: they get everything from their peers.
+func TestStartWithoutPlatform(t *testing.T) {
+	lab := startLab(t, 56)
+	service := lab.Layout.Services[0]
+	lab.Platform.SetDown(true)
+	lab.WithSeeds = true
+	lab.Balancers["b1"].Kill()
+	lab.StartBalancer(lab.Layout.Fleet.Balancers[0])
+	upstream := service.Upstreams[0]
+	lab.Agents[upstream.Name].Kill()
+	lab.StartAgent(upstream)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*inForceLimit)
+	defer cancel()
+	require.NoError(t, lab.AwaitReady(ctx))
+	l := startLoad(t, lab, service, 3, 3)
+	time.Sleep(time.Second)
+	l.finish()
+}
+
 // TestCutOffDataCentre cuts the data centres off from each other under load
 // and mends the cut. Open feeds whose packets still find a way go on.
 func TestCutOffDataCentre(t *testing.T) {
