Decision log at a bounded rate, with a count of what was left out

Cause: hand-overs, relays and refusals were logged without a bound. A line for each of 6000 decisions a second would be 2% of a core, which is all that control has.

--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -6,6 +6,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
 )
@@ -31,7 +32,7 @@
 				return err
 			}
 			node := f.node(log)
-			a := &jmagent.Agent{Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log}
+			a := &jmagent.Agent{Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log, Decisions: &jmdecision.Log{Log: log}}
 			if *certificate != "" {
 				pair, err := tls.LoadX509KeyPair(*certificate, *key)
 				if err != nil {
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
@@ -50,7 +51,9 @@
 	// Certificate is used while the settings give the service none.
 	Certificate *tls.Certificate
 	Log         logrus.FieldLogger
-	Counters    Counters
+	// Decisions, where set, gets a line for each hand-over, relay and refusal.
+	Decisions *jmdecision.Log
+	Counters  Counters
 
 	gate     jmgate.Gate
 	ledger   jmledger.Ledger
@@ -164,6 +167,7 @@
 	a.server.Peers = &peers{agent: a}
 	a.server.IsClosed = a.takesNoWork
 	a.server.Log = a.Log
+	a.server.Decisions = a.Decisions
 }
 
 // isLeaving reports whether the agent or its upstream is on the way out.
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
@@ -233,7 +235,10 @@
 }
 
 func (a *Agent) logPlacement(c jmplacer.Choice) {
-	a.Log.WithField("Agent", c.HandTo).WithField("Reason", c.Reason).Debug("placement: flow not kept")
+	if !a.Decisions.IsOn() {
+		return
+	}
+	a.Decisions.Line("placement: flow not kept", logrus.Fields{"Agent": c.HandTo, "Reason": c.Reason})
 }
 
 // ReadFrom returns the next datagram of a caller, and the caller's address.
--- a/internal/request/jmserver/relay.go
+++ b/internal/request/jmserver/relay.go
@@ -84,11 +84,13 @@
 
 func (v *Server) logRelay(s *Stream, peer jasminemoor.Identity) {
 	v.Counters.Relayed.Add(1)
-	v.Log.WithFields(logrus.Fields{
-		"Request": s.Header.ID.String(),
-		"Agent":   peer.String(),
-		"Kind":    s.Header.Kind.String(),
-	}).Debug("request: relayed")
+	if v.Decisions.IsOn() {
+		v.Decisions.Line("request: relayed", logrus.Fields{
+			"Request": s.Header.ID.String(),
+			"Agent":   peer.String(),
+			"Kind":    s.Header.Kind.String(),
+		})
+	}
 }
 
 // carry copies an admitted stream to another agent and its answer back.
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
@@ -45,7 +46,9 @@
 	// or because it was paused and has not heard from its peers since.
 	IsClosed func() bool
 	Log      logrus.FieldLogger
-	Counters Counters
+	// Decisions, where set, gets a line for each relay and refusal.
+	Decisions *jmdecision.Log
+	Counters  Counters
 }
 
 // Counters counts streams since the process started.
@@ -152,11 +155,13 @@
 
 // answer sends a status that no bytes follow.
 func (v *Server) answer(s *Stream, status jasminemoor.Status) {
-	v.Log.WithFields(logrus.Fields{
-		"Request": s.Header.ID.String(),
-		"Outcome": status.Outcome.String(),
-		"Reason":  status.Reason,
-	}).Debug("request: refused")
+	if v.Decisions.IsOn() {
+		v.Decisions.Line("request: refused", logrus.Fields{
+			"Request": s.Header.ID.String(),
+			"Outcome": status.Outcome.String(),
+			"Reason":  status.Reason,
+		})
+	}
 	if err := jmframe.Write(s.In, status); err != nil {
 		s.In.Abort()
 		return
