--- a/cmd/jasminemoor/main.go
+++ b/cmd/jasminemoor/main.go
@@ -65,6 +65,7 @@
 			demoCommand(t),
 			keyCommand(t),
 			measureCommand(t),
+			passthroughCommand(t),
 			standinCommand(t),
 			versionCommand(t),
 		},
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -86,26 +86,37 @@
 	Drained() <-chan struct{}
 }
 
-// runRole runs a role with its operator endpoint. The first SIGTERM or SIGINT
-// makes it leave gracefully, and the second ends it at once.
+// runRole runs a role with its operator endpoint until it is stopped.
 func (f *roleFlags) runRole(ctx context.Context, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	if f.cut.path != "" {
 		go f.cut.watch(ctx.Done())
 	}
+	var others []func(context.Context) error
+	if f.operator != "" && f.operator != "none" {
+		operator.Address = f.operator
+		others = append(others, operator.Run)
+	}
+	return runUntilStopped(ctx, log, r, others...)
+}
+
+// runUntilStopped runs a role beside others. The first SIGTERM or SIGINT makes
+// it leave gracefully, and the second ends it at once.
+func runUntilStopped(ctx context.Context, log logrus.FieldLogger, r role, others ...func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	isForced := false
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	p.Go(func(ctx context.Context) error {
 		defer cancel()
 		return r.Run(ctx)
 	})
-	if f.operator != "" && f.operator != "none" {
-		operator.Address = f.operator
-		p.Go(operator.Run)
+	for _, other := range others {
+		p.Go(other)
 	}
 	p.Go(func(ctx context.Context) error {
 		defer cancel()
--- /dev/null
+++ b/internal/fleet/jmdirectory/machine.go
@@ -0,0 +1,394 @@
+package jmdirectory
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+// Timing of the spreading. The bounds that it has to meet are seconds: a
+// change must be in force everywhere, and a reader that fails be replaced.
+const (
+	// WatchWait is how long a reader's watch waits for a change. Each answer
+	// tells the whole fleet that the copy is recent.
+	WatchWait = 1200 * time.Millisecond
+	// StaleAfter is the age of the copy from which others than the readers
+	// read the platform.
+	StaleAfter = 1700 * time.Millisecond
+	// takeoverStep spreads those reads over time by a process's rank.
+	takeoverStep = 100 * time.Millisecond
+	// maxTakeoverRank bounds how long the last in the order waits.
+	maxTakeoverRank = 6
+	// minReadInterval is the least time between the starts of two calls, so
+	// that changes in quick succession share a call.
+	minReadInterval = 60 * time.Millisecond
+	minBackoff      = 150 * time.Millisecond
+	maxBackoff      = 1200 * time.Millisecond
+	// pullTimeout is when an exchange with a peer that has not ended no longer counts.
+	pullTimeout = 400 * time.Millisecond
+	// subscribeInterval is how often a balancer asks agents for news.
+	subscribeInterval = time.Second
+	// subscriptionTime is how long that lasts.
+	subscriptionTime = 2500 * time.Millisecond
+	// viewInterval is how often removed upstreams are looked at again.
+	viewInterval = time.Second
+)
+
+const (
+	// Readers is how many agents watch the platform.
+	Readers = 2
+	// Fanout is how many agents a process passes news on to.
+	Fanout = 4
+	// subscribeCount is how many agents a balancer asks for news.
+	subscribeCount = 3
+	// maxNews bounds the items that ride on a beacon. A peer that lacks more
+	// asks for it.
+	maxNews = 12
+	// maxSeen bounds the remembered beacons.
+	maxSeen = 512
+)
+
+// Beacon tells how recent the copy of a reader is, and its newest changes.
+type Beacon struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Reader   netip.Addr
+	// Number tells the beacons of a reader apart.
+	Number   uint64
+	Revision uint64
+	// Age is how old the reader's last answer was when the beacon left.
+	Age time.Duration
+	// Since is the revision from which News is all that has changed.
+	Since uint64
+	News  []Item
+}
+
+// Message is what a control datagram carries. Parts that are not used are nil.
+type Message struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Beacon      *Beacon
+	IsSubscribe bool
+}
+
+// PullRequest asks a peer for all since a revision.
+type PullRequest struct {
+	Since uint64
+}
+
+// PullReply answers it.
+type PullReply struct {
+	Revision uint64
+	IsWhole  bool
+	Items    []Item
+	// Age is how old the copy is, negative if there is none.
+	Age time.Duration
+}
+
+// Send is a message to send to a peer.
+type Send struct {
+	To      netip.Addr
+	Message *Message
+}
+
+// Output is what follows from an input.
+type Output struct {
+	Sends []Send
+	// Pulls names peers to ask for what they have.
+	Pulls []netip.Addr
+	// HasNews says that the view has changed.
+	HasNews bool
+}
+
+// Read says what to ask the platform next.
+type Read struct {
+	// IsLoad asks for everything instead of the changes.
+	IsLoad bool
+	Since  uint64
+	Wait   time.Duration
+}
+
+// Machine is the state of the copy in one process. One goroutine owns it; the
+// exported fields are set before use.
+type Machine struct {
+	Self netip.Addr
+	// Upstream is the address of the upstream beside an agent. It is not valid
+	// in a balancer.
+	Upstream netip.AddrPort
+	Rand     *rand.Rand
+
+	replica    replica
+	isLoaded   bool
+	asOf       time.Time // the copy held everything then
+	asOfRead   time.Time // the same, from this process's own reads
+	hasTold    bool      // peers were told of asOfRead
+	news       []Item    // since newsSince, told by the own reads
+	newsSince  uint64
+	number     uint64
+	isReading  bool
+	mustLoad   bool
+	lastRead   time.Time
+	backoff    time.Duration
+	readAfter  time.Time
+	pulling    time.Time
+	seen       map[seenBeacon]bool
+	seenOrder  []seenBeacon
+	subs       map[netip.Addr]time.Time
+	subscribed time.Time
+	viewed     time.Time
+	agents     []netip.Addr // those of the upstreams in the copy
+	rank       int
+}
+
+type seenBeacon struct {
+	reader netip.Addr
+	number uint64
+}
+
+// View returns the newest view.
+func (m *Machine) View(now time.Time) *View { return m.replica.view(now) }
+
+// IsLoaded reports whether there is a copy.
+func (m *Machine) IsLoaded() bool { return m.isLoaded }
+
+// AsOf returns when the copy held everything that the platform had.
+func (m *Machine) AsOf() time.Time { return m.asOf }
+
+// Tick drives the machine. It is called several times a second.
+func (m *Machine) Tick(now time.Time) (out Output) {
+	if now.Sub(m.viewed) >= viewInterval {
+		m.viewed = now
+		m.replica.forget(now)
+		out.HasNews = m.isLoaded
+	}
+	if !m.Upstream.IsValid() && now.Sub(m.subscribed) >= subscribeInterval {
+		m.subscribed = now
+		for _, agent := range m.pick(subscribeCount) {
+			out.Sends = append(out.Sends, Send{To: agent, Message: &Message{IsSubscribe: true}})
+		}
+	}
+	return out
+}
+
+// Leave is called once this process is about to end.
+func (m *Machine) Leave() { m.readAfter = m.asOf.Add(time.Hour) }
+
+// NextRead returns the call to make at the platform now, if any. Its result
+// goes to HandleRead.
+func (m *Machine) NextRead(now time.Time) (r Read, found bool) {
+	if m.isReading || now.Before(m.readAfter) || !m.shouldRead(now) {
+		return r, false
+	}
+	m.isReading = true
+	m.lastRead = now
+	if !m.isLoaded || m.mustLoad {
+		return Read{IsLoad: true}, true
+	}
+	wait := WatchWait
+	if !m.isReader() {
+		wait = 0 // one look, to catch up
+	}
+	return Read{Since: m.replica.revision, Wait: max(wait, time.Millisecond)}, true
+}
+
+func (m *Machine) isReader() bool { return m.Upstream.IsValid() && m.rank < Readers }
+
+func (m *Machine) shouldRead(now time.Time) bool {
+	if !m.isLoaded || m.isReader() {
+		return true
+	}
+	patience := StaleAfter + time.Duration(min(m.rank-Readers, maxTakeoverRank))*takeoverStep
+	if !m.Upstream.IsValid() {
+		patience = StaleAfter + maxTakeoverRank*takeoverStep
+	}
+	return now.Sub(m.asOf) >= patience
+}
+
+// HandleRead takes the result of a call in.
+func (m *Machine) HandleRead(now time.Time, read Read, c *jasminemoor.DirectoryChanges, err error) (out Output) {
+	m.isReading = false
+	if err != nil {
+		m.backoff = min(max(m.backoff*2, minBackoff), maxBackoff)
+		m.readAfter = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
+		m.mustLoad = m.mustLoad || isHistoryGone(err)
+		if isHistoryGone(err) {
+			m.readAfter = now
+		}
+		return out
+	}
+	m.backoff = 0
+	m.readAfter = m.lastRead.Add(minReadInterval)
+	if c.Revision < m.replica.revision && !read.IsLoad {
+		// A watch that was asked before a peer told of more.
+		m.noteAsOf(now, now)
+		return m.tell(now, nil, m.replica.revision)
+	}
+	since := m.replica.revision
+	news := m.replica.applyEntries(now, c, read.IsLoad)
+	if read.IsLoad {
+		m.mustLoad, m.isLoaded = false, true
+	}
+	m.noteAsOf(now, now)
+	out = m.tell(now, news, since)
+	out.HasNews = len(news) > 0 || read.IsLoad
+	if out.HasNews {
+		m.noteEntries()
+	}
+	return out
+}
+
+func (m *Machine) noteAsOf(now, asOf time.Time) {
+	if asOf.After(m.asOf) {
+		m.asOf = asOf
+	}
+	_ = now
+}
+
+// tell sends a beacon of this process's own.
+func (m *Machine) tell(now time.Time, news []Item, since uint64) (out Output) {
+	m.number++
+	b := &Beacon{Reader: m.Self, Number: uint64(now.UnixMicro())<<8 | m.number&0xff, Revision: m.replica.revision, Since: since}
+	if len(news) <= maxNews {
+		b.News = news
+	} else {
+		b.Since = m.replica.revision
+	}
+	m.note(seenBeacon{reader: b.Reader, number: b.Number})
+	m.pass(&out, now, b, netip.Addr{})
+	return out
+}
+
+// Handle takes a message in.
+func (m *Machine) Handle(now time.Time, from netip.Addr, message *Message) (out Output) {
+	if message.IsSubscribe {
+		if m.subs == nil {
+			m.subs = make(map[netip.Addr]time.Time)
+		}
+		m.subs[from] = now
+	}
+	if message.Beacon != nil {
+		m.handleBeacon(&out, now, from, message.Beacon)
+	}
+	return out
+}
+
+func (m *Machine) handleBeacon(out *Output, now time.Time, from netip.Addr, b *Beacon) {
+	id := seenBeacon{reader: b.Reader, number: b.Number}
+	if m.seen[id] || b.Reader == m.Self {
+		return
+	}
+	m.note(id)
+	isKnown := m.isLoaded && b.Revision <= m.replica.revision
+	canApply := m.isLoaded && b.Since <= m.replica.revision
+	switch {
+	case isKnown:
+		m.noteAsOf(now, now.Add(-b.Age))
+	case canApply:
+		if m.replica.merge(now, b.News, b.Revision, false) {
+			out.HasNews = true
+			m.noteEntries()
+		}
+		m.noteAsOf(now, now.Add(-b.Age))
+	case now.Sub(m.pulling) > pullTimeout:
+		m.pulling = now
+		out.Pulls = append(out.Pulls, from)
+	}
+	m.pass(out, now, b, from)
+}
+
+func (m *Machine) note(id seenBeacon) {
+	if m.seen == nil {
+		m.seen = make(map[seenBeacon]bool)
+	}
+	m.seen[id] = true
+	m.seenOrder = append(m.seenOrder, id)
+	if len(m.seenOrder) > maxSeen {
+		delete(m.seen, m.seenOrder[0])
+		m.seenOrder = m.seenOrder[1:]
+	}
+}
+
+// pass sends a beacon on: to a few agents, and to the balancers that asked.
+func (m *Machine) pass(out *Output, now time.Time, b *Beacon, from netip.Addr) {
+	message := &Message{Beacon: b}
+	for _, agent := range m.pick(Fanout) {
+		if agent != from && agent != b.Reader {
+			out.Sends = append(out.Sends, Send{To: agent, Message: message})
+		}
+	}
+	for sub, at := range m.subs {
+		switch {
+		case now.Sub(at) > subscriptionTime:
+			delete(m.subs, sub)
+		case sub != from:
+			out.Sends = append(out.Sends, Send{To: sub, Message: message})
+		}
+	}
+}
+
+// HandlePullRequest answers a peer.
+func (m *Machine) HandlePullRequest(now time.Time, r *PullRequest) (reply *PullReply) {
+	if !m.isLoaded {
+		return &PullReply{Age: -1}
+	}
+	items, isWhole := m.replica.delta(r.Since)
+	return &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.asOf)}
+}
+
+// HandlePullReply takes a peer's answer in, or a nil one if none came.
+func (m *Machine) HandlePullReply(now time.Time, since uint64, reply *PullReply) (out Output) {
+	m.pulling = time.Time{}
+	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
+		return out
+	}
+	isNew := m.replica.merge(now, reply.Items, reply.Revision, reply.IsWhole)
+	m.isLoaded = true
+	m.noteAsOf(now, now.Add(-reply.Age))
+	if isNew {
+		out.HasNews = true
+		m.noteEntries()
+	}
+	return out
+}
+
+// Revision returns the revision up to which all is known.
+func (m *Machine) Revision() uint64 { return m.replica.revision }
+
+// noteEntries works out what follows from a changed list of upstreams.
+func (m *Machine) noteEntries() {
+	m.agents = m.agents[:0]
+	for _, known := range m.replica.upstreams {
+		if known.upstream == nil {
+			continue
+		}
+		agent := known.upstream.Address.Addr()
+		if agent != m.Self && !slices.Contains(m.agents, agent) {
+			m.agents = append(m.agents, agent)
+		}
+	}
+	slices.SortFunc(m.agents, netip.Addr.Compare)
+	own := readerScore(m.Self)
+	m.rank = 0
+	for _, agent := range m.agents {
+		if readerScore(agent) > own {
+			m.rank++
+		}
+	}
+}
+
+func readerScore(addr netip.Addr) uint64 { return xxhash.Sum64String(addr.String()) }
+
+// pick returns up to n agents at random.
+func (m *Machine) pick(n int) []netip.Addr {
+	if len(m.agents) <= n {
+		return slices.Clone(m.agents)
+	}
+	picked := make([]netip.Addr, 0, n)
+	for _, at := range m.Rand.Perm(len(m.agents))[:n] {
+		picked = append(picked, m.agents[at])
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/fleet/jmdirectory/view.go
@@ -0,0 +1,136 @@
+package jmdirectory
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+// View is what a process knows of the directory at one time. It is immutable.
+type View struct {
+	Revision uint64
+	// Version is that of the configuration of the routes, 0 before the first.
+	Version     uint64
+	IdleTimeout time.Duration
+	Routes      map[netip.AddrPort]*Route
+	Services    map[string]*Service
+	// Upstreams holds the newest entry of each address.
+	Upstreams map[netip.AddrPort]*Upstream
+}
+
+// Route is a route and the services that its flows may be at.
+type Route struct {
+	jasminemoor.Route
+	// Former are services of earlier versions, where open flows may still be.
+	Former []string
+}
+
+// Allows reports whether new flows of the route may go to a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s jasminemoor.Share) bool { return s.Service == service })
+}
+
+// Pick returns the service that a new flow goes to. Every process with the same
+// route picks the same.
+func (r *Route) Pick(flow jasminemoor.FlowKey) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := uint64(0)
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	at := flow.Hash() % total
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return ""
+}
+
+// Service is the upstreams of one service.
+type Service struct {
+	Name string
+	// Upstreams are all that may hold flows, in the order of their addresses.
+	Upstreams []*Upstream
+}
+
+// Upstream is an upstream with what follows from its entry's history.
+type Upstream struct {
+	jasminemoor.ListedUpstream
+	Revision uint64
+	// WarmAt is when the upstream is at full speed.
+	WarmAt time.Time
+	// IsGone is set for an upstream whose entry was removed a short time ago.
+	// It gets no new flows; unless it left in an orderly way it may still live.
+	IsGone bool
+}
+
+// IsReady reports whether new flows may go to the upstream.
+func (u *Upstream) IsReady() bool { return !u.IsGone && u.State == jasminemoor.UpstreamReady }
+
+// view composes a view from the entries.
+func (r *replica) view(now time.Time) *View {
+	v := &View{
+		Revision:    r.revision,
+		Version:     r.version,
+		IdleTimeout: r.idleTimeout,
+		Routes:      make(map[netip.AddrPort]*Route, len(r.routes)),
+		Services:    make(map[string]*Service),
+		Upstreams:   make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
+	}
+	for addr, known := range r.routes {
+		if known.route != nil {
+			v.Routes[addr] = &Route{Route: *known.route, Former: known.former}
+		}
+	}
+	for _, known := range r.upstreams {
+		isGone := known.upstream == nil
+		if isGone && (known.last == nil || now.Sub(known.changed) > goneMemory) {
+			continue
+		}
+		listed := known.upstream
+		if isGone {
+			listed = known.last
+		}
+		u := &Upstream{ListedUpstream: *listed, Revision: known.revision, WarmAt: known.warmAt, IsGone: isGone}
+		if other := v.Upstreams[u.Address]; other == nil || isNewer(u, other) {
+			v.Upstreams[u.Address] = u
+		}
+	}
+	for _, u := range v.Upstreams {
+		s := v.Services[u.Service]
+		if s == nil {
+			s = &Service{Name: u.Service}
+			v.Services[u.Service] = s
+		}
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	for _, s := range v.Services {
+		slices.SortFunc(s.Upstreams, func(a, b *Upstream) int { return a.Address.Compare(b.Address) })
+	}
+	return v
+}
+
+// isNewer reports whether u says more of an address than other: a later
+// upstream took the address over, while the entry of the first one lapses.
+func isNewer(u, other *Upstream) bool {
+	if u.IsGone != other.IsGone {
+		return other.IsGone
+	}
+	if u.Born != other.Born {
+		return u.Born > other.Born
+	}
+	if u.Revision != other.Revision {
+		return u.Revision > other.Revision
+	}
+	return strings.Compare(u.ID, other.ID) > 0
+}
--- /dev/null
+++ b/internal/flow/jmgateway/balancer.go
@@ -0,0 +1,228 @@
+package jmgateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
+)
+
+const (
+	balancerTick = 100 * time.Millisecond
+	// rotationTime is how long the platform's routers take at least to leave a
+	// process out that is not ready: two misses half a second apart.
+	rotationTime = 1200 * time.Millisecond
+	// quietTime is how long no caller's packet may come before a leaving
+	// balancer ends.
+	quietTime = 300 * time.Millisecond
+	// maxLeaveTime is how long a leaving balancer waits for that at most. The
+	// platform kills it after 6 s.
+	maxLeaveTime = 4500 * time.Millisecond
+)
+
+// Balancer is the entry process of pass-through flows. The exported fields are
+// set before Run.
+type Balancer struct {
+	Settings  *jmlocal.Settings
+	Codec     jasminemoor.PacketCodec
+	Directory jasminemoor.Directory
+	Log       logrus.FieldLogger
+
+	process
+	Malformed atomic.Uint64
+
+	mu        sync.Mutex // guards machine
+	machine   jmpass.Balancer
+	callers   *net.UDPConn
+	lastHeard atomic.Int64 // nanoseconds since the process started
+	begun     time.Time
+	leaving   chan struct{}
+	leave     sync.Once
+	drained   chan struct{}
+	start     sync.Once
+}
+
+func (b *Balancer) init() {
+	b.start.Do(func() {
+		b.leaving, b.drained = make(chan struct{}), make(chan struct{})
+		b.begun = time.Now()
+	})
+}
+
+// Drained is closed once the balancer has left.
+func (b *Balancer) Drained() <-chan struct{} {
+	b.init()
+	return b.drained
+}
+
+// Leave takes the balancer out of service gracefully: it is no longer ready,
+// and forwards until the platform's routers use others.
+func (b *Balancer) Leave() {
+	b.init()
+	b.leave.Do(func() {
+		b.Log.Info("process: leaving")
+		b.isReady.Store(false)
+		close(b.leaving)
+	})
+}
+
+// Run serves until ctx ends. It returns once all its goroutines have ended.
+func (b *Balancer) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "balancer %s", b.Settings.Address)
+		}
+	}()
+	b.init()
+	b.machine.Self, b.machine.DataCentre = b.Settings.Address, b.Settings.DataCentre
+	b.process = process{settings: b.Settings, codec: b.Codec, log: b.Log}
+	b.control = &Control{Directory: b.Directory, Log: b.Log, OnNews: b.setSnapshot}
+	if err = b.open(ctx); err != nil {
+		return err
+	}
+	defer b.peers.Close()
+	if b.callers, err = listenUDP(b.Settings.Packets); err != nil {
+		return err
+	}
+	defer b.callers.Close()
+	fromCallers, err := b.newSender(b.callers)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	b.runCommon(ctx, &wg)
+	wg.Go(func() {
+		b.readLoop(ctx, b.callers, b.Codec.MaxSize(), func(batch []jmbatch.Datagram) { b.handleCallers(batch, fromCallers) })
+	})
+	wg.Go(func() {
+		b.readLoop(ctx, b.peers, jmhop.HeaderSize+maxBeacon, func(batch []jmbatch.Datagram) { b.handlePeers(ctx, batch) })
+	})
+	b.tickLoop(ctx)
+	return nil
+}
+
+func (b *Balancer) setSnapshot(s jmpass.Snapshot) {
+	b.mu.Lock()
+	b.machine.SetSnapshot(s)
+	b.mu.Unlock()
+	select {
+	case <-b.leaving:
+	default:
+		if s.Version != 0 && !b.isReady.Swap(true) {
+			b.Log.Info("process: ready")
+		}
+	}
+}
+
+func (b *Balancer) handleCallers(batch []jmbatch.Datagram, s *sender) {
+	now := time.Now()
+	b.lastHeard.Store(int64(now.Sub(b.begun)))
+	var p jasminemoor.Packet
+	b.mu.Lock()
+	for i := range batch {
+		packet := batch[i].Buffer[:batch[i].Length]
+		if err := b.Codec.Decode(packet, &p); err != nil {
+			b.Malformed.Add(1)
+			continue
+		}
+		if m, _ := b.machine.Handle(now, &p); m.Kind != 0 {
+			s.sendOne(&m, packet)
+		}
+	}
+	b.mu.Unlock()
+	s.outlet.flush()
+}
+
+func (b *Balancer) handlePeers(ctx context.Context, batch []jmbatch.Datagram) {
+	now := time.Now()
+	var h jmhop.Header
+	for i := range batch {
+		datagram := batch[i].Buffer[:batch[i].Length]
+		if err := h.Unmarshal(datagram); err != nil {
+			b.Malformed.Add(1)
+			continue
+		}
+		from, body := batch[i].Addr.Addr(), datagram[jmhop.HeaderSize:]
+		switch h.Kind {
+		case jmhop.KindControl:
+			b.control.Receive(ctx, from, body)
+		case jmhop.KindReport:
+			b.handleReport(now, from, body)
+		case jmhop.KindHolder:
+			b.handleHolder(now, from, body)
+		default:
+			b.Malformed.Add(1)
+		}
+	}
+}
+
+func (b *Balancer) handleReport(now time.Time, from netip.Addr, body []byte) {
+	var r jmhop.Report
+	if err := r.Unmarshal(body); err != nil {
+		b.Malformed.Add(1)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.machine.HandleReport(now, from, &r)
+}
+
+func (b *Balancer) handleHolder(now time.Time, from netip.Addr, body []byte) {
+	if len(body) != jmhop.KeySize {
+		b.Malformed.Add(1)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.machine.HandleHolder(now, from, jasminemoor.FlowKey(body))
+}
+
+// tickLoop looks after silent agents, and ends the process once it has left.
+func (b *Balancer) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(balancerTick)
+	defer ticker.Stop()
+	left := time.Time{}
+	var poll [jmhop.HeaderSize]byte
+	header := jmhop.Header{Kind: jmhop.KindPoll, Origin: b.Settings.Address}
+	header.Marshal(poll[:])
+	leaving := b.leaving
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-leaving:
+			leaving, left = nil, time.Now()
+		case now := <-ticker.C:
+			b.mu.Lock()
+			polls := b.machine.Tick(now)
+			b.mu.Unlock()
+			for _, agent := range polls {
+				b.control.Send(netip.AddrPortFrom(agent, b.Settings.FirstPort), poll[:])
+			}
+			if !left.IsZero() && b.hasLeft(now, left) {
+				close(b.drained)
+				return
+			}
+		}
+	}
+}
+
+func (b *Balancer) hasLeft(now, left time.Time) bool {
+	quiet := now.Sub(b.begun) - time.Duration(b.lastHeard.Load())
+	return now.Sub(left) > maxLeaveTime || now.Sub(left) > rotationTime && quiet > quietTime
+}
--- /dev/null
+++ b/internal/flow/jmgateway/process.go
@@ -0,0 +1,128 @@
+package jmgateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
+)
+
+const (
+	// socketBuffer is asked of the kernel for each direction in bytes; it may
+	// grant less.
+	socketBuffer  = 1 << 20
+	headerTimeout = 2 * time.Second
+	// readBatch is how many datagrams are read at a time.
+	readBatch = 32
+)
+
+// process is what balancers and agents have in common.
+type process struct {
+	settings *jmlocal.Settings
+	codec    jasminemoor.PacketCodec
+	control  *Control
+	log      logrus.FieldLogger
+	peers    *net.UDPConn
+	tcp      net.Listener
+	isReady  atomic.Bool
+}
+
+// open opens the sockets towards the other processes.
+func (p *process) open(ctx context.Context) (err error) {
+	addr := netip.AddrPortFrom(p.settings.Address, p.settings.FirstPort)
+	if p.peers, err = listenUDP(addr); err != nil {
+		return err
+	}
+	if p.tcp, err = (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String()); err != nil {
+		_ = p.peers.Close()
+		return err
+	}
+	p.control.Self, p.control.Port = p.settings.Address, p.settings.FirstPort
+	p.control.Send = func(to netip.AddrPort, datagram []byte) {
+		if _, err := p.peers.WriteToUDPAddrPort(datagram, to); err != nil {
+			p.log.WithError(err).Debug("directory: datagram not sent")
+		}
+	}
+	p.control.init()
+	return nil
+}
+
+func listenUDP(addr netip.AddrPort) (conn *net.UDPConn, err error) {
+	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", addr)
+	}
+	// The kernel may grant less; that costs packets under bursts, nothing else.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+// serveReady answers whether the process takes traffic.
+func (p *process) serveReady(ctx context.Context) {
+	server := &http.Server{
+		Addr:              p.settings.Ready.String(),
+		ReadHeaderTimeout: headerTimeout,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !p.isReady.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		p.log.WithError(err).Error("process: readiness can't be served")
+	}
+}
+
+// readLoop reads batches from a socket until ctx ends.
+func (p *process) readLoop(ctx context.Context, conn *net.UDPConn, size int, handle func(batch []jmbatch.Datagram)) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
+	defer stop()
+	reader, err := jmbatch.NewReader(conn)
+	if err != nil {
+		p.log.WithError(err).Error("process: socket can't be read")
+		return
+	}
+	batch := make([]jmbatch.Datagram, readBatch)
+	for i := range batch {
+		batch[i].Buffer = make([]byte, size)
+	}
+	for ctx.Err() == nil {
+		n, err := reader.Read(batch)
+		if err != nil {
+			continue
+		}
+		handle(batch[:n])
+	}
+}
+
+// runCommon starts what balancers and agents have in common.
+func (p *process) runCommon(ctx context.Context, wg *conc.WaitGroup) {
+	wg.Go(func() { p.control.Run(ctx) })
+	wg.Go(func() { p.control.serve(ctx, p.tcp) })
+	wg.Go(func() { p.serveReady(ctx) })
+}
+
+func (p *process) newSender(conn *net.UDPConn) (s *sender, err error) {
+	s = &sender{
+		codec:      p.codec,
+		peerPort:   p.settings.FirstPort,
+		callerPort: p.settings.Packets.Port(),
+		upstream:   p.settings.Upstream,
+	}
+	s.outlet, err = newOutlet(conn)
+	return s, err
+}
--- /dev/null
+++ b/internal/flow/jmpass/agent.go
@@ -0,0 +1,554 @@
+package jmpass
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
+)
+
+const (
+	// maxHops is how many agents may pass an opening packet on.
+	maxHops = 3
+	// reportInterval is the least time between two reports to a balancer that
+	// sends new flows.
+	reportInterval = 50 * time.Millisecond
+	// idleReportInterval is the time between reports to one that sends others.
+	idleReportInterval = 250 * time.Millisecond
+	// balancerMemory is how long a balancer that sends nothing gets reports.
+	balancerMemory = 1500 * time.Millisecond
+	// maxReports bounds the reports of one tick.
+	maxReports = 16
+	// upstreamTimeout is how long an upstream may leave a packet without any
+	// answer before it is looked at.
+	upstreamTimeout = 150 * time.Millisecond
+	// probeInterval is the least time between two looks.
+	probeInterval = 200 * time.Millisecond
+	// sweepInterval is how often the table drops old flows.
+	sweepInterval = time.Second
+)
+
+// Agent decides on the packets of one upstream. One goroutine at a time uses
+// it; the exported fields are set before use.
+type Agent struct {
+	Self netip.Addr
+	// Upstream is the address of the upstream beside the agent.
+	Upstream    netip.AddrPort
+	Service     string
+	Incarnation jasminemoor.Incarnation
+	// IsFirst says that the upstreams start with the agents, so that the agent
+	// sees each flow of its upstream from the beginning.
+	IsFirst bool
+	// Counts counts decisions by their reason.
+	Counts [ReasonCount]uint64
+
+	snapshot  Snapshot
+	table     table
+	absent    map[jasminemoor.FlowKey]time.Time // flows that the upstream refused
+	tests     map[jasminemoor.FlowKey]test
+	searches  map[jasminemoor.FlowKey]*search
+	gone      map[jasminemoor.FlowKey]time.Time // flows that nobody holds
+	balancers []balancerState
+	byAddr    map[netip.Addr]uint32
+	started   time.Time
+	swept     time.Time
+	isLeaving bool
+	upstream  upstreamState
+	out       []Message
+}
+
+// balancerState is what an agent knows of a balancer.
+type balancerState struct {
+	addr     netip.Addr
+	heard    time.Time
+	reported time.Time
+	isDue    bool // has sent a new flow since the last report
+}
+
+// upstreamState is what an agent knows of its upstream.
+type upstreamState struct {
+	// unanswered is when the first packet was given to it since it last sent one.
+	unanswered time.Time
+	probed     time.Time
+	isDown     bool // it refuses connections: its process has ended
+	isSilent   bool // it does not answer at all
+}
+
+// test is a packet that was given to the upstream to see whether it holds the flow.
+type test struct {
+	at       time.Time
+	balancer netip.Addr
+	asker    netip.Addr // not valid if the agent searches for itself
+}
+
+// SetSnapshot replaces the view of the directory.
+func (a *Agent) SetSnapshot(s Snapshot) { a.snapshot = s }
+
+// Leave has the agent tell the balancers that it is about to end.
+func (a *Agent) Leave(now time.Time) []Message {
+	a.out = a.out[:0]
+	a.isLeaving = true
+	for i := range a.balancers {
+		if now.Sub(a.balancers[i].heard) < balancerMemory*2 {
+			a.report(now, &a.balancers[i])
+		}
+	}
+	return a.out
+}
+
+// HandlePeer decides on a caller's packet that a balancer or an agent sent.
+func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
+	a.begin(now)
+	switch {
+	case h.Kind == jmhop.KindAsk:
+		reason = a.handleAsk(now, from, h, p)
+	case p.Flags.Has(jasminemoor.FlagOpen):
+		reason = a.handleOpen(now, from, h, p)
+	default:
+		reason = a.handleForward(now, h, p, packet)
+	}
+	a.Counts[reason]++
+	return a.out, reason
+}
+
+func (a *Agent) begin(now time.Time) {
+	a.out = a.out[:0]
+	if a.started.IsZero() {
+		a.started = now
+		a.absent = make(map[jasminemoor.FlowKey]time.Time)
+		a.gone = make(map[jasminemoor.FlowKey]time.Time)
+		a.tests = make(map[jasminemoor.FlowKey]test)
+		a.searches = make(map[jasminemoor.FlowKey]*search)
+	}
+}
+
+// handleOpen decides on an opening packet.
+func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
+	at := a.noteBalancer(now, h.Origin)
+	a.balancers[at].isDue = true
+	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
+		a.report(now, &a.balancers[at])
+	}
+	key := p.Key()
+	if reason := a.whyNotHere(p); reason != ReasonNone {
+		a.handOn(now, key, p, h, nil)
+		return reason
+	}
+	delete(a.absent, key)
+	delete(a.gone, key)
+	f := a.table.get(key)
+	if f == nil {
+		f = &flow{opened: now}
+		a.table.add(key, f)
+	}
+	f.balancer, f.hops, f.used = at, h.Hops, now
+	a.giveUpstream(now, key, 0)
+	if h.Hops > 0 {
+		a.tellHolder(h.Origin, key)
+	}
+	return ReasonHeld
+}
+
+// whyNotHere returns why a new flow must not go to the own upstream.
+func (a *Agent) whyNotHere(p *jasminemoor.Packet) Reason {
+	if a.snapshot.View == nil {
+		// Without a view it is the balancer's word that counts.
+		return ReasonNone
+	}
+	route := a.snapshot.Routes[p.Destination]
+	if route == nil || !route.Allows(a.Service) {
+		return ReasonOtherService
+	}
+	if own := a.snapshot.Upstreams[a.Upstream]; own != nil && !own.IsGone && own.State == jasminemoor.UpstreamLeaving {
+		return ReasonLeaving
+	}
+	if a.upstream.isDown || a.upstream.isSilent {
+		return ReasonUpstreamDown
+	}
+	return ReasonNone
+}
+
+// handOn passes an opening packet to another agent.
+func (a *Agent) handOn(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header, packet []byte) {
+	if a.snapshot.View == nil || h.Hops >= maxHops {
+		return
+	}
+	route := a.snapshot.Routes[p.Destination]
+	if route == nil {
+		if a.snapshot.isFresh(now) {
+			a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
+		}
+		return
+	}
+	to, ok := a.other(key, route, int(h.Hops))
+	if !ok {
+		return
+	}
+	header := jmhop.Header{Kind: jmhop.KindForward, Hops: h.Hops + 1, Origin: h.Origin}
+	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
+}
+
+// other returns another ready agent for a flow. Each hop takes the next in the
+// flow's order, so that no two hops come back to one.
+func (a *Agent) other(key jasminemoor.FlowKey, route *jmdirectory.Route, skip int) (to netip.Addr, ok bool) {
+	service := a.snapshot.Services[route.Pick(key)]
+	if service == nil {
+		return to, false
+	}
+	ranked := rankedAgents(key, service.Upstreams, func(u *jmdirectory.Upstream) bool {
+		return u.IsReady() && u.Address.Addr() != a.Self
+	})
+	if len(ranked) == 0 {
+		return to, false
+	}
+	return ranked[skip%len(ranked)], true
+}
+
+// handleForward decides on a packet of an open flow.
+func (a *Agent) handleForward(now time.Time, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
+	key := p.Key()
+	at := a.noteBalancer(now, h.Origin)
+	if f := a.held(key, p); f != nil {
+		f.balancer = at
+		if h.Flags&jmhop.FlagKnown == 0 {
+			a.tellHolder(h.Origin, key)
+		}
+		if a.upstream.isDown {
+			a.resetFlow(key, f)
+			return ReasonUpstreamDown
+		}
+		a.deliver(now, key, f, p)
+		return ReasonHeld
+	}
+	if at, found := a.gone[key]; found && now.Sub(at) < goneMemory {
+		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
+		return ReasonAbsentEverywhere
+	}
+	if a.mayHold(now, key, p) {
+		if _, isTesting := a.tests[key]; !isTesting {
+			a.tests[key] = test{at: now, balancer: h.Origin}
+		}
+		a.giveUpstream(now, key, 0)
+		return ReasonTested
+	}
+	a.startSearch(now, key, h.Origin, p, packet)
+	return ReasonSearched
+}
+
+// held returns the flow of a packet if the own upstream holds it.
+func (a *Agent) held(key jasminemoor.FlowKey, p *jasminemoor.Packet) *flow {
+	f := a.table.get(key)
+	if f == nil {
+		return nil
+	}
+	if f.isOpen {
+		return f
+	}
+	// Another agent may have got a copy of the opening packet. The caller
+	// acknowledges the answer of the one that it talks to.
+	if f.hasOffer && p.Flags.Has(jasminemoor.FlagAck) && p.Acknowledged == f.offer+1 {
+		return f
+	}
+	return nil
+}
+
+func (a *Agent) deliver(now time.Time, key jasminemoor.FlowKey, f *flow, p *jasminemoor.Packet) {
+	f.isOpen = true
+	a.table.noteCaller(now, f, p)
+	if p.Length > 0 {
+		a.noteUnanswered(now)
+	}
+	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key})
+}
+
+func (a *Agent) noteUnanswered(now time.Time) {
+	if a.upstream.unanswered.IsZero() {
+		a.upstream.unanswered = now
+	}
+}
+
+// mayHold reports whether the upstream may hold a flow that the agent has not
+// seen begin.
+func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet) bool {
+	if a.isComplete(now) || a.table.get(key) != nil || a.upstream.isDown {
+		return false
+	}
+	if _, isAbsent := a.absent[key]; isAbsent {
+		return false
+	}
+	if a.snapshot.View == nil {
+		return false
+	}
+	route := a.snapshot.Routes[p.Destination]
+	if route == nil {
+		return false
+	}
+	for _, name := range holders(route) {
+		if name == a.Service {
+			return true
+		}
+	}
+	return false
+}
+
+// isComplete reports whether the table has every flow of the upstream.
+func (a *Agent) isComplete(now time.Time) bool {
+	return a.IsFirst || now.Sub(a.started) > maxFlowAge
+}
+
+// maxFlowAge is how long a flow may last before it may be discarded.
+const maxFlowAge = time.Minute
+
+func (a *Agent) giveUpstream(now time.Time, key jasminemoor.FlowKey, tag uint32) {
+	a.noteUnanswered(now)
+	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Tag: tag})
+}
+
+func (a *Agent) tellHolder(balancer netip.Addr, key jasminemoor.FlowKey) {
+	if balancer.IsValid() {
+		header := jmhop.Header{Kind: jmhop.KindHolder, Origin: a.Self}
+		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: balancer, Header: header})
+	}
+}
+
+// resetFlow ends a flow whose upstream is known not to hold it any more.
+func (a *Agent) resetFlow(key jasminemoor.FlowKey, f *flow) {
+	if f.ended != bothEnded {
+		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: f.lastAck})
+	}
+	a.table.remove(key)
+}
+
+// HandleUpstream decides on a packet that the upstream sent.
+func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
+	a.begin(now)
+	a.upstream = upstreamState{probed: a.upstream.probed}
+	if p.Flags.Has(jasminemoor.FlagReturned) {
+		reason = a.handleReturned(now, p, packet)
+	} else {
+		reason = a.handleAnswer(now, p)
+	}
+	a.Counts[reason]++
+	return a.out, reason
+}
+
+func (a *Agent) handleAnswer(now time.Time, p *jasminemoor.Packet) Reason {
+	key := p.ReverseKey()
+	f := a.table.get(key)
+	if f == nil {
+		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen)}
+		a.table.add(key, f)
+	}
+	if p.Flags.Has(jasminemoor.FlagOpen) {
+		f.hasOffer, f.offer = true, p.Sequence
+	}
+	a.table.noteUpstream(now, f, p)
+	if t, found := a.tests[key]; found {
+		a.endTest(key, t)
+	}
+	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
+	if p.Flags.Has(jasminemoor.FlagReset) {
+		a.table.remove(key)
+	}
+	return ReasonHeld
+}
+
+// endTest takes note that the upstream holds a flow.
+func (a *Agent) endTest(key jasminemoor.FlowKey, t test) {
+	delete(a.tests, key)
+	if t.asker.IsValid() {
+		a.tellHolder(t.asker, key)
+	}
+	a.tellHolder(t.balancer, key)
+}
+
+// handleReturned decides on a packet that the upstream refused.
+func (a *Agent) handleReturned(now time.Time, p *jasminemoor.Packet, packet []byte) Reason {
+	key := p.Key()
+	f := a.table.get(key)
+	if p.Flags.Has(jasminemoor.FlagOpen) {
+		h := jmhop.Header{}
+		if f != nil && !f.isOpen {
+			h.Hops, h.Origin = f.hops, a.balancers[f.balancer].addr
+			a.table.remove(key)
+		}
+		a.handOn(now, key, p, &h, packet)
+		return ReasonRefusedByUpstream
+	}
+	a.absent[key] = now
+	if t, found := a.tests[key]; found {
+		delete(a.tests, key)
+		if t.asker.IsValid() {
+			a.tellAbsent(t.asker, key)
+			return ReasonNotHeld
+		}
+		a.startSearch(now, key, t.balancer, p, packet)
+		return ReasonSearched
+	}
+	if f == nil || !f.isOpen {
+		return ReasonNotHeld
+	}
+	if !f.isSure {
+		origin := a.balancers[f.balancer].addr
+		a.table.remove(key)
+		a.startSearch(now, key, origin, p, packet)
+		return ReasonSearched
+	}
+	// The agent has seen the upstream take the flow, so nobody else holds it.
+	if !p.Flags.Has(jasminemoor.FlagReset) {
+		f.lastAck = p.Acknowledged
+		a.resetFlow(key, f)
+		return ReasonRefusedByUpstream
+	}
+	a.table.remove(key)
+	return ReasonNotHeld
+}
+
+func (a *Agent) noteBalancer(now time.Time, addr netip.Addr) (at uint32) {
+	at, found := a.byAddr[addr]
+	if !found {
+		if a.byAddr == nil {
+			a.byAddr = make(map[netip.Addr]uint32)
+		}
+		at = uint32(len(a.balancers))
+		a.balancers = append(a.balancers, balancerState{addr: addr})
+		a.byAddr[addr] = at
+	}
+	a.balancers[at].heard = now
+	return at
+}
+
+// HandlePoll answers a balancer that asks for a sign of life.
+func (a *Agent) HandlePoll(now time.Time, from netip.Addr) []Message {
+	a.begin(now)
+	a.report(now, &a.balancers[a.noteBalancer(now, from)])
+	return a.out
+}
+
+func (a *Agent) report(now time.Time, b *balancerState) {
+	b.reported, b.isDue = now, false
+	if !b.addr.IsValid() {
+		return
+	}
+	r := &jmhop.Report{
+		Incarnation: a.Incarnation,
+		Waiting:     clampUint16(a.table.waiting),
+		Flows:       clampUint16(a.table.longFlows(now)),
+	}
+	if a.snapshot.View != nil {
+		r.Revision = a.snapshot.Revision
+	}
+	switch {
+	case a.isLeaving:
+		r.State = jmhop.ReportLeaving
+	case a.upstream.isDown || a.upstream.isSilent:
+		r.State = jmhop.ReportStopped
+	}
+	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport}, Report: r})
+}
+
+func clampUint16(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
+
+// Tick drives the searches, the reports and the upkeep. It is called some
+// times in each reportInterval. With shouldProbe the upstream is to be looked
+// at, and the result goes to HandleProbe.
+func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
+	a.begin(now)
+	sent := 0
+	for i := range a.balancers {
+		b := &a.balancers[i]
+		interval := idleReportInterval
+		if b.isDue {
+			interval = reportInterval
+		}
+		if now.Sub(b.heard) < balancerMemory && now.Sub(b.reported) >= interval && sent < maxReports {
+			sent++
+			a.report(now, b)
+		}
+	}
+	a.driveTests(now)
+	a.driveSearches(now)
+	if now.Sub(a.swept) >= sweepInterval {
+		a.sweep(now)
+	}
+	return a.out, a.shouldProbe(now)
+}
+
+func (a *Agent) sweep(now time.Time) {
+	a.swept = now
+	idle := time.Duration(0)
+	if a.snapshot.View != nil {
+		idle = a.snapshot.IdleTimeout
+	}
+	a.table.forget(now, idle)
+	for key, at := range a.absent {
+		if now.Sub(at) > absentMemory {
+			delete(a.absent, key)
+		}
+	}
+	for key, at := range a.gone {
+		if now.Sub(at) > goneMemory {
+			delete(a.gone, key)
+		}
+	}
+}
+
+func (a *Agent) shouldProbe(now time.Time) bool {
+	u := &a.upstream
+	isOverdue := !u.unanswered.IsZero() && now.Sub(u.unanswered) > upstreamTimeout
+	if !isOverdue && !u.isDown && !u.isSilent || now.Sub(u.probed) < probeInterval {
+		return false
+	}
+	u.probed = now
+	return true
+}
+
+// Probe is what a look at the upstream's port has shown.
+type Probe uint8
+
+// The results of a look.
+const (
+	ProbeAccepted Probe = iota // it accepts connections
+	ProbeRefused               // nobody listens: its process has ended
+	ProbeSilent                // nothing came back
+)
+
+// HandleProbe takes the result of a look at the upstream in. If its process
+// has ended, all its flows are gone.
+func (a *Agent) HandleProbe(now time.Time, result Probe) []Message {
+	a.begin(now)
+	u := &a.upstream
+	switch result {
+	case ProbeAccepted:
+		u.isDown, u.isSilent, u.unanswered = false, false, time.Time{}
+	case ProbeRefused:
+		if !u.isDown {
+			u.isDown = true
+			for key, f := range a.table.flows {
+				if f.isOpen {
+					a.resetFlow(key, f)
+				}
+			}
+			a.reportAll(now)
+		}
+	case ProbeSilent:
+		if !u.isSilent {
+			u.isSilent = true
+			a.reportAll(now)
+		}
+	}
+	return a.out
+}
+
+func (a *Agent) reportAll(now time.Time) {
+	for i := range a.balancers {
+		if now.Sub(a.balancers[i].heard) < balancerMemory {
+			a.report(now, &a.balancers[i])
+		}
+	}
+}
+
+// Flows returns the number of flows, and of requests that wait for an answer.
+func (a *Agent) Flows() (flows, waiting int) { return len(a.table.flows), a.table.waiting }
--- /dev/null
+++ b/internal/flow/jmpass/choose.go
@@ -0,0 +1,106 @@
+package jmpass
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
+)
+
+// Weights of the cost of placing a flow at an upstream, in requests for each
+// of its slots.
+const (
+	// flowWeight is how many requests an open flow stands for: callers send
+	// about one a second, which takes about 45 ms.
+	flowWeight = 0.05
+	// remotePenalty is what a link between data centres costs.
+	remotePenalty = 0.15
+	// coldFactor is how much slower an upstream is after its start.
+	coldFactor = 0.6
+	// defaultSlots is assumed of an upstream that doesn't say.
+	defaultSlots = 5
+	// tieBreak spreads equal costs by rank.
+	tieBreak = 0.02
+	// suspectPenalty puts agents that don't answer after all others.
+	suspectPenalty = 1000
+	// stoppedPenalty puts agents whose upstream doesn't answer last.
+	stoppedPenalty = 2000
+)
+
+// choose returns the ready upstream of a service where a new flow costs least.
+func (b *Balancer) choose(now time.Time, flow jasminemoor.FlowKey, service *jmdirectory.Service, avoid netip.Addr) (at uint32, ok bool) {
+	if service == nil {
+		return 0, false
+	}
+	best := 0.0
+	for _, u := range service.Upstreams {
+		if !u.IsReady() {
+			continue
+		}
+		agent := u.Address.Addr()
+		index := b.indexOf(agent)
+		cost := b.cost(now, u, &b.agents[index]) + tieBreak*rank(flow, agent)
+		if agent == avoid {
+			cost += suspectPenalty
+		}
+		if !ok || cost < best {
+			best, at, ok = cost, index, true
+		}
+	}
+	return at, ok
+}
+
+// cost is the load of an upstream with one more flow.
+func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState) float64 {
+	slots := float64(u.Slots)
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	if now.Before(u.WarmAt) {
+		slots *= coldFactor
+	}
+	requests := float64(a.report.Waiting) + float64(a.placed) + 1
+	cost := (requests + flowWeight*float64(a.report.Flows)) / slots
+	if u.DataCentre != b.DataCentre {
+		cost += remotePenalty
+	}
+	switch {
+	case a.report.State != jmhop.ReportOpen && now.Sub(a.heard) < stoppedMemory:
+		cost += stoppedPenalty
+	case a.isSuspect(now):
+		cost += suspectPenalty
+	}
+	return cost
+}
+
+// stoppedMemory is how long an agent's word counts that it takes no new flows.
+const stoppedMemory = 3 * time.Second
+
+// rank returns a number from 0 to 1 by which each process orders the agents
+// for a flow alike.
+func rank(flow jasminemoor.FlowKey, agent netip.Addr) float64 {
+	raw := agent.As16()
+	x := flow.Hash() ^ xxhash.Sum64(raw[:])
+	x *= 0x9E3779B97F4A7C15
+	x ^= x >> 29
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 32
+	return float64(x>>11) / (1 << 53)
+}
+
+// holders returns the services that may hold flows of a route.
+func holders(route *jmdirectory.Route) (services []string) {
+	for _, s := range route.Shares {
+		services = append(services, s.Service)
+	}
+	for _, name := range route.Former {
+		if !route.Allows(name) {
+			services = append(services, name)
+		}
+	}
+	return services
+}
