Settings are read again on SIGHUP; no verdict before the own upstream was asked

Change: SIGHUP and a look each 3 s read the settings file; a balancer leaves packets in the socket until the directory is known; searches ask the own upstream first; notable decisions are logged.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmgateway"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	jmadapter "github.com/jasminemoor/jasminemoor/platform"
@@ -51,21 +57,62 @@
 			if err != nil {
 				return err
 			}
-			return runPassthrough(ctx, name, settings, log.WithField("Instance", settings.Name))
+			return runPassthrough(ctx, *path, name, settings, log.WithField("Instance", settings.Name))
 		},
 	}
 }
 
-func runPassthrough(ctx context.Context, name jmlocal.Role, s *jmlocal.Settings, log logrus.FieldLogger) error {
-	store := &jmadapter.Store{Address: s.Platform.Address.String(), Log: log}
+func runPassthrough(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry) error {
+	store := &jmadapter.Store{Log: log}
+	store.SetAddress(s.Platform.Address.String())
 	log.WithField("Role", name).Info("process: started")
+	decisions := &jmdecision.Log{Log: log.Logger}
 	var r role
 	if name == jmlocal.RoleBalancer {
-		r = &jmgateway.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log}
+		r = &jmgateway.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 	} else {
-		r = &jmgateway.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log}
+		r = &jmgateway.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 	}
-	err := runUntilStopped(ctx, log, r)
+	err := runUntilStopped(ctx, log, r, func(ctx context.Context) error {
+		followSettings(ctx, path, name, s, store, log)
+		return nil
+	})
 	log.WithField("Role", name).Info("process: stopped")
 	return err
 }
+
+// settingsInterval is how often the settings file is looked at, since it may
+// change without a signal.
+const settingsInterval = 3 * time.Second
+
+// followSettings reads the settings file again after a SIGHUP, and from time
+// to time. A file with faults changes nothing.
+func followSettings(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, store *jmadapter.Store, log logrus.FieldLogger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+		}
+		next, err := jmlocal.Load(path, name)
+		if err != nil {
+			log.WithError(err).Warn("settings: file has faults, the last ones stay in force")
+			continue
+		}
+		if reflect.DeepEqual(next, s) {
+			continue
+		}
+		log.WithField("Platform", next.Platform.Address).Info("settings: reloaded")
+		if changed := s.NeedsRestart(next); len(changed) > 0 {
+			log.WithField("Fields", changed).Warn("settings: changes that wait for a restart")
+		}
+		store.SetAddress(next.Platform.Address.String())
+		s = next
+	}
+}
--- a/internal/fleet/jmdecision/decision.go
+++ b/internal/fleet/jmdecision/decision.go
@@ -29,15 +29,26 @@
 
 // Line logs one decision, unless there were too many in this second.
 func (l *Log) Line(text string, fields logrus.Fields) {
-	if !l.IsOn() {
-		return
+	if l.IsOn() {
+		l.write(logrus.DebugLevel, text, fields)
 	}
+}
+
+// Notable logs one decision that is out of the ordinary, at level info, unless
+// there were too many in this second.
+func (l *Log) Notable(text string, fields logrus.Fields) {
+	if l != nil {
+		l.write(logrus.InfoLevel, text, fields)
+	}
+}
+
+func (l *Log) write(level logrus.Level, text string, fields logrus.Fields) {
 	leftOut, isWritten := l.take(time.Now())
 	if leftOut > 0 {
-		l.Log.WithField("LeftOut", leftOut).Debug("decision: lines left out")
+		l.Log.WithField("LeftOut", leftOut).Log(level, "decision: lines left out")
 	}
 	if isWritten {
-		l.Log.WithFields(fields).Debug(text)
+		l.Log.WithFields(fields).Log(level, text)
 	}
 }
 
--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -37,6 +38,8 @@
 	Codec     jasminemoor.PacketCodec
 	Directory jasminemoor.Directory
 	Log       logrus.FieldLogger
+	// Decisions logs the decisions that are out of the ordinary.
+	Decisions *jmdecision.Log
 
 	process
 	Malformed atomic.Uint64
@@ -82,7 +85,7 @@
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.IsFirst = s.IsFirstStart
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
-	a.process = process{settings: s, codec: a.Codec, log: a.Log}
+	a.process = process{settings: s, codec: a.Codec, log: a.Log, decided: a.Decisions}
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnNews: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
@@ -162,8 +165,9 @@
 		if err := a.Codec.Decode(body, &p); err != nil {
 			return false
 		}
-		out, _ := a.machine.HandlePeer(now, from, &h, &p, body)
+		out, reason := a.machine.HandlePeer(now, from, &h, &p, body)
 		s.send(out, body)
+		a.note(now, reason, &p, last(out))
 	default:
 		return false
 	}
@@ -180,8 +184,9 @@
 			a.Malformed.Add(1)
 			continue
 		}
-		out, _ := a.machine.HandleUpstream(now, &p, packet)
+		out, reason := a.machine.HandleUpstream(now, &p, packet)
 		s.send(out, packet)
+		a.note(now, reason, &p, last(out))
 	}
 	a.mu.Unlock()
 	s.outlet.flush()
--- a/internal/flow/jmgateway/balancer.go
+++ b/internal/flow/jmgateway/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -39,6 +40,8 @@
 	Codec     jasminemoor.PacketCodec
 	Directory jasminemoor.Directory
 	Log       logrus.FieldLogger
+	// Decisions logs the decisions that are out of the ordinary.
+	Decisions *jmdecision.Log
 
 	process
 	Malformed atomic.Uint64
@@ -48,6 +51,8 @@
 	callers   *net.UDPConn
 	lastHeard atomic.Int64 // nanoseconds since the process started
 	begun     time.Time
+	hasView   chan struct{}
+	viewed    sync.Once
 	leaving   chan struct{}
 	leave     sync.Once
 	drained   chan struct{}
@@ -56,7 +61,7 @@
 
 func (b *Balancer) init() {
 	b.start.Do(func() {
-		b.leaving, b.drained = make(chan struct{}), make(chan struct{})
+		b.leaving, b.drained, b.hasView = make(chan struct{}), make(chan struct{}), make(chan struct{})
 		b.begun = time.Now()
 	})
 }
@@ -87,7 +92,7 @@
 	}()
 	b.init()
 	b.machine.Self, b.machine.DataCentre = b.Settings.Address, b.Settings.DataCentre
-	b.process = process{settings: b.Settings, codec: b.Codec, log: b.Log}
+	b.process = process{settings: b.Settings, codec: b.Codec, log: b.Log, decided: b.Decisions}
 	b.control = &Control{Directory: b.Directory, Log: b.Log, OnNews: b.setSnapshot}
 	if err = b.open(ctx); err != nil {
 		return err
@@ -107,6 +112,12 @@
 	defer cancel()
 	b.runCommon(ctx, &wg)
 	wg.Go(func() {
+		// Until the directory is known the packets wait in the socket.
+		select {
+		case <-b.hasView:
+		case <-ctx.Done():
+			return
+		}
 		b.readLoop(ctx, b.callers, b.Codec.MaxSize(), func(batch []jmbatch.Datagram) { b.handleCallers(batch, fromCallers) })
 	})
 	wg.Go(func() {
@@ -120,10 +131,14 @@
 	b.mu.Lock()
 	b.machine.SetSnapshot(s)
 	b.mu.Unlock()
+	if s.Version == 0 {
+		return
+	}
+	b.viewed.Do(func() { close(b.hasView) })
 	select {
 	case <-b.leaving:
 	default:
-		if s.Version != 0 && !b.isReady.Swap(true) {
+		if !b.isReady.Swap(true) {
 			b.Log.Info("process: ready")
 		}
 	}
@@ -140,9 +155,11 @@
 			b.Malformed.Add(1)
 			continue
 		}
-		if m, _ := b.machine.Handle(now, &p); m.Kind != 0 {
+		m, reason := b.machine.Handle(now, &p)
+		if m.Kind != 0 {
 			s.sendOne(&m, packet)
 		}
+		b.note(now, reason, &p, &m)
 	}
 	b.mu.Unlock()
 	s.outlet.flush()
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -14,6 +14,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
 )
@@ -33,6 +35,7 @@
 	codec    jasminemoor.PacketCodec
 	control  *Control
 	log      logrus.FieldLogger
+	decided  *jmdecision.Log
 	peers    *net.UDPConn
 	tcp      net.Listener
 	isReady  atomic.Bool
@@ -126,3 +129,40 @@
 	s.outlet, err = newOutlet(conn)
 	return s, err
 }
+
+// note logs a decision that is out of the ordinary, with what it rests on.
+func (p *process) note(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, m *jmpass.Message) {
+	if !reason.IsNotable() {
+		return
+	}
+	fields := logrus.Fields{
+		"Instance": p.settings.Name,
+		"Reason":   reason.String(),
+		"Flow":     packet.Key().String(),
+		"Sequence": packet.Sequence,
+		"Ack":      packet.Acknowledged,
+		"Length":   packet.Length,
+	}
+	if packet.Flags.Has(jasminemoor.FlagOpen) {
+		fields["Opening"] = true
+	}
+	if s := p.control.Snapshot(); s != nil {
+		fields["Version"], fields["Revision"] = s.Version, s.Revision
+		fields["AgeMs"] = now.Sub(s.AsOf).Milliseconds()
+	}
+	if m != nil && m.Kind != 0 {
+		fields["Outcome"] = m.Kind.String()
+		if m.To.IsValid() {
+			fields["To"] = m.To
+		}
+	}
+	p.decided.Notable("flow: "+reason.Text(), fields)
+}
+
+// last returns the last message, which is what became of the packet, or nil.
+func last(messages []jmpass.Message) *jmpass.Message {
+	if len(messages) == 0 {
+		return nil
+	}
+	return &messages[len(messages)-1]
+}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -226,7 +226,7 @@
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		return ReasonAbsentEverywhere
 	}
-	if a.mayHold(now, key, p) {
+	if a.mayHold(now, key) {
 		if _, isTesting := a.tests[key]; !isTesting {
 			a.tests[key] = test{at: now, balancer: h.Origin}
 		}
@@ -271,7 +271,7 @@
 
 // mayHold reports whether the upstream may hold a flow that the agent has not
 // seen begin.
-func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet) bool {
+func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey) bool {
 	if a.isComplete(now) || a.table.get(key) != nil || a.upstream.isDown {
 		return false
 	}
@@ -281,7 +281,7 @@
 	if a.snapshot.View == nil {
 		return false
 	}
-	route := a.snapshot.Routes[p.Destination]
+	route := a.snapshot.Routes[key.Service()]
 	if route == nil {
 		return false
 	}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -26,6 +26,21 @@
 	Reset                      // a reset of the flow, for its caller
 )
 
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case ToUpstream:
+		return "given to the upstream"
+	case ToCaller:
+		return "given to the caller"
+	case ToPeer:
+		return "passed on"
+	case Reset:
+		return "reset"
+	}
+	return "dropped"
+}
+
 // Message is something to send. It is valid until the machine's next input.
 type Message struct {
 	Kind   Kind
@@ -87,16 +102,49 @@
 // ReasonCount is the number of reasons.
 const ReasonCount = int(reasonCount)
 
-var reasonNames = [reasonCount]string{
-	"none", "no_view", "no_route", "no_upstream", "placed", "repeated", "known", "unknown",
-	"upstream_gone", "held", "not_held", "tested", "refused_by_upstream", "upstream_down",
-	"handed_on", "searched", "absent_everywhere", "leaving", "other_service",
+var reasons = [reasonCount]struct{ name, text string }{
+	ReasonNone:              {"none", "no decision"},
+	ReasonNoView:            {"no_view", "directory is not known yet"},
+	ReasonNoRoute:           {"no_route", "no route for the address"},
+	ReasonNoUpstream:        {"no_upstream", "no upstream is ready"},
+	ReasonPlaced:            {"placed", "new flow placed"},
+	ReasonRepeated:          {"repeated", "opening packet repeated, another upstream chosen"},
+	ReasonKnown:             {"known", "holder is known"},
+	ReasonUnknown:           {"unknown", "holder is not known, first in rank asked"},
+	ReasonUpstreamGone:      {"upstream_gone", "holder has left the directory and is silent"},
+	ReasonHeld:              {"held", "upstream holds the flow"},
+	ReasonNotHeld:           {"not_held", "upstream does not hold the flow"},
+	ReasonTested:            {"tested", "upstream may hold the flow"},
+	ReasonRefusedByUpstream: {"refused_by_upstream", "upstream refused the packet"},
+	ReasonUpstreamDown:      {"upstream_down", "upstream does not run"},
+	ReasonHandedOn:          {"handed_on", "flow handed on"},
+	ReasonSearched:          {"searched", "other agents asked for the holder"},
+	ReasonAbsentEverywhere:  {"absent_everywhere", "no agent holds the flow"},
+	ReasonLeaving:           {"leaving", "upstream is leaving"},
+	ReasonOtherService:      {"other_service", "route is for another service"},
 }
 
-// String returns the name of the reason.
+// String returns the name of the reason, for metrics.
 func (r Reason) String() string {
 	if r < reasonCount {
-		return reasonNames[r]
+		return reasons[r].name
 	}
 	return "unknown reason"
 }
+
+// Text returns the reason in words, for logs.
+func (r Reason) Text() string {
+	if r < reasonCount {
+		return reasons[r].text
+	}
+	return "unknown reason"
+}
+
+// IsNotable reports whether a decision is out of the ordinary.
+func (r Reason) IsNotable() bool {
+	switch r {
+	case ReasonNone, ReasonPlaced, ReasonKnown, ReasonHeld, ReasonTested, ReasonNotHeld:
+		return false
+	}
+	return true
+}
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -37,8 +37,6 @@
 	started  time.Time
 	asked    time.Time
 	rounds   int
-	// revision is that of the view that named the agents.
-	revision uint64
 	absent   map[netip.Addr]bool
 }
 
@@ -62,6 +60,10 @@
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
 	s.asked = now
 	s.rounds++
+	if a.mayHold(now, key) {
+		a.testOwn(now, key, s)
+		return
+	}
 	if a.endIfGone(now, key, s) {
 		return
 	}
@@ -78,6 +80,17 @@
 	}
 }
 
+// testOwn gives the packet of a search to the own upstream, which was not asked
+// yet when the search began.
+func (a *Agent) testOwn(now time.Time, key jasminemoor.FlowKey, s *search) {
+	if _, isTesting := a.tests[key]; isTesting {
+		return
+	}
+	a.tests[key] = test{at: now, balancer: s.balancer}
+	a.noteUnanswered(now)
+	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
+}
+
 // candidates returns the other agents that may hold a flow, the first in rank
 // first.
 func (a *Agent) candidates(key jasminemoor.FlowKey) (agents []netip.Addr) {
@@ -106,12 +119,9 @@
 // endIfGone resets a flow if every agent that could hold it said that it does
 // not, and the list of those is recent.
 func (a *Agent) endIfGone(now time.Time, key jasminemoor.FlowKey, s *search) bool {
-	if a.snapshot.View == nil || !a.snapshot.isFresh(now) {
+	if a.snapshot.View == nil || !a.snapshot.isFresh(now) || !a.isOwnAbsent(now, key) {
 		return false
 	}
-	if s.revision != a.snapshot.Revision {
-		s.revision = a.snapshot.Revision
-	}
 	if a.snapshot.Routes[key.Service()] == nil {
 		return false
 	}
@@ -127,6 +137,12 @@
 	return true
 }
 
+// isOwnAbsent reports whether the own upstream is known not to hold a flow.
+func (a *Agent) isOwnAbsent(now time.Time, key jasminemoor.FlowKey) bool {
+	_, isAbsent := a.absent[key]
+	return isAbsent || a.upstream.isDown || a.isComplete(now) && a.table.get(key) == nil
+}
+
 // handleAsk decides on a packet of a flow that another agent searches for.
 func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
 	key := p.Key()
@@ -142,15 +158,15 @@
 		a.tellHolder(from, key)
 		return ReasonHeld
 	}
-	if a.mayHold(now, key, p) {
+	if a.mayHold(now, key) {
 		if _, isTesting := a.tests[key]; !isTesting {
 			a.tests[key] = test{at: now, balancer: h.Origin, asker: from}
 			a.giveUpstream(now, key, 0)
 		}
 		return ReasonTested
 	}
-	if a.upstream.isSilent && !a.isComplete(now) {
-		return ReasonUpstreamDown
+	if !a.isOwnAbsent(now, key) {
+		return ReasonUpstreamDown // not known: no answer is better than a wrong one
 	}
 	a.tellAbsent(from, key)
 	return ReasonNotHeld
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -115,3 +115,22 @@
 func missing(field string) error { return eris.Errorf("%s is missing or unusable", field) }
 
 func isUsable(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
+
+// NeedsRestart names the fields that differ in next and that a process takes
+// over at its start only.
+func (s *Settings) NeedsRestart(next *Settings) (fields []string) {
+	note := func(name string, isChanged bool) {
+		if isChanged {
+			fields = append(fields, name)
+		}
+	}
+	note("Address", s.Address != next.Address)
+	note("DataCentre", s.DataCentre != next.DataCentre)
+	note("FirstPort", s.FirstPort != next.FirstPort)
+	note("Packets", s.Packets != next.Packets)
+	note("Outbound", s.Outbound != next.Outbound)
+	note("Ready", s.Ready != next.Ready)
+	note("Upstream", s.Upstream != next.Upstream)
+	note("Service", s.Service != next.Service)
+	return fields
+}
