Requests wait at the agent; those that can still be in time go first

Change: an agent gives its upstream slots + 2 requests at a time, and chooses the next: those that can meet their target, then priority, then deadline. What is no load is not counted: callers that gave up, flows that one end has ended, requests without an answer for a second.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -56,6 +56,7 @@
 	swept     time.Time
 	isLeaving bool
 	upstream  upstreamState
+	gate      gate
 	out       []Message
 }
 
@@ -140,7 +141,7 @@
 	delete(a.gone, key)
 	f := a.table.get(key)
 	if f == nil {
-		f = &flow{opened: now}
+		f = &flow{opened: now.Add(-p.Age)}
 		a.table.add(key, f)
 	}
 	f.balancer, f.hops, f.used = at, h.Hops, now
@@ -219,7 +220,7 @@
 			a.resetFlow(key, f)
 			return ReasonUpstreamDown
 		}
-		a.deliver(now, key, f, p)
+		a.offer(now, key, f, p, packet)
 		return ReasonHeld
 	}
 	if at, found := a.gone[key]; found && now.Sub(at) < goneMemory {
@@ -318,7 +319,13 @@
 	if f.ended != bothEnded {
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: f.lastAck})
 	}
+	a.drop(key)
+}
+
+// drop forgets a flow and what is held back of it.
+func (a *Agent) drop(key jasminemoor.FlowKey) {
 	a.table.remove(key)
+	a.gate.remove(key)
 }
 
 // HandleUpstream decides on a packet that the upstream sent.
@@ -350,8 +357,9 @@
 	}
 	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
 	if p.Flags.Has(jasminemoor.FlagReset) {
-		a.table.remove(key)
+		a.drop(key)
 	}
+	a.release(now)
 	return ReasonHeld
 }
 
@@ -392,7 +400,7 @@
 	}
 	if !f.isSure {
 		origin := a.balancers[f.balancer].addr
-		a.table.remove(key)
+		a.drop(key)
 		a.startSearch(now, key, origin, p, packet)
 		return ReasonSearched
 	}
@@ -402,7 +410,7 @@
 		a.resetFlow(key, f)
 		return ReasonRefusedByUpstream
 	}
-	a.table.remove(key)
+	a.drop(key)
 	return ReasonNotHeld
 }
 
@@ -434,7 +442,7 @@
 	}
 	r := &jmhop.Report{
 		Incarnation: a.Incarnation,
-		Waiting:     clampUint16(a.table.waiting),
+		Waiting:     clampUint16(a.table.waiting + len(a.gate.held)),
 		Flows:       clampUint16(a.table.longFlows(now)),
 	}
 	if a.snapshot.View != nil {
@@ -470,6 +478,10 @@
 	}
 	a.driveTests(now)
 	a.driveSearches(now)
+	if len(a.gate.held) > 0 {
+		a.table.expireWaiting(now)
+		a.release(now)
+	}
 	if now.Sub(a.swept) >= sweepInterval {
 		a.sweep(now)
 	}
@@ -482,6 +494,7 @@
 	if a.snapshot.View != nil {
 		idle = a.snapshot.IdleTimeout
 	}
+	a.table.expireWaiting(now)
 	a.table.forget(now, idle)
 	for key, at := range a.absent {
 		if now.Sub(at) > absentMemory {
--- /dev/null
+++ b/internal/flow/jmpass/gate.go
@@ -0,0 +1,212 @@
+package jmpass
+
+import (
+	"time"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+const (
+	// spareRequests is how many requests more than it has slots an upstream is
+	// given, so that no slot stays empty between two of them.
+	spareRequests = 2
+	// maxHeld bounds the requests that wait at an agent.
+	maxHeld = 1024
+	// maxHeldPackets bounds the packets of one of them.
+	maxHeldPackets = 8
+	// initialAnswerTime is assumed before the first answer.
+	initialAnswerTime = 50 * time.Millisecond
+)
+
+// request is a request that waits at the agent for its upstream.
+type request struct {
+	flow     jasminemoor.FlowKey
+	packets  [][]byte
+	dataEnd  uint32 // sequence number of the newest data in them
+	arrived  time.Time
+	target   time.Time // when it should be answered
+	deadline time.Time // when its caller gives up
+	priority int
+	isLeft   bool // its caller has ended the flow
+}
+
+// gate holds requests back while their upstream is busy, and chooses the next.
+//
+// It answers the load pattern after an outage or in a burst: more requests than
+// the upstreams can answer in time. An upstream serves in the order of arrival,
+// so that all would be late. Those that can still meet their target go first,
+// and of the others those whose time is up first.
+type gate struct {
+	held []*request
+}
+
+func (g *gate) find(flow jasminemoor.FlowKey) *request {
+	for _, r := range g.held {
+		if r.flow == flow {
+			return r
+		}
+	}
+	return nil
+}
+
+// add holds a packet of the request.
+func (r *request) add(p *jasminemoor.Packet, packet []byte) {
+	r.packets = append(r.packets, append([]byte(nil), packet...))
+	if end := p.Sequence + uint32(p.Length); len(r.packets) == 1 || int32(end-r.dataEnd) > 0 {
+		r.dataEnd = end
+	}
+}
+
+// next takes out the request to give to the upstream now, nil if there is
+// none. Requests whose callers have given up are dropped.
+func (g *gate) next(now time.Time, answerTime time.Duration) (chosen *request) {
+	kept := g.held[:0]
+	for _, r := range g.held {
+		if now.Before(r.deadline) {
+			kept = append(kept, r)
+		}
+	}
+	clear(g.held[len(kept):])
+	g.held = kept
+	at := -1
+	for i, r := range g.held {
+		if at < 0 || goesBefore(r, g.held[at], now.Add(answerTime)) {
+			at = i
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	chosen = g.held[at]
+	g.held = append(g.held[:at], g.held[at+1:]...)
+	return chosen
+}
+
+// goesBefore reports whether r is to be answered before other, if an answer
+// would come at a time.
+func goesBefore(r, other *request, answered time.Time) bool {
+	isInTime, isOtherInTime := !answered.After(r.target), !answered.After(other.target)
+	switch {
+	case r.isLeft != other.isLeft:
+		return other.isLeft
+	case isInTime != isOtherInTime:
+		return isInTime
+	case r.priority != other.priority:
+		return r.priority < other.priority
+	case isInTime:
+		return r.target.Before(other.target)
+	}
+	return r.deadline.Before(other.deadline)
+}
+
+func (g *gate) remove(flow jasminemoor.FlowKey) {
+	for i, r := range g.held {
+		if r.flow == flow {
+			g.held = append(g.held[:i], g.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// offer gives a packet of an open flow to the upstream, or holds it back while
+// the upstream has all the requests that it can work on.
+func (a *Agent) offer(now time.Time, key jasminemoor.FlowKey, f *flow, p *jasminemoor.Packet, packet []byte) {
+	if len(a.gate.held) > 0 {
+		if r := a.gate.find(key); r != nil {
+			a.holdMore(now, key, f, r, p, packet)
+			return
+		}
+	}
+	if p.Length == 0 || f.isWaiting || f.ended != 0 || !f.isNewData(p) || a.table.waiting < a.maxRequests() || len(a.gate.held) >= maxHeld {
+		a.deliver(now, key, f, p)
+		return
+	}
+	r := &request{flow: key, arrived: now}
+	if f.dataEnd == 0 && !f.opened.IsZero() {
+		// The first request of a flow was sent when the caller opened it.
+		r.arrived = f.opened
+	}
+	a.setTimes(r)
+	r.add(p, packet)
+	a.gate.held = append(a.gate.held, r)
+	f.used, f.isOpen = now, true
+	a.Counts[ReasonHeldBack]++
+}
+
+// holdMore takes in a packet of a flow whose request is held back.
+func (a *Agent) holdMore(now time.Time, key jasminemoor.FlowKey, f *flow, r *request, p *jasminemoor.Packet, packet []byte) {
+	f.used = now
+	switch {
+	case p.Flags.Has(jasminemoor.FlagReset):
+		a.gate.remove(key)
+		a.deliver(now, key, f, p)
+	case p.Length == 0 && !p.Flags.Has(jasminemoor.FlagEnd):
+		a.deliver(now, key, f, p)
+	case len(r.packets) < maxHeldPackets && !r.has(packet):
+		r.add(p, packet)
+	}
+	r.isLeft = r.isLeft || p.Flags.Has(jasminemoor.FlagEnd)
+}
+
+// has reports whether a packet is held already, and the caller has repeated it.
+func (r *request) has(packet []byte) bool {
+	for _, known := range r.packets {
+		if string(known) == string(packet) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) setTimes(r *request) {
+	r.target, r.deadline = r.arrived.Add(defaultTarget), r.arrived.Add(defaultTimeout)
+	if a.snapshot.View == nil {
+		return
+	}
+	if route := a.snapshot.Routes[r.flow.Service()]; route != nil {
+		r.priority = route.Priority
+		if route.Target > 0 {
+			r.target = r.arrived.Add(route.Target)
+		}
+		if route.Timeout > 0 {
+			r.deadline = r.arrived.Add(route.Timeout)
+		}
+	}
+}
+
+// Times of requests whose route gives none.
+const (
+	defaultTarget  = 250 * time.Millisecond
+	defaultTimeout = 5 * time.Second
+)
+
+// maxRequests is how many requests the upstream is given at a time.
+func (a *Agent) maxRequests() int {
+	slots := defaultSlots
+	if a.snapshot.View != nil {
+		if own := a.snapshot.Upstreams[a.Upstream]; own != nil && own.Slots > 0 {
+			slots = own.Slots
+		}
+	}
+	return slots + spareRequests
+}
+
+// release gives held requests to the upstream while it has room.
+func (a *Agent) release(now time.Time) {
+	for len(a.gate.held) > 0 && a.table.waiting < a.maxRequests() {
+		r := a.gate.next(now, max(a.table.answerTime, initialAnswerTime))
+		if r == nil {
+			return
+		}
+		f := a.table.get(r.flow)
+		if f == nil {
+			continue
+		}
+		for _, packet := range r.packets {
+			a.out = append(a.out, Message{Kind: ToUpstream, Flow: r.flow, Packet: packet})
+		}
+		a.noteUnanswered(now)
+		f.dataEnd = r.dataEnd
+		a.table.startWaiting(now, f)
+	}
+}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -96,6 +96,7 @@
 	ReasonAbsentEverywhere
 	ReasonLeaving
 	ReasonOtherService
+	ReasonHeldBack
 	reasonCount
 )
 
@@ -122,6 +123,7 @@
 	ReasonAbsentEverywhere:  {"absent_everywhere", "no agent holds the flow"},
 	ReasonLeaving:           {"leaving", "upstream is leaving"},
 	ReasonOtherService:      {"other_service", "route is for another service"},
+	ReasonHeldBack:          {"held_back", "request waits for its upstream"},
 }
 
 // String returns the name of the reason, for metrics.
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -13,8 +13,10 @@
 	closedMemory = 3 * time.Second
 	// defaultIdle is how long a flow may be silent before the settings say.
 	defaultIdle = 30 * time.Second
-	// waitLimit is how long a request without an answer counts as load.
-	waitLimit = 10 * time.Second
+	// waitLimit and waitFactor, times the mean time to an answer, are how long a
+	// request counts as load. Its caller may be gone, or the answer lost.
+	waitLimit  = time.Second
+	waitFactor = 10
 )
 
 // flow is a flow at an agent.
@@ -73,14 +75,30 @@
 		f.lastAck = p.Acknowledged
 	}
 	if p.Flags.Has(jasminemoor.FlagEnd) {
+		// A caller that ends a flow before the answer has given up, and the
+		// upstream may never answer.
 		f.ended |= callerEnded
+		t.stopWaiting(f)
+	}
+	if p.Flags.Has(jasminemoor.FlagReset) {
+		f.ended = bothEnded
+		t.stopWaiting(f)
 	}
-	end := p.Sequence + uint32(p.Length)
-	if p.Length == 0 || int32(end-f.dataEnd) <= 0 {
+	if p.Length == 0 || !f.isNewData(p) {
 		return
 	}
-	f.dataEnd = end
-	if !f.isWaiting {
+	f.dataEnd = p.Sequence + uint32(p.Length)
+	t.startWaiting(now, f)
+}
+
+// isNewData reports whether a packet has data that was not seen before.
+func (f *flow) isNewData(p *jasminemoor.Packet) bool {
+	return f.dataEnd == 0 || int32(p.Sequence+uint32(p.Length)-f.dataEnd) > 0
+}
+
+func (t *table) startWaiting(now time.Time, f *flow) {
+	// On a flow that one end has ended there is no answer to wait for.
+	if !f.isWaiting && f.ended == 0 {
 		f.isWaiting, f.asked = true, now
 		t.waiting++
 	}
@@ -91,6 +109,7 @@
 	f.used, f.isSure = now, true
 	if p.Flags.Has(jasminemoor.FlagEnd) {
 		f.ended |= upstreamEnded
+		defer t.stopWaiting(f)
 	}
 	if p.Length > 0 && f.isWaiting {
 		took := now.Sub(f.asked)
@@ -109,6 +128,16 @@
 	}
 }
 
+// expireWaiting takes it that requests without an answer for long are lost.
+func (t *table) expireWaiting(now time.Time) {
+	limit := max(waitLimit, waitFactor*t.answerTime)
+	for _, f := range t.flows {
+		if f.isWaiting && now.Sub(f.asked) > limit {
+			t.stopWaiting(f)
+		}
+	}
+}
+
 // forget drops the flows that are closed or were silent for too long.
 func (t *table) forget(now time.Time, idle time.Duration) {
 	if idle <= 0 {
@@ -116,9 +145,6 @@
 	}
 	for key, f := range t.flows {
 		silent := now.Sub(f.used)
-		if f.isWaiting && now.Sub(f.asked) > waitLimit {
-			t.stopWaiting(f)
-		}
 		if silent > idle+closedMemory || f.ended == bothEnded && silent > closedMemory || !f.isOpen && silent > closedMemory {
 			t.remove(key)
 		}
--- a/passthrough.go
+++ b/passthrough.go
@@ -34,6 +34,9 @@
 	Acknowledged        uint32
 	// Length is the size of the data behind the head in bytes.
 	Length int
+	// Age is how long ago the caller sent an opening packet first, as far as
+	// the head tells; callers repeat it.
+	Age time.Duration
 	// Tag is four bytes of the system's own. An upstream ignores them, and
 	// leaves them as they are in a packet that it refuses.
 	Tag uint32
