--- /dev/null
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -0,0 +1,339 @@
+package jmdirectory
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+var begun = time.Unix(1_700_000_000, 0)
+
+func upstreamEntry(i int, revision uint64, state jasminemoor.UpstreamState) jasminemoor.Entry {
+	id := "i-" + strconv.Itoa(i)
+	return jasminemoor.Entry{Key: "u/" + id, Revision: revision, Upstream: &jasminemoor.ListedUpstream{
+		ID: id, Service: "shop", Address: netip.AddrPortFrom(agentAddr(i), 8080), Slots: 5, State: state,
+	}}
+}
+
+func agentAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}) }
+
+func balancerAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}) }
+
+func routingEntry(version, revision uint64, ports ...uint16) jasminemoor.Entry {
+	routing := &jasminemoor.Routing{Version: version}
+	for _, port := range ports {
+		routing.Routes = append(routing.Routes, jasminemoor.Route{
+			Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port),
+			Shares:  []jasminemoor.Share{{Service: "shop", Weight: 1}},
+		})
+	}
+	return jasminemoor.Entry{Key: "config", Revision: revision, Routing: routing}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	var r replica
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 10, Entries: []jasminemoor.Entry{routingEntry(5, 10, 1, 2)}}, true)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 11, Entries: []jasminemoor.Entry{routingEntry(4, 11, 3)}}, false)
+	v := r.view(begun)
+	require.Equal(t, uint64(5), v.Version)
+	require.Len(t, v.Routes, 2)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 7, Entries: []jasminemoor.Entry{routingEntry(3, 7, 9)}}, true)
+	require.Equal(t, v.Routes, r.view(begun).Routes)
+	require.Equal(t, uint64(11), r.revision)
+}
+
+func TestRoutesRemovedAndFormer(t *testing.T) {
+	var r replica
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{routingEntry(1, 1, 1, 2)}}, true)
+	next := routingEntry(2, 2, 2)
+	next.Routing.Routes[0].Shares = []jasminemoor.Share{{Service: "desk", Weight: 1}}
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{next}}, false)
+	v := r.view(begun)
+	require.Len(t, v.Routes, 1)
+	for _, route := range v.Routes {
+		require.Equal(t, []string{"shop"}, route.Former, "open flows may still be there")
+		require.False(t, route.Allows("shop"))
+	}
+}
+
+// TestConfigThatCannotBeRead keeps the routes in force.
+func TestConfigThatCannotBeRead(t *testing.T) {
+	var r replica
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{routingEntry(1, 1, 1)}}, true)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{{Key: "config", Revision: 2}}}, false)
+	require.Len(t, r.view(begun).Routes, 1)
+}
+
+func TestUpstreamsLapseAndReturn(t *testing.T) {
+	var r replica
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{upstreamEntry(1, 1, jasminemoor.UpstreamReady)}}, true)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{{Key: "u/i-1", Revision: 2}}}, false)
+	address := netip.AddrPortFrom(agentAddr(1), 8080)
+	u := r.view(begun).Upstreams[address]
+	require.True(t, u.IsGone)
+	require.False(t, u.IsReady())
+	require.Empty(t, r.view(begun.Add(goneMemory+time.Second)).Upstreams)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 3, Entries: []jasminemoor.Entry{upstreamEntry(1, 3, jasminemoor.UpstreamReady)}}, false)
+	require.True(t, r.view(begun).Upstreams[address].IsReady())
+}
+
+// TestAddressUsedAgain has an upstream of another service take over the address
+// of one whose entry has not lapsed yet.
+func TestAddressUsedAgain(t *testing.T) {
+	var r replica
+	old, next := upstreamEntry(1, 1, jasminemoor.UpstreamReady), upstreamEntry(1, 2, jasminemoor.UpstreamReady)
+	old.Upstream.Born = 100
+	next.Key, next.Upstream.ID, next.Upstream.Service, next.Upstream.Born = "u/i-9", "i-9", "desk", 200
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{next, old}}, true)
+	v := r.view(begun)
+	require.Equal(t, "desk", v.Upstreams[netip.AddrPortFrom(agentAddr(1), 8080)].Service)
+	require.NotContains(t, v.Services, "shop")
+}
+
+// TestWholeReplacesAll checks that what came and went unseen is not left over.
+func TestWholeReplacesAll(t *testing.T) {
+	var a, b replica
+	a.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 5, Entries: []jasminemoor.Entry{
+		routingEntry(1, 1, 1, 2), upstreamEntry(1, 2, 0), upstreamEntry(2, 3, 0),
+	}}, true)
+	items, isWhole := a.delta(0)
+	require.True(t, isWhole)
+	b.merge(begun, items, a.revision, isWhole)
+	require.Equal(t, a.view(begun).Routes, b.view(begun).Routes)
+	a.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 9, Entries: []jasminemoor.Entry{routingEntry(2, 8, 2), upstreamEntry(2, 3, 0)}}, true)
+	items, isWhole = a.delta(b.revision)
+	require.True(t, isWhole, "a listing does not show what came and went before it")
+	require.True(t, b.merge(begun, items, a.revision, isWhole))
+	v := b.view(begun)
+	require.Len(t, v.Routes, 1)
+	require.True(t, v.Upstreams[netip.AddrPortFrom(agentAddr(1), 8080)].IsGone)
+}
+
+// fleet is machines that exchange messages without sockets, before one platform.
+type fleet struct {
+	t        *testing.T
+	now      time.Time
+	machines map[netip.Addr]*Machine
+	isCut    map[netip.Addr]bool // from the platform
+	isDead   map[netip.Addr]bool
+	log      []jasminemoor.Entry
+	revision uint64
+	calls    int
+	sends    int
+	queue    []Send
+	from     []netip.Addr
+	waiting  map[netip.Addr]Read
+	due      map[netip.Addr]time.Time
+}
+
+func newFleet(t *testing.T, balancers, agents int) *fleet {
+	f := &fleet{
+		t: t, now: begun, machines: make(map[netip.Addr]*Machine), isCut: make(map[netip.Addr]bool),
+		isDead: make(map[netip.Addr]bool), waiting: make(map[netip.Addr]Read), due: make(map[netip.Addr]time.Time),
+	}
+	f.write(routingEntry(1, 0, 1, 2, 3))
+	for i := range agents {
+		f.write(upstreamEntry(i+1, 0, jasminemoor.UpstreamReady))
+		f.add(agentAddr(i+1), netip.AddrPortFrom(agentAddr(i+1), 8080))
+	}
+	for i := range balancers {
+		f.add(balancerAddr(i+1), netip.AddrPort{})
+	}
+	return f
+}
+
+func (f *fleet) add(self netip.Addr, upstream netip.AddrPort) {
+	seed := uint64(len(f.machines))
+	f.machines[self] = &Machine{Self: self, Upstream: upstream, Rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (f *fleet) write(e jasminemoor.Entry) {
+	f.revision++
+	e.Revision = f.revision
+	f.log = append(f.log, e)
+	for self := range f.waiting {
+		f.due[self] = f.now
+	}
+}
+
+func (f *fleet) act(self netip.Addr, out Output) {
+	for _, s := range out.Sends {
+		f.sends++
+		f.queue, f.from = append(f.queue, s), append(f.from, self)
+	}
+	for _, peer := range out.Pulls {
+		m, other := f.machines[self], f.machines[peer]
+		since := m.Revision()
+		f.act(self, m.HandlePullReply(f.now, since, other.HandlePullRequest(f.now, &PullRequest{Since: since})))
+	}
+}
+
+// step lets 50 ms pass.
+func (f *fleet) step() {
+	f.now = f.now.Add(50 * time.Millisecond)
+	for self, m := range f.machines {
+		if f.isDead[self] {
+			continue
+		}
+		if r, found := m.NextRead(f.now); found {
+			f.calls++
+			f.waiting[self] = r
+			f.due[self] = f.now
+			if !r.IsLoad && r.Since >= f.revision {
+				f.due[self] = f.now.Add(r.Wait)
+			}
+		}
+		if r, found := f.waiting[self]; found && !f.now.Before(f.due[self]) {
+			delete(f.waiting, self)
+			f.act(self, f.read(m, r))
+		}
+		f.act(self, m.Tick(f.now))
+	}
+	for len(f.queue) > 0 {
+		s, from := f.queue[0], f.from[0]
+		f.queue, f.from = f.queue[1:], f.from[1:]
+		if m := f.machines[s.To]; m != nil && !f.isDead[s.To] {
+			f.act(s.To, m.Handle(f.now, from, s.Message))
+		}
+	}
+}
+
+func (f *fleet) read(m *Machine, r Read) Output {
+	if f.isCut[m.Self] {
+		return m.HandleRead(f.now, r, nil, eris.Wrap(context.DeadlineExceeded, "platform"))
+	}
+	c := &jasminemoor.DirectoryChanges{Revision: f.revision}
+	newest := make(map[string]jasminemoor.Entry)
+	for _, e := range f.log {
+		if r.IsLoad || e.Revision > r.Since {
+			newest[e.Key] = e
+		}
+	}
+	for _, e := range newest {
+		if !r.IsLoad || e.Upstream != nil || e.Routing != nil {
+			c.Entries = append(c.Entries, e)
+		}
+	}
+	return m.HandleRead(f.now, r, c, nil)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// slowest returns how long it takes until all know the platform's newest revision.
+func (f *fleet) slowest(limit time.Duration) time.Duration {
+	start := f.now
+	for f.now.Sub(start) < limit {
+		isBehind := false
+		for self, m := range f.machines {
+			isBehind = isBehind || !f.isDead[self] && m.Revision() < f.revision
+		}
+		if !isBehind {
+			break
+		}
+		f.step()
+	}
+	return f.now.Sub(start)
+}
+
+func TestChangeIsEverywhereInTime(t *testing.T) {
+	const bound = 3 * time.Second // of the users' installations
+	cases := map[string]func(f *fleet){
+		"calm":                        func(*fleet) {},
+		"both readers cut off":        func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isCut[a] = true }) },
+		"both readers dead":           func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isDead[a] = true }) },
+		"all agents cut off":          func(f *fleet) { f.eachAgent(func(a netip.Addr) { f.isCut[a] = true }) },
+		"all agents dead, as a burst": func(f *fleet) { f.eachAgent(func(a netip.Addr) { f.isDead[a] = true }) },
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 5, 10)
+			f.run(3 * time.Second)
+			fault(f)
+			f.write(routingEntry(2, 0, 2, 3, 4))
+			f.write(jasminemoor.Entry{Key: "u/i-3"})
+			require.Less(t, f.slowest(10*time.Second), bound)
+			for self, m := range f.machines {
+				if !f.isDead[self] {
+					require.Equal(t, uint64(2), m.View(f.now).Version)
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) eachReader(do func(netip.Addr)) {
+	for self, m := range f.machines {
+		if m.isReader() {
+			do(self)
+		}
+	}
+}
+
+func (f *fleet) eachAgent(do func(netip.Addr)) {
+	for self, m := range f.machines {
+		if m.Upstream.IsValid() {
+			do(self)
+		}
+	}
+}
+
+// TestCallsDontGrow checks that a larger fleet makes no more calls at rest.
+func TestCallsDontGrow(t *testing.T) {
+	const seconds = 30
+	for _, agents := range []int{10, 60, 200} {
+		f := newFleet(t, agents/3, agents)
+		f.run(3 * time.Second)
+		f.calls, f.sends = 0, 0
+		f.run(seconds * time.Second)
+		calls, sends := float64(f.calls)/seconds, float64(f.sends)/seconds/float64(len(f.machines))
+		t.Logf("%d processes: %.2f calls a second in all, %.1f messages a second each", len(f.machines), calls, sends)
+		require.Less(t, calls, 2.5)
+		require.Less(t, sends, 12.0)
+	}
+}
+
+// TestHistoryGone loads everything anew.
+func TestHistoryGone(t *testing.T) {
+	m := &Machine{Self: agentAddr(1), Upstream: netip.AddrPortFrom(agentAddr(1), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
+	r, found := m.NextRead(begun)
+	require.True(t, found && r.IsLoad)
+	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{routingEntry(1, 4, 1), upstreamEntry(1, 3, 0)}}, nil)
+	now := begun.Add(time.Second)
+	r, found = m.NextRead(now)
+	require.True(t, found && !r.IsLoad && r.Since == 4)
+	m.HandleRead(now, r, nil, eris.Wrap(jasminemoor.ErrHistoryGone, "watch"))
+	r, found = m.NextRead(now)
+	require.True(t, found && r.IsLoad, "at once, not after a pause")
+	require.Len(t, m.View(now).Routes, 1, "the view stays")
+}
+
+// TestErrorsBackOff bounds the calls at a platform that refuses.
+func TestErrorsBackOff(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.isCut[agentAddr(1)], f.isCut[balancerAddr(1)] = true, true
+	f.run(10 * time.Second)
+	require.Less(t, f.calls, 40)
+}
+
+// TestAgeIsHonest checks that a beacon that was under way for long does not
+// make a copy look recent.
+func TestAgeIsHonest(t *testing.T) {
+	m := &Machine{Self: agentAddr(2), Upstream: netip.AddrPortFrom(agentAddr(2), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
+	r, _ := m.NextRead(begun)
+	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{routingEntry(1, 4, 1)}}, nil)
+	now := begun.Add(10 * time.Second)
+	m.Handle(now, agentAddr(1), &Message{Beacon: &Beacon{Reader: agentAddr(1), Number: 1, Revision: 4, Since: 4, Age: 3 * time.Second}})
+	require.Equal(t, now.Add(-3*time.Second), m.AsOf())
+}
--- /dev/null
+++ b/internal/settings/jmlocal/settings_test.go
@@ -0,0 +1,66 @@
+package jmlocal_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+)
+
+const agentText = `// An agent.
+{
+	"Name": "side-1", "Address": "10.0.0.2", "DataCentre": "a", "FirstPort": 7720, "LastPort": 7735,
+	"Seeds": ["10.0.0.1:8166"], "Packets": "10.0.0.2:8172", "Outbound": "10.0.0.2:8162",
+	"Ready": "10.0.0.2:8167", "Upstream": "10.0.0.2:8165", "Service": "shop",
+	"Platform": {"Address": "10.9.0.1:8169", "ReadsPerSecond": 2000}, "Unknown": [1],
+}`
+
+func TestParse(t *testing.T) {
+	s, err := jmlocal.Parse([]byte(agentText), jmlocal.RoleAgent)
+	require.NoError(t, err)
+	require.Equal(t, "side-1", s.Name)
+	require.Equal(t, "10.9.0.1:8169", s.Platform.Address.String())
+	require.Len(t, s.Seeds, 1)
+}
+
+func TestParseNamesTheField(t *testing.T) {
+	cases := map[string]struct{ old, now, field string }{
+		"no address":      {`"Address": "10.0.0.2", `, "", "Address"},
+		"no data centre":  {`"DataCentre": "a", `, "", "DataCentre"},
+		"ports reversed":  {`7735`, `7`, "FirstPort"},
+		"no packets":      {`"Packets": "10.0.0.2:8172", `, "", "Packets"},
+		"packets, port 0": {`10.0.0.2:8172`, `10.0.0.2:0`, "Packets"},
+		"no outbound":     {`"Outbound": "10.0.0.2:8162",`, "", "Outbound"},
+		"no upstream":     {`"Upstream": "10.0.0.2:8165", `, "", "Upstream"},
+		"no service":      {`"Service": "shop",`, "", "Service"},
+		"no platform":     {`"Address": "10.9.0.1:8169", `, "", "Platform.Address"},
+		"another type":    {`"DataCentre": "a"`, `"DataCentre": 5`, "DataCentre"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(agentText, tc.old, tc.now, 1)
+			require.NotEqual(t, agentText, text)
+			_, err := jmlocal.Parse([]byte(text), jmlocal.RoleAgent)
+			require.ErrorContains(t, err, tc.field)
+		})
+	}
+}
+
+func TestNeedsRestart(t *testing.T) {
+	old, err := jmlocal.Parse([]byte(agentText), jmlocal.RoleAgent)
+	require.NoError(t, err)
+	next := *old
+	next.Service, next.Seeds = "desk", nil
+	require.Equal(t, []string{"Service"}, old.NeedsRestart(&next))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(agentText))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s, err := jmlocal.Parse(text, jmlocal.RoleAgent); err == nil {
+			require.True(t, s.Address.IsValid())
+		}
+	})
+}
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -19,7 +19,7 @@
 	// KeySize is the size of the body of Absent and Holder.
 	KeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a report.
-	ReportSize = 25
+	ReportSize = 21
 )
 
 // Kind says what a datagram is for.
@@ -94,10 +94,7 @@
 	Waiting uint16
 	// Flows counts the open flows that have lasted a while.
 	Flows uint16
-	Slots uint16
-	// PerMille is the share of its full speed that the upstream has.
-	PerMille uint16
-	State    ReportState
+	State ReportState
 	// Revision is that of the agent's copy of the directory.
 	Revision uint64
 }
@@ -117,8 +114,6 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Incarnation))
 	b = binary.BigEndian.AppendUint16(b, r.Waiting)
 	b = binary.BigEndian.AppendUint16(b, r.Flows)
-	b = binary.BigEndian.AppendUint16(b, r.Slots)
-	b = binary.BigEndian.AppendUint16(b, r.PerMille)
 	b = append(b, byte(r.State))
 	return binary.BigEndian.AppendUint64(b, r.Revision)
 }
@@ -131,9 +126,7 @@
 	r.Incarnation = jasminemoor.Incarnation(binary.BigEndian.Uint64(b))
 	r.Waiting = binary.BigEndian.Uint16(b[8:])
 	r.Flows = binary.BigEndian.Uint16(b[10:])
-	r.Slots = binary.BigEndian.Uint16(b[12:])
-	r.PerMille = binary.BigEndian.Uint16(b[14:])
-	r.State = ReportState(b[16])
-	r.Revision = binary.BigEndian.Uint64(b[17:])
+	r.State = ReportState(b[12])
+	r.Revision = binary.BigEndian.Uint64(b[13:])
 	return nil
 }
--- /dev/null
+++ b/internal/wire/jmhop/hop_test.go
@@ -0,0 +1,58 @@
+package jmhop_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
+)
+
+func TestHeader(t *testing.T) {
+	for name, h := range map[string]jmhop.Header{
+		"forward":   {Kind: jmhop.KindForward, Flags: jmhop.FlagKnown, Hops: 2, Origin: netip.MustParseAddr("10.0.0.1")},
+		"IPv6":      {Kind: jmhop.KindAsk, Origin: netip.MustParseAddr("2001:db8::1")},
+		"no origin": {Kind: jmhop.KindReport},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := make([]byte, jmhop.HeaderSize)
+			h.Marshal(b)
+			var got jmhop.Header
+			require.NoError(t, got.Unmarshal(b))
+			require.Equal(t, h, got)
+		})
+	}
+}
+
+func TestUnmarshalRefuses(t *testing.T) {
+	var h jmhop.Header
+	require.ErrorIs(t, h.Unmarshal(make([]byte, jmhop.HeaderSize-1)), jmhop.ErrShort)
+	require.ErrorIs(t, h.Unmarshal(make([]byte, jmhop.HeaderSize)), jmhop.ErrKind)
+	var r jmhop.Report
+	require.ErrorIs(t, r.Unmarshal(make([]byte, jmhop.ReportSize-1)), jmhop.ErrShort)
+}
+
+func TestReport(t *testing.T) {
+	r := jmhop.Report{Incarnation: 1 << 50, Waiting: 7, Flows: 300, State: jmhop.ReportLeaving, Revision: 99}
+	b := r.Append(nil)
+	require.Len(t, b, jmhop.ReportSize)
+	var got jmhop.Report
+	require.NoError(t, got.Unmarshal(b))
+	require.Equal(t, r, got)
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	f.Add(make([]byte, jmhop.HeaderSize+jmhop.ReportSize))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h jmhop.Header
+		if h.Unmarshal(b) != nil {
+			return
+		}
+		again := make([]byte, jmhop.HeaderSize)
+		h.Marshal(again)
+		require.Equal(t, b[:3], again[:3])
+		var r jmhop.Report
+		_ = r.Unmarshal(b[jmhop.HeaderSize:])
+	})
+}
