--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -144,7 +144,7 @@
 		f = &flow{opened: now.Add(-p.Age)}
 		a.table.add(key, f)
 	}
-	f.balancer, f.hops, f.used = at, h.Hops, now
+	f.balancer, f.hops, f.used = at+1, h.Hops, now
 	a.giveUpstream(now, key, 0)
 	if h.Hops > 0 {
 		a.tellHolder(h.Origin, key)
@@ -212,7 +212,7 @@
 	key := p.Key()
 	at := a.noteBalancer(now, h.Origin)
 	if f := a.held(key, p); f != nil {
-		f.balancer = at
+		f.balancer = at + 1
 		if h.Flags&jmhop.FlagKnown == 0 {
 			a.tellHolder(h.Origin, key)
 		}
@@ -379,7 +379,7 @@
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		h := jmhop.Header{}
 		if f != nil && !f.isOpen {
-			h.Hops, h.Origin = f.hops, a.balancers[f.balancer].addr
+			h.Hops, h.Origin = f.hops, a.balancerOf(f)
 			a.table.remove(key)
 		}
 		a.handOn(now, key, p, &h, packet)
@@ -399,7 +399,7 @@
 		return ReasonNotHeld
 	}
 	if !f.isSure {
-		origin := a.balancers[f.balancer].addr
+		origin := a.balancerOf(f)
 		a.drop(key)
 		a.startSearch(now, key, origin, p, packet)
 		return ReasonSearched
@@ -414,6 +414,15 @@
 	return ReasonNotHeld
 }
 
+// balancerOf returns the balancer that a flow's last packet came through, not
+// valid if none is known.
+func (a *Agent) balancerOf(f *flow) (addr netip.Addr) {
+	if f.balancer == 0 {
+		return addr
+	}
+	return a.balancers[f.balancer-1].addr
+}
+
 func (a *Agent) noteBalancer(now time.Time, addr netip.Addr) (at uint32) {
 	at, found := a.byAddr[addr]
 	if !found {
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -152,7 +152,7 @@
 			a.tellAbsent(from, key)
 			return ReasonUpstreamDown
 		}
-		f.balancer = a.noteBalancer(now, h.Origin)
+		f.balancer = a.noteBalancer(now, h.Origin) + 1
 		a.deliver(now, key, f, p)
 		a.tellHolder(h.Origin, key)
 		a.tellHolder(from, key)
@@ -205,7 +205,7 @@
 			continue
 		}
 		if a.table.get(key) == nil {
-			a.table.add(key, &flow{opened: now, used: now, isOpen: true})
+			a.table.add(key, &flow{opened: now, used: now, isOpen: true, balancer: a.noteBalancer(now, t.balancer) + 1})
 		}
 		a.endTest(key, t)
 	}
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -21,7 +21,7 @@
 
 // flow is a flow at an agent.
 type flow struct {
-	balancer  uint32 // index into the table's balancers
+	balancer  uint32 // index into the agent's balancers and one, 0 if none is known
 	hops      uint8
 	isOpen    bool // the upstream has the end of the handshake
 	isSure    bool // the upstream has sent a packet of the flow
