Structured logs of decisions with the request's id; metrics of pass-through processes

Each decision on a new flow or a request is a line with the flow, the id, the version, revision and age of the directory, and the outcome; 50 a second at most, ordinary ones 20, with a count of what was left out.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmgateway"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	jmadapter "github.com/jasminemoor/jasminemoor/platform"
@@ -68,15 +69,22 @@
 	log.WithField("Role", name).Info("process: started")
 	decisions := &jmdecision.Log{Log: log.Logger}
 	var r role
+	operator := &jmoperator.Server{Address: s.Operator.String()}
 	if name == jmlocal.RoleBalancer {
-		r = &jmgateway.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		b := &jmgateway.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
 	} else {
-		r = &jmgateway.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		a := &jmgateway.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
 	}
-	err := runUntilStopped(ctx, log, r, func(ctx context.Context) error {
+	others := []func(context.Context) error{func(ctx context.Context) error {
 		followSettings(ctx, path, name, s, store, log)
 		return nil
-	})
+	}}
+	if s.Operator.IsValid() {
+		others = append(others, operator.Run)
+	}
+	err := runUntilStopped(ctx, log, r, others...)
 	log.WithField("Role", name).Info("process: stopped")
 	return err
 }
--- a/internal/fleet/jmdecision/decision.go
+++ b/internal/fleet/jmdecision/decision.go
@@ -9,8 +9,13 @@
 	"github.com/sirupsen/logrus"
 )
 
-// LinesPerSecond is how many decisions are logged in a second at most.
-const LinesPerSecond = 50
+// LinesPerSecond is how many decisions are logged in a second at most, and
+// OrdinaryPerSecond how many of these may be ordinary ones. A line takes about
+// 3 µs, and up to ten times that on the slowest instances.
+const (
+	LinesPerSecond    = 50
+	OrdinaryPerSecond = 20
+)
 
 // Log writes decisions. The exported field is set before use; it is safe for
 // concurrent use.
@@ -30,7 +35,7 @@
 // Line logs one decision, unless there were too many in this second.
 func (l *Log) Line(text string, fields logrus.Fields) {
 	if l.IsOn() {
-		l.write(logrus.DebugLevel, text, fields)
+		l.write(logrus.DebugLevel, LinesPerSecond, text, fields)
 	}
 }
 
@@ -38,29 +43,46 @@
 // there were too many in this second.
 func (l *Log) Notable(text string, fields logrus.Fields) {
 	if l != nil {
-		l.write(logrus.InfoLevel, text, fields)
+		l.write(logrus.InfoLevel, LinesPerSecond, text, fields)
 	}
 }
 
-func (l *Log) write(level logrus.Level, text string, fields logrus.Fields) {
-	leftOut, isWritten := l.take(time.Now())
-	if leftOut > 0 {
-		l.Log.WithField("LeftOut", leftOut).Log(level, "decision: lines left out")
+// Ordinary logs one decision of the usual kind, at level info, if there is room
+// in this second. Fields makes the line's fields, and is called only then.
+func (l *Log) Ordinary(text string, fields func() logrus.Fields) {
+	if l == nil {
+		return
 	}
+	leftOut, isWritten := l.take(time.Now(), OrdinaryPerSecond)
+	l.writeLeftOut(logrus.InfoLevel, leftOut)
+	if isWritten {
+		l.Log.WithFields(fields()).Info(text)
+	}
+}
+
+func (l *Log) write(level logrus.Level, limit int, text string, fields logrus.Fields) {
+	leftOut, isWritten := l.take(time.Now(), limit)
+	l.writeLeftOut(level, leftOut)
 	if isWritten {
 		l.Log.WithFields(fields).Log(level, text)
 	}
 }
 
+func (l *Log) writeLeftOut(level logrus.Level, leftOut int) {
+	if leftOut > 0 {
+		l.Log.WithField("LeftOut", leftOut).Log(level, "decision: lines left out")
+	}
+}
+
 // take counts a line, and returns how many were left out in an earlier second.
-func (l *Log) take(now time.Time) (leftOut int, isWritten bool) {
+func (l *Log) take(now time.Time, limit int) (leftOut int, isWritten bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if second := now.Truncate(time.Second); !second.Equal(l.second) {
 		leftOut = l.leftOut
 		l.second, l.written, l.leftOut = second, 0, 0
 	}
-	if l.written >= LinesPerSecond {
+	if l.written >= limit {
 		l.leftOut++
 		return leftOut, false
 	}
--- a/internal/fleet/jmoperator/operator.go
+++ b/internal/fleet/jmoperator/operator.go
@@ -25,9 +25,9 @@
 	// Address is where to listen, such as 127.0.0.1:9464.
 	Address string
 	Metrics *metrics.Set
-	// Status returns what /status shows.
+	// Status returns what /status shows. Without it there is no such page.
 	Status func() *Status
-	// Explainer returns what /explain works by.
+	// Explainer returns what /explain works by. Without it there is no such page.
 	Explainer func() *Explainer
 }
 
@@ -61,10 +61,14 @@
 		s.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		reply(w, s.Status())
-	})
-	mux.HandleFunc("GET /explain", s.serveExplain)
+	if s.Status != nil {
+		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+			reply(w, s.Status())
+		})
+	}
+	if s.Explainer != nil {
+		mux.HandleFunc("GET /explain", s.serveExplain)
+	}
 	return mux
 }
 
--- /dev/null
+++ b/internal/fleet/jmoperator/passthrough.go
@@ -0,0 +1,70 @@
+package jmoperator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmgateway"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
+)
+
+// PassBalancerMetrics returns a set with the metrics of a balancer of
+// pass-through flows.
+func PassBalancerMetrics(b *jmgateway.Balancer) *metrics.Set {
+	set := metrics.NewSet()
+	directoryMetrics(set, b.Control)
+	counter(set, "jm_pass_malformed_total", &b.Malformed)
+	reasonMetrics(set, b.Count)
+	gauge(set, "jm_pass_flows", b.Flows)
+	return set
+}
+
+// PassAgentMetrics returns a set with the metrics of an agent of pass-through flows.
+func PassAgentMetrics(a *jmgateway.Agent) *metrics.Set {
+	set := metrics.NewSet()
+	directoryMetrics(set, a.Control)
+	counter(set, "jm_pass_malformed_total", &a.Malformed)
+	reasonMetrics(set, a.Count)
+	gauge(set, "jm_pass_flows", func() int { flows, _ := a.Flows(); return flows })
+	gauge(set, "jm_pass_waiting", func() int { _, waiting := a.Flows(); return waiting })
+	answers := set.NewHistogram("jm_pass_answer_seconds")
+	a.OnAnswer = func(took time.Duration) { answers.Update(took.Seconds()) }
+	return set
+}
+
+func reasonMetrics(set *metrics.Set, count func(jmpass.Reason) uint64) {
+	for i := range jmpass.ReasonCount {
+		reason := jmpass.Reason(i)
+		set.NewGauge(fmt.Sprintf("jm_pass_decisions_total{reason=%q}", reason), func() float64 { return float64(count(reason)) })
+	}
+}
+
+func directoryMetrics(set *metrics.Set, control func() *jmgateway.Control) {
+	value := func(read func(c *jmgateway.Control) float64) func() float64 {
+		return func() float64 {
+			if c := control(); c != nil {
+				return read(c)
+			}
+			return 0
+		}
+	}
+	set.NewGauge("jm_directory_calls_total", value(func(c *jmgateway.Control) float64 { return float64(c.Counters.PlatformCalls.Load()) }))
+	set.NewGauge("jm_directory_errors_total", value(func(c *jmgateway.Control) float64 { return float64(c.Counters.PlatformErrors.Load()) }))
+	set.NewGauge("jm_directory_sent_bytes_total", value(func(c *jmgateway.Control) float64 { return float64(c.Counters.BytesSent.Load()) }))
+	set.NewGauge("jm_directory_dropped_total", value(func(c *jmgateway.Control) float64 { return float64(c.Counters.Dropped.Load()) }))
+	set.NewGauge("jm_directory_exchanges_total", value(func(c *jmgateway.Control) float64 { return float64(c.Counters.Exchanges.Load()) }))
+	set.NewGauge("jm_directory_version", value(func(c *jmgateway.Control) float64 {
+		if s := c.Snapshot(); s != nil {
+			return float64(s.Version)
+		}
+		return 0
+	}))
+	set.NewGauge("jm_directory_age_seconds", value(func(c *jmgateway.Control) float64 {
+		if s := c.Snapshot(); s != nil {
+			return time.Since(s.AsOf).Seconds()
+		}
+		return 0
+	}))
+}
--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -40,11 +40,15 @@
 	Log       logrus.FieldLogger
 	// Decisions logs the decisions that are out of the ordinary.
 	Decisions *jmdecision.Log
+	// OnAnswer, where set, is called with the time to the first byte of each
+	// answer, by one goroutine at a time.
+	OnAnswer func(took time.Duration)
 
 	process
 	Malformed atomic.Uint64
 
-	mu       sync.Mutex // guards machine
+	probed   atomic.Int32 // the newest result of a look at the upstream
+	mu       sync.Mutex   // guards machine
 	machine  jmpass.Agent
 	outbound *net.UDPConn
 	leaving  chan struct{}
@@ -85,7 +89,8 @@
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.IsFirst = s.IsFirstStart
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
-	a.process = process{settings: s, codec: a.Codec, log: a.Log, decided: a.Decisions}
+	a.settings, a.codec, a.log, a.decided = s, a.Codec, a.Log, a.Decisions
+	a.machine.OnAnswer = a.OnAnswer
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnNews: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
@@ -118,6 +123,20 @@
 	return nil
 }
 
+// Count returns how many decisions had a reason.
+func (a *Agent) Count(reason jmpass.Reason) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.machine.Counts[reason]
+}
+
+// Flows returns the number of flows, and of requests that wait for an answer.
+func (a *Agent) Flows() (flows, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.machine.Flows()
+}
+
 func (a *Agent) setSnapshot(s jmpass.Snapshot) {
 	a.mu.Lock()
 	a.machine.SetSnapshot(s)
@@ -156,7 +175,9 @@
 			return false
 		}
 		if h.Kind == jmhop.KindAbsent {
-			s.send(a.machine.HandleAbsent(now, from, jasminemoor.FlowKey(body)), nil)
+			out := a.machine.HandleAbsent(now, from, jasminemoor.FlowKey(body))
+			s.send(out, nil)
+			a.noteReset(out)
 		} else {
 			a.machine.HandleHolder(now, jasminemoor.FlowKey(body))
 		}
@@ -167,7 +188,7 @@
 		}
 		out, reason := a.machine.HandlePeer(now, from, &h, &p, body)
 		s.send(out, body)
-		a.note(now, reason, &p, last(out))
+		a.note(now, reason, &p, body, last(out))
 	default:
 		return false
 	}
@@ -186,7 +207,7 @@
 		}
 		out, reason := a.machine.HandleUpstream(now, &p, packet)
 		s.send(out, packet)
-		a.note(now, reason, &p, last(out))
+		a.note(now, reason, &p, packet, last(out))
 	}
 	a.mu.Unlock()
 	s.outlet.flush()
@@ -211,6 +232,7 @@
 			a.mu.Lock()
 			out, shouldProbe := a.machine.Tick(now)
 			s.send(out, nil)
+			a.noteReset(out)
 			a.mu.Unlock()
 			s.outlet.flush()
 			if shouldProbe {
@@ -220,6 +242,17 @@
 	}
 }
 
+// noteReset logs the resets that no packet at hand has led to.
+func (a *Agent) noteReset(out []jmpass.Message) {
+	for i := range out {
+		if out[i].Kind == jmpass.Reset {
+			a.decided.Notable("flow: reset, as no upstream holds it", logrus.Fields{
+				"Instance": a.Settings.Name, "Flow": out[i].Flow.String(), "Outcome": out[i].Kind.String(),
+			})
+		}
+	}
+}
+
 // probe looks whether the upstream's process accepts connections. It sends no
 // request, which would take one of the upstream's slots.
 func (a *Agent) probe(ctx context.Context) {
@@ -240,8 +273,8 @@
 		a.Log.WithError(err).Warn("upstream: port can't be looked at")
 		return
 	}
-	if result != jmpass.ProbeAccepted {
-		a.Log.WithField("Result", result).Debug("upstream: does not accept connections")
+	if a.probed.Swap(int32(result)) != int32(result) {
+		a.Log.WithField("Result", result.String()).Info("upstream: answer of its port has changed")
 	}
 	s, err := a.newSender(a.peers)
 	if err != nil {
@@ -249,7 +282,9 @@
 		return
 	}
 	a.mu.Lock()
-	s.send(a.machine.HandleProbe(time.Now(), result), nil)
+	out := a.machine.HandleProbe(time.Now(), result)
+	s.send(out, nil)
+	a.noteReset(out)
 	a.mu.Unlock()
 	s.outlet.flush()
 }
--- a/internal/flow/jmgateway/balancer.go
+++ b/internal/flow/jmgateway/balancer.go
@@ -92,7 +92,7 @@
 	}()
 	b.init()
 	b.machine.Self, b.machine.DataCentre = b.Settings.Address, b.Settings.DataCentre
-	b.process = process{settings: b.Settings, codec: b.Codec, log: b.Log, decided: b.Decisions}
+	b.settings, b.codec, b.log, b.decided = b.Settings, b.Codec, b.Log, b.Decisions
 	b.control = &Control{Directory: b.Directory, Log: b.Log, OnNews: b.setSnapshot}
 	if err = b.open(ctx); err != nil {
 		return err
@@ -127,6 +127,20 @@
 	return nil
 }
 
+// Count returns how many decisions had a reason.
+func (b *Balancer) Count(reason jmpass.Reason) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.machine.Counts[reason]
+}
+
+// Flows returns the number of flows that are remembered.
+func (b *Balancer) Flows() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.machine.Flows()
+}
+
 func (b *Balancer) setSnapshot(s jmpass.Snapshot) {
 	b.mu.Lock()
 	b.machine.SetSnapshot(s)
@@ -159,7 +173,7 @@
 		if m.Kind != 0 {
 			s.sendOne(&m, packet)
 		}
-		b.note(now, reason, &p, &m)
+		b.note(now, reason, &p, packet, &m)
 	}
 	b.mu.Unlock()
 	s.outlet.flush()
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -34,6 +34,7 @@
 	settings *jmlocal.Settings
 	codec    jasminemoor.PacketCodec
 	control  *Control
+	running  atomic.Pointer[Control] // control, once it may be looked at
 	log      logrus.FieldLogger
 	decided  *jmdecision.Log
 	peers    *net.UDPConn
@@ -41,6 +42,9 @@
 	isReady  atomic.Bool
 }
 
+// Control returns the copy of the directory, or nil before Run.
+func (p *process) Control() *Control { return p.running.Load() }
+
 // open opens the sockets towards the other processes.
 func (p *process) open(ctx context.Context) (err error) {
 	addr := netip.AddrPortFrom(p.settings.Address, p.settings.FirstPort)
@@ -58,6 +62,7 @@
 		}
 	}
 	p.control.init()
+	p.running.Store(p.control)
 	return nil
 }
 
@@ -130,21 +135,36 @@
 	return s, err
 }
 
-// note logs a decision that is out of the ordinary, with what it rests on.
-func (p *process) note(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, m *jmpass.Message) {
-	if !reason.IsNotable() {
+// note logs a decision with what it rests on. Those out of the ordinary go
+// before the others where there are too many.
+func (p *process) note(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, datagram []byte, m *jmpass.Message) {
+	if reason.IsNotable() {
+		p.decided.Notable("flow: "+reason.Text(), p.fields(now, reason, packet, datagram, m))
 		return
 	}
+	isNew := packet.Flags.Has(jasminemoor.FlagOpen) || p.codec.RequestID(datagram) != ""
+	if reason != jmpass.ReasonNone && isNew {
+		p.decided.Ordinary("flow: "+reason.Text(), func() logrus.Fields {
+			return p.fields(now, reason, packet, datagram, m)
+		})
+	}
+}
+
+func (p *process) fields(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, datagram []byte, m *jmpass.Message) logrus.Fields {
+	flow := packet.Key()
+	if m != nil && m.Kind == jmpass.ToCaller {
+		flow = packet.ReverseKey()
+	}
 	fields := logrus.Fields{
 		"Instance": p.settings.Name,
 		"Reason":   reason.String(),
-		"Flow":     packet.Key().String(),
-		"Sequence": packet.Sequence,
-		"Ack":      packet.Acknowledged,
-		"Length":   packet.Length,
+		"Flow":     flow.String(),
+	}
+	if id := p.codec.RequestID(datagram); id != "" {
+		fields["Request"] = id
 	}
 	if packet.Flags.Has(jasminemoor.FlagOpen) {
-		fields["Opening"] = true
+		fields["IsOpening"] = true
 	}
 	if s := p.control.Snapshot(); s != nil {
 		fields["Version"], fields["Revision"] = s.Version, s.Revision
@@ -156,7 +176,7 @@
 			fields["To"] = m.To
 		}
 	}
-	p.decided.Notable("flow: "+reason.Text(), fields)
+	return fields
 }
 
 // last returns the last message, which is what became of the packet, or nil.
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -43,6 +43,8 @@
 	IsFirst bool
 	// Counts counts decisions by their reason.
 	Counts [ReasonCount]uint64
+	// OnAnswer, where set, is called with the time to the first byte of each answer.
+	OnAnswer func(took time.Duration)
 
 	snapshot  Snapshot
 	table     table
@@ -351,7 +353,9 @@
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		f.hasOffer, f.offer = true, p.Sequence
 	}
-	a.table.noteUpstream(now, f, p)
+	if took := a.table.noteUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
+		a.OnAnswer(took)
+	}
 	if t, found := a.tests[key]; found {
 		a.endTest(key, t)
 	}
@@ -537,6 +541,17 @@
 	ProbeSilent                // nothing came back
 )
 
+// String returns the result in words.
+func (p Probe) String() string {
+	switch p {
+	case ProbeAccepted:
+		return "accepts connections"
+	case ProbeRefused:
+		return "refuses connections"
+	}
+	return "does not answer"
+}
+
 // HandleProbe takes the result of a look at the upstream in. If its process
 // has ended, all its flows are gone.
 func (a *Agent) HandleProbe(now time.Time, result Probe) []Message {
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -104,18 +104,20 @@
 	}
 }
 
-// noteUpstream takes note of a packet of the upstream.
-func (t *table) noteUpstream(now time.Time, f *flow, p *jasminemoor.Packet) {
+// noteUpstream takes note of a packet of the upstream. It returns how long the
+// request took that it begins to answer, or 0.
+func (t *table) noteUpstream(now time.Time, f *flow, p *jasminemoor.Packet) (took time.Duration) {
 	f.used, f.isSure = now, true
-	if p.Flags.Has(jasminemoor.FlagEnd) {
-		f.ended |= upstreamEnded
-		defer t.stopWaiting(f)
-	}
 	if p.Length > 0 && f.isWaiting {
-		took := now.Sub(f.asked)
+		took = now.Sub(f.asked)
 		t.answerTime += (took - t.answerTime) / answerTimeShare
 		t.stopWaiting(f)
 	}
+	if p.Flags.Has(jasminemoor.FlagEnd) {
+		f.ended |= upstreamEnded
+		t.stopWaiting(f)
+	}
+	return took
 }
 
 // answerTimeShare is the share of the newest sample in the mean answer time.
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -36,6 +36,8 @@
 	// Upstream and Service are those of an agent.
 	Upstream netip.AddrPort
 	Service  string
+	// Operator is where metrics are served. Without it they are not.
+	Operator netip.AddrPort
 	Platform Platform
 }
 
--- a/passthrough.go
+++ b/passthrough.go
@@ -94,6 +94,9 @@
 	Decode(datagram []byte, p *Packet) error
 	// Data returns the data behind the head of a datagram that was decoded.
 	Data(datagram []byte) []byte
+	// RequestID returns the id that a caller gave the request whose first bytes
+	// are in the packet, empty if there is none.
+	RequestID(datagram []byte) string
 	// SetTag sets the tag of a packet, and makes one that an upstream refused
 	// deliverable again.
 	SetTag(datagram []byte, tag uint32)
