--- a/cmd/jasminemoor/check.go
+++ b/cmd/jasminemoor/check.go
@@ -3,23 +3,36 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	jmadapter "github.com/jasminemoor/jasminemoor/platform"
 )
 
 func checkCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "check")
+	process := flags.String("process", "", "check the settings file of one pass-through process: balancer or agent")
+	routes := flags.Bool("routes", false, "check a configuration of routes as the platform's store has it")
 	return &ffcli.Command{
-		Name:       "check",
-		ShortUsage: "jasminemoor check <directory>",
-		ShortHelp:  "Check a settings tree and print each fault with path, line and cause.",
+		Name: "check",
+		ShortUsage: "jasminemoor check <directory>\n" +
+			"  jasminemoor check -process <balancer|agent> <file>\n" +
+			"  jasminemoor check -routes <file>",
+		ShortHelp: "Check settings and print each fault with its place and cause.",
 		LongHelp: "The directory holds Fleet/<name>.json and Teams/<team>/<service>.json, JSON with comments.\n" +
 			"Exit codes: 0 no fault, 1 faults, 2 wrong usage.",
-		FlagSet: newFlagSet(t, "check"),
+		FlagSet: flags,
 		Exec: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return &exitError{code: exitUsage, text: "check takes one directory"}
+			switch {
+			case len(args) != 1:
+				return &exitError{code: exitUsage, text: "check takes one directory or file"}
+			case *process != "":
+				return checkProcess(t, jmlocal.Role(*process), args[0])
+			case *routes:
+				return checkRoutes(t, args[0])
 			}
 			subtrees, err := jmtree.ReadDir(args[0], 1)
 			if err != nil {
@@ -37,3 +50,28 @@
 		},
 	}
 }
+
+func checkProcess(t *terminal, name jmlocal.Role, path string) error {
+	if name != jmlocal.RoleBalancer && name != jmlocal.RoleAgent {
+		return &exitError{code: exitUsage, text: "-process is balancer or agent"}
+	}
+	s, err := jmlocal.Load(path, name)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(t.out, "%s %s at %s, no fault\n", name, s.Name, s.Address)
+	return nil
+}
+
+func checkRoutes(t *terminal, path string) error {
+	text, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return err
+	}
+	routing, err := jmadapter.ParseRouting(text)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(t.out, "version %d with %d routes, no fault\n", routing.Version, len(routing.Routes))
+	return nil
+}
--- a/cmd/jasminemoor/explain.go
+++ b/cmd/jasminemoor/explain.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -16,6 +17,7 @@
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmtrail"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
@@ -62,8 +64,8 @@
 
 // explainFlags are the flags of explain.
 type explainFlags struct {
-	service, id, settings, operator string
-	asJSON                          bool
+	service, id, settings, operator, request string
+	asJSON                                   bool
 }
 
 func (f *explainFlags) add(flags *flag.FlagSet) {
@@ -71,6 +73,7 @@
 	flags.StringVar(&f.id, "id", "", "first connection ID of the flow in hexadecimal, a random one if empty")
 	flags.StringVar(&f.settings, "settings", "", "directory with a settings tree, to explain without a running process")
 	flags.StringVar(&f.operator, "operator", "http://"+defaultOperator, "URL of a process's operator endpoint")
+	flags.StringVar(&f.request, "request", "", "id of a request, to find its story in the logs given as arguments or at standard input")
 	flags.BoolVar(&f.asJSON, "json", false, "print JSON")
 }
 
@@ -80,12 +83,20 @@
 	f.add(flags)
 	configFlag(flags)
 	return &ffcli.Command{
-		Name:       "explain",
-		ShortUsage: "jasminemoor explain -service <team>/<service> [-settings <directory> | -operator <url>]",
-		ShortHelp:  "Say where a new flow of a service would go now, and why.",
-		FlagSet:    flags,
-		Options:    parseOptions(),
-		Exec: func(ctx context.Context, _ []string) error {
+		Name: "explain",
+		ShortUsage: "jasminemoor explain -service <team>/<service> [-settings <directory> | -operator <url>]\n" +
+			"  jasminemoor explain -request <id> [<log>...]",
+		ShortHelp: "Say where a new flow of a service would go now and why, or what became of a request.",
+		FlagSet:   flags,
+		Options:   parseOptions(),
+		Exec: func(ctx context.Context, args []string) error {
+			if f.request != "" {
+				story, err := findStory(t, f.request, args)
+				if err != nil {
+					return err
+				}
+				return printResult(t, story, f.asJSON)
+			}
 			x, err := f.explain(ctx)
 			if err != nil {
 				return err
@@ -115,6 +126,41 @@
 	return x, askOperator(ctx, f.operator, "/explain", query, x)
 }
 
+// findStory reads logs from files, or from standard input if none is named.
+func findStory(t *terminal, request string, files []string) (s *jmtrail.Story, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "request %s", request)
+		}
+	}()
+	if len(files) == 0 {
+		lines, _, err := jmtrail.Read(t.in)
+		if err != nil {
+			return nil, err
+		}
+		return jmtrail.Find(lines, request)
+	}
+	var all []jmtrail.Line
+	for _, name := range files {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return jmtrail.Find(all, request)
+}
+
+func readLog(name string) (lines []jmtrail.Line, err error) {
+	f, err := os.Open(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	lines, _, err = jmtrail.Read(f)
+	return lines, err
+}
+
 // explainOffline takes every upstream that does not leave to be working.
 func explainOffline(dir, service string, id []byte) (x *jmoperator.Explanation, err error) {
 	subtrees, err := jmtree.ReadDir(dir, 1)
--- a/cmd/jasminemoor/flags.go
+++ b/cmd/jasminemoor/flags.go
@@ -61,6 +61,9 @@
 	flags.String("config", "", "file with flags, JSON with comments")
 }
 
+// logTime is the format of a log's times, to the millisecond.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // logFlags are the flags about logs.
 type logFlags struct {
 	format, level string
@@ -76,7 +79,7 @@
 	log.SetOutput(w)
 	switch f.format {
 	case "json":
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
 	case "text":
 		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	default:
--- a/cmd/jasminemoor/measure.go
+++ b/cmd/jasminemoor/measure.go
@@ -23,10 +23,10 @@
 func measureCommand(t *terminal) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "measure",
-		ShortUsage:  "jasminemoor measure <placement|control> [flags]",
+		ShortUsage:  "jasminemoor measure <placement|control|flows> [flags]",
 		ShortHelp:   "Measure the decisions against naive ones, in a model of the systems served.",
 		FlagSet:     newFlagSet(t, "measure"),
-		Subcommands: []*ffcli.Command{measurePlacementCommand(t), measureControlCommand(t)},
+		Subcommands: []*ffcli.Command{measurePlacementCommand(t), measureControlCommand(t), measureFlowsCommand(t)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- /dev/null
+++ b/cmd/jasminemoor/measureflows.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor/internal/measure/jmflows"
+)
+
+func measureFlowsCommand(t *terminal) *ffcli.Command {
+	flags := newFlagSet(t, "flows")
+	seed := flags.Uint64("seed", 1, "seed of the run")
+	plot := flags.String("plot", "", "file to write a plot of the worth over time to, as SVG")
+	asJSON := flags.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name:       "flows",
+		ShortUsage: "jasminemoor measure flows [flags] <scenario>...",
+		ShortHelp:  "Replay load patterns and faults on pass-through flows, against a naive policy.",
+		LongHelp:   "A scenario is a file of JSON with comments; examples/load has some.",
+		FlagSet:    flags,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return &exitError{code: exitUsage, text: "measure flows takes files with scenarios"}
+			}
+			var results []*jmflows.Result
+			for _, path := range args {
+				pair, err := compareFlows(path, *seed)
+				if err != nil {
+					return err
+				}
+				results = append(results, pair...)
+			}
+			if *plot != "" {
+				if err := writePlot(*plot, results); err != nil {
+					return err
+				}
+			}
+			if *asJSON {
+				return json.NewEncoder(t.out).Encode(results)
+			}
+			return printFlows(t, results)
+		},
+	}
+}
+
+// compareFlows plays one scenario with both policies.
+func compareFlows(path string, seed uint64) (results []*jmflows.Result, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "scenario %s", path)
+		}
+	}()
+	text, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, err
+	}
+	s, err := jmflows.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	for _, policy := range []jmflows.Policy{jmflows.Product, jmflows.Naive} {
+		r, err := jmflows.Run(s, policy, seed)
+		if err != nil {
+			return nil, eris.Wrapf(err, "policy %s, seed %d", policy.Name, seed)
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
+
+func writePlot(path string, results []*jmflows.Result) (err error) {
+	f, err := os.Create(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	return jmflows.Plot(f, results)
+}
+
+func printFlows(t *terminal, results []*jmflows.Result) error {
+	w := tabwriter.NewWriter(t.out, 0, 0, tablePadding, ' ', 0)
+	_, _ = fmt.Fprintln(w, "scenario\tpolicy\tworth\tworst windows\tasked\tin time\tlate\tfailed\tp50 ms\tp99 ms")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%.0f\t%.0f\n", r.Scenario, r.Policy, r.Worth, r.Worst,
+			r.Asked, r.InTime, r.Late, r.Failed, r.P50, r.P99)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/fleet/jmtrail/trail_test.go
@@ -0,0 +1,47 @@
+package jmtrail_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmtrail"
+)
+
+func TestStoryOfRecordedRequest(t *testing.T) {
+	f, err := os.Open("testdata/recovery.log")
+	require.NoError(t, err)
+	defer f.Close()
+	lines, unreadable, err := jmtrail.Read(f)
+	require.NoError(t, err)
+	require.Equal(t, 1, unreadable)
+	s, err := jmtrail.Find(lines, "9640eed95529aa9b")
+	require.NoError(t, err)
+	require.Equal(t, []string{"100.64.0.6:1025>198.18.0.1:8443"}, s.Flows)
+	var b strings.Builder
+	require.NoError(t, s.Print(&b))
+	require.Equal(t, `request 9640eed95529aa9b on 100.64.0.6:1025>198.18.0.1:8443
+16:54:06.900  front-fsd-a-1    directory: platform lost  error=watch the store: timeout
+16:54:07.000  front-fsd-a-1    flow: holder is known  [this request]  AgeMs=518  Outcome=passed on  Reason=known  Revision=12  To=10.1.0.19  Version=4
+16:54:07.004  side-fsd-a-1     flow: other agents asked for the holder  AgeMs=520  Outcome=passed on  Reason=searched  Revision=12  To=10.1.0.20  Version=4
+16:54:07.010  side-fsd-a-1     flow: reset, as no upstream holds it  Outcome=reset
+4 more lines were left out by these processes at that time
+`, b.String())
+}
+
+func TestRequestThatNobodyNames(t *testing.T) {
+	_, err := jmtrail.Find(nil, "1")
+	require.ErrorContains(t, err, "no line names request 1")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`{"time":"2026-07-17T16:54:07Z","msg":"x","Flow":"a","Request":"1"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _, err := jmtrail.Read(strings.NewReader(text))
+		if err == nil {
+			_, _ = jmtrail.Find(lines, "1")
+		}
+	})
+}
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -96,11 +96,11 @@
 	switch f.Kind {
 	case FaultBurst:
 	case FaultPowerOff:
-		for _, n := range w.byAddr {
+		for _, n := range w.nodes() {
 			n.restart(down+startTime, n.upstream != nil)
 		}
 	case FaultKillAll:
-		for _, n := range w.byAddr {
+		for _, n := range w.nodes() {
 			n.restart(down+startTime, false)
 		}
 	case FaultCrash:
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -174,7 +175,7 @@
 		w.agents = append(w.agents, n)
 		w.byAddr[n.addr] = n
 	}
-	for _, n := range append(append([]*node(nil), w.balancers...), w.agents...) {
+	for _, n := range w.nodes() {
 		if n.upstream != nil {
 			n.upstream.start(false)
 		}
@@ -237,11 +238,14 @@
 // the directory has its own tests.
 func (w *World) publish() {
 	w.revision++
-	for _, n := range w.byAddr {
+	for _, n := range w.nodes() {
 		n.setSnapshot()
 	}
 }
 
+// nodes returns all processes, always in the same order.
+func (w *World) nodes() []*node { return append(slices.Clone(w.balancers), w.agents...) }
+
 func (n *node) setSnapshot() {
 	s := jmpass.Snapshot{View: n.world.view(), AsOf: n.world.now.Add(n.world.Length)}
 	switch {
