--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -123,10 +123,6 @@
 	replica    replica
 	isLoaded   bool
 	asOf       time.Time // the copy held everything then
-	asOfRead   time.Time // the same, from this process's own reads
-	hasTold    bool      // peers were told of asOfRead
-	news       []Item    // since newsSince, told by the own reads
-	newsSince  uint64
 	number     uint64
 	isReading  bool
 	mustLoad   bool
@@ -157,6 +153,10 @@
 // AsOf returns when the copy held everything that the platform had.
 func (m *Machine) AsOf() time.Time { return m.asOf }
 
+// NotePause takes note that the process stood still for a time that the steady
+// clock has not counted: the copy is older by that.
+func (m *Machine) NotePause(d time.Duration) { m.asOf = m.asOf.Add(-d) }
+
 // Tick drives the machine. It is called several times a second.
 func (m *Machine) Tick(now time.Time) (out Output) {
 	if now.Sub(m.viewed) >= viewInterval {
@@ -173,9 +173,6 @@
 	return out
 }
 
-// Leave is called once this process is about to end.
-func (m *Machine) Leave() { m.readAfter = m.asOf.Add(time.Hour) }
-
 // NextRead returns the call to make at the platform now, if any. Its result
 // goes to HandleRead.
 func (m *Machine) NextRead(now time.Time) (r Read, found bool) {
@@ -223,7 +220,7 @@
 	m.readAfter = m.lastRead.Add(minReadInterval)
 	if c.Revision < m.replica.revision && !read.IsLoad {
 		// A watch that was asked before a peer told of more.
-		m.noteAsOf(now, now)
+		m.noteAsOf(now)
 		return m.tell(now, nil, m.replica.revision)
 	}
 	since := m.replica.revision
@@ -231,7 +228,7 @@
 	if read.IsLoad {
 		m.mustLoad, m.isLoaded = false, true
 	}
-	m.noteAsOf(now, now)
+	m.noteAsOf(now)
 	out = m.tell(now, news, since)
 	out.HasNews = len(news) > 0 || read.IsLoad
 	if out.HasNews {
@@ -240,11 +237,10 @@
 	return out
 }
 
-func (m *Machine) noteAsOf(now, asOf time.Time) {
+func (m *Machine) noteAsOf(asOf time.Time) {
 	if asOf.After(m.asOf) {
 		m.asOf = asOf
 	}
-	_ = now
 }
 
 // tell sends a beacon of this process's own.
@@ -285,13 +281,13 @@
 	canApply := m.isLoaded && b.Since <= m.replica.revision
 	switch {
 	case isKnown:
-		m.noteAsOf(now, now.Add(-b.Age))
+		m.noteAsOf(now.Add(-b.Age))
 	case canApply:
 		if m.replica.merge(now, b.News, b.Revision, false) {
 			out.HasNews = true
 			m.noteEntries()
 		}
-		m.noteAsOf(now, now.Add(-b.Age))
+		m.noteAsOf(now.Add(-b.Age))
 	case now.Sub(m.pulling) > pullTimeout:
 		m.pulling = now
 		out.Pulls = append(out.Pulls, from)
@@ -346,7 +342,7 @@
 	}
 	isNew := m.replica.merge(now, reply.Items, reply.Revision, reply.IsWhole)
 	m.isLoaded = true
-	m.noteAsOf(now, now.Add(-reply.Age))
+	m.noteAsOf(now.Add(-reply.Age))
 	if isNew {
 		out.HasNews = true
 		m.noteEntries()
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -327,6 +327,20 @@
 	require.Less(t, f.calls, 40)
 }
 
+// TestPauseMakesOld has a process that stood still read the platform itself.
+func TestPauseMakesOld(t *testing.T) {
+	m := &Machine{Self: balancerAddr(1), Rand: rand.New(rand.NewPCG(1, 1))}
+	r, _ := m.NextRead(begun)
+	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{routingEntry(1, 4, 1)}}, nil)
+	now := begun.Add(time.Second)
+	_, found := m.NextRead(now)
+	require.False(t, found)
+	m.NotePause(4 * time.Second)
+	require.Equal(t, begun.Add(-4*time.Second), m.AsOf())
+	_, found = m.NextRead(now)
+	require.True(t, found)
+}
+
 // TestAgeIsHonest checks that a beacon that was under way for long does not
 // make a copy look recent.
 func TestAgeIsHonest(t *testing.T) {
--- a/internal/flow/jmgateway/control.go
+++ b/internal/flow/jmgateway/control.go
@@ -85,6 +85,7 @@
 	defer c.calls.Wait()
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
+	pause := newPauseClock()
 	c.nextRead(ctx, time.Now())
 	for {
 		select {
@@ -92,6 +93,11 @@
 			return
 		case <-ticker.C:
 			now := time.Now()
+			if d := pause.since(now); d > 0 {
+				c.Log.WithField("Seconds", d.Seconds()).Warn("process: stood still")
+				c.machine.NotePause(d)
+				c.publish(now, false)
+			}
 			c.act(ctx, now, c.machine.Tick(now))
 		case event := <-c.inbox:
 			event(time.Now())
@@ -121,17 +127,8 @@
 }
 
 func (c *Control) act(ctx context.Context, now time.Time, out jmdirectory.Output) {
-	asOf := c.machine.AsOf()
-	if s := c.snapshot.Load(); out.HasNews || s == nil && c.machine.IsLoaded() || s != nil && asOf.After(s.AsOf) {
-		next := &jmpass.Snapshot{AsOf: asOf}
-		if s == nil || out.HasNews {
-			next.View = c.machine.View(now)
-			c.logView(s, next)
-		} else {
-			next.View = s.View
-		}
-		c.snapshot.Store(next)
-		c.OnNews(*next)
+	if s := c.snapshot.Load(); out.HasNews || s == nil && c.machine.IsLoaded() || s != nil && c.machine.AsOf().After(s.AsOf) {
+		c.publish(now, out.HasNews)
 	}
 	for _, s := range out.Sends {
 		c.send(s.To, s.Message)
@@ -141,6 +138,23 @@
 	}
 }
 
+// publish hands out a snapshot, with a new view if there is news.
+func (c *Control) publish(now time.Time, hasNews bool) {
+	if !c.machine.IsLoaded() {
+		return
+	}
+	old := c.snapshot.Load()
+	next := &jmpass.Snapshot{AsOf: c.machine.AsOf()}
+	if old == nil || hasNews {
+		next.View = c.machine.View(now)
+		c.logView(old, next)
+	} else {
+		next.View = old.View
+	}
+	c.snapshot.Store(next)
+	c.OnNews(*next)
+}
+
 func (c *Control) logView(old, next *jmpass.Snapshot) {
 	if old != nil && old.Version == next.Version {
 		return
