Upstreams that fail get few new flows; seeds tell once they have a copy; rarer calls while stale

During an outage of the store all 85 processes kept calling. Change: agents count resets, 5xx answers and requests without an answer; the balancers add the share of failures, squared, to the cost of a place.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -27,8 +27,15 @@
 	// minReadInterval is the least time between the starts of two calls, so
 	// that changes in quick succession share a call.
 	minReadInterval = 60 * time.Millisecond
-	minBackoff      = 150 * time.Millisecond
-	maxBackoff      = 1200 * time.Millisecond
+	// Bounds of the pause after a call that failed. Readers and seeds look often,
+	// since the others hear of the platform's return from them.
+	minBackoff       = 150 * time.Millisecond
+	maxSeedBackoff   = 250 * time.Millisecond // of a seed without a copy
+	maxReaderBackoff = 1200 * time.Millisecond
+	maxOtherBackoff  = 5 * time.Second
+	// seedInterval is how often a process without a copy asks the next seed to
+	// tell it once it has one. Each seed is asked again within subscriptionTime.
+	seedInterval = 600 * time.Millisecond
 	// pullTimeout is when an exchange with a peer that has not ended no longer counts.
 	pullTimeout = 400 * time.Millisecond
 	// subscribeInterval is how often a balancer asks agents for news.
@@ -118,7 +125,9 @@
 	// Upstream is the address of the upstream beside an agent. It is not valid
 	// in a balancer.
 	Upstream netip.AddrPort
-	Rand     *rand.Rand
+	// Seeds are asked to tell of their copy while there is none here.
+	Seeds []netip.Addr
+	Rand  *rand.Rand
 
 	replica    replica
 	isLoaded   bool
@@ -130,10 +139,15 @@
 	backoff    time.Duration
 	readAfter  time.Time
 	pulling    time.Time
+	// pending is the beacon that led to the pull under way.
+	pending     *Beacon
+	pendingFrom netip.Addr
 	seen       map[seenBeacon]bool
 	seenOrder  []seenBeacon
 	subs       map[netip.Addr]time.Time
 	subscribed time.Time
+	seedAsked  time.Time
+	seedCount  int
 	viewed     time.Time
 	agents     []netip.Addr // those of the upstreams in the copy
 	rank       int
@@ -164,6 +178,14 @@
 		m.replica.forget(now)
 		out.HasNews = m.isLoaded
 	}
+	if !m.isLoaded && len(m.Seeds) > 0 && now.Sub(m.seedAsked) >= seedInterval {
+		m.seedAsked = now
+		seed := m.Seeds[m.seedCount%len(m.Seeds)]
+		m.seedCount++
+		if seed != m.Self {
+			out.Sends = append(out.Sends, Send{To: seed, Message: &Message{IsSubscribe: true}})
+		}
+	}
 	if !m.Upstream.IsValid() && now.Sub(m.subscribed) >= subscribeInterval {
 		m.subscribed = now
 		for _, agent := range m.pick(subscribeCount) {
@@ -208,7 +230,7 @@
 func (m *Machine) HandleRead(now time.Time, read Read, c *jasminemoor.DirectoryChanges, err error) (out Output) {
 	m.isReading = false
 	if err != nil {
-		m.backoff = min(max(m.backoff*2, minBackoff), maxBackoff)
+		m.backoff = min(max(m.backoff*2, minBackoff), m.maxBackoff())
 		m.readAfter = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
 		m.mustLoad = m.mustLoad || isHistoryGone(err)
 		if isHistoryGone(err) {
@@ -237,6 +259,16 @@
 	return out
 }
 
+func (m *Machine) maxBackoff() time.Duration {
+	switch {
+	case !m.isLoaded && slices.Contains(m.Seeds, m.Self):
+		return maxSeedBackoff
+	case !m.isLoaded || m.isReader():
+		return maxReaderBackoff
+	}
+	return maxOtherBackoff
+}
+
 func (m *Machine) noteAsOf(asOf time.Time) {
 	if asOf.After(m.asOf) {
 		m.asOf = asOf
@@ -289,8 +321,10 @@
 		}
 		m.noteAsOf(now.Add(-b.Age))
 	case now.Sub(m.pulling) > pullTimeout:
-		m.pulling = now
+		// It is passed on once this process can answer those that it reaches.
+		m.pulling, m.pending, m.pendingFrom = now, b, from
 		out.Pulls = append(out.Pulls, from)
+		return
 	}
 	m.pass(out, now, b, from)
 }
@@ -337,6 +371,8 @@
 // HandlePullReply takes a peer's answer in, or a nil one if none came.
 func (m *Machine) HandlePullReply(now time.Time, since uint64, reply *PullReply) (out Output) {
 	m.pulling = time.Time{}
+	pending := m.pending
+	m.pending = nil
 	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
 		return out
 	}
@@ -347,6 +383,9 @@
 		out.HasNews = true
 		m.noteEntries()
 	}
+	if pending != nil {
+		m.pass(&out, now, pending, m.pendingFrom)
+	}
 	return out
 }
 
--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -205,7 +205,7 @@
 			a.Malformed.Add(1)
 			continue
 		}
-		out, reason := a.machine.HandleUpstream(now, &p, packet)
+		out, reason := a.machine.HandleUpstream(now, &p, packet, a.Codec.IsFailure(packet))
 		s.send(out, packet)
 		a.note(now, reason, &p, packet, last(out))
 	}
--- a/internal/flow/jmgateway/control.go
+++ b/internal/flow/jmgateway/control.go
@@ -41,7 +41,9 @@
 	// Port is where the processes reach each other, over UDP and TCP.
 	Port uint16
 	// Upstream is that of an agent.
-	Upstream  netip.AddrPort
+	Upstream netip.AddrPort
+	// Seeds are processes to ask for the directory while none is known.
+	Seeds     []netip.Addr
 	Directory jasminemoor.Directory
 	// Send sends a datagram to a peer.
 	Send func(to netip.AddrPort, datagram []byte)
@@ -71,7 +73,7 @@
 func (c *Control) init() {
 	c.start.Do(func() {
 		c.inbox = make(chan func(time.Time), inboxSize)
-		c.machine.Self, c.machine.Upstream = c.Self, c.Upstream
+		c.machine.Self, c.machine.Upstream, c.machine.Seeds = c.Self, c.Upstream, c.Seeds
 		c.machine.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	})
 }
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -55,6 +55,9 @@
 		_ = p.peers.Close()
 		return err
 	}
+	for _, seed := range p.settings.Seeds {
+		p.control.Seeds = append(p.control.Seeds, seed.Addr())
+	}
 	p.control.Self, p.control.Port = p.settings.Address, p.settings.FirstPort
 	p.control.Send = func(to netip.AddrPort, datagram []byte) {
 		if _, err := p.peers.WriteToUDPAddrPort(datagram, to); err != nil {
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -59,6 +59,7 @@
 	isLeaving bool
 	upstream  upstreamState
 	gate      gate
+	results   results
 	out       []Message
 }
 
@@ -330,20 +331,33 @@
 	a.gate.remove(key)
 }
 
-// HandleUpstream decides on a packet that the upstream sent.
-func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
+// HandleUpstream decides on a packet that the upstream sent. Packet is the whole
+// of it, and isFailure says that it begins an answer of failure.
+func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) (out []Message, reason Reason) {
 	a.begin(now)
 	a.upstream = upstreamState{probed: a.upstream.probed}
 	if p.Flags.Has(jasminemoor.FlagReturned) {
 		reason = a.handleReturned(now, p, packet)
 	} else {
-		reason = a.handleAnswer(now, p)
+		reason = a.handleAnswer(now, p, isFailure)
 	}
 	a.Counts[reason]++
 	return a.out, reason
 }
 
-func (a *Agent) handleAnswer(now time.Time, p *jasminemoor.Packet) Reason {
+// noteResult takes note of what became of a request: an answer, or a reset. An
+// ordinary end may overtake the answer.
+func (a *Agent) noteResult(now time.Time, f *flow, p *jasminemoor.Packet, isFailure bool) {
+	isReset := p.Flags.Has(jasminemoor.FlagReset)
+	if !f.isWaiting || p.Length == 0 && !isReset {
+		return
+	}
+	if a.results.add(now, isFailure || isReset) {
+		a.reportAll(now)
+	}
+}
+
+func (a *Agent) handleAnswer(now time.Time, p *jasminemoor.Packet, isFailure bool) Reason {
 	key := p.ReverseKey()
 	f := a.table.get(key)
 	if f == nil {
@@ -353,6 +367,7 @@
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		f.hasOffer, f.offer = true, p.Sequence
 	}
+	a.noteResult(now, f, p, isFailure)
 	if took := a.table.noteUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
 		a.OnAnswer(took)
 	}
@@ -457,6 +472,7 @@
 		Incarnation: a.Incarnation,
 		Waiting:     clampUint16(a.table.waiting + len(a.gate.held)),
 		Flows:       clampUint16(a.table.longFlows(now)),
+		Failures:    clampUint16(int(a.results.share(now) * perMille)),
 	}
 	if a.snapshot.View != nil {
 		r.Revision = a.snapshot.Revision
@@ -470,6 +486,8 @@
 	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport}, Report: r})
 }
 
+const perMille = 1000
+
 func clampUint16(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
 
 // Tick drives the searches, the reports and the upkeep. It is called some
@@ -492,7 +510,7 @@
 	a.driveTests(now)
 	a.driveSearches(now)
 	if len(a.gate.held) > 0 {
-		a.table.expireWaiting(now)
+		a.expireWaiting(now)
 		a.release(now)
 	}
 	if now.Sub(a.swept) >= sweepInterval {
@@ -507,7 +525,7 @@
 	if a.snapshot.View != nil {
 		idle = a.snapshot.IdleTimeout
 	}
-	a.table.expireWaiting(now)
+	a.expireWaiting(now)
 	a.table.forget(now, idle)
 	for key, at := range a.absent {
 		if now.Sub(at) > absentMemory {
@@ -521,6 +539,17 @@
 	}
 }
 
+// expireWaiting takes requests without an answer for long to have failed.
+func (a *Agent) expireWaiting(now time.Time) {
+	isNews := false
+	for range a.table.expireWaiting(now) {
+		isNews = a.results.add(now, true) || isNews
+	}
+	if isNews {
+		a.reportAll(now)
+	}
+}
+
 func (a *Agent) shouldProbe(now time.Time) bool {
 	u := &a.upstream
 	isOverdue := !u.unanswered.IsZero() && now.Sub(u.unanswered) > upstreamTimeout
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -1,6 +1,7 @@
 package jmpass
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -25,6 +26,9 @@
 	defaultSlots = 5
 	// tieBreak spreads equal costs by rank.
 	tieBreak = 0.02
+	// failureWeight, times the square of the share of failures, keeps new flows
+	// from upstreams that fail. Where all fail alike it changes nothing.
+	failureWeight = 8
 	// suspectPenalty puts agents that don't answer after all others.
 	suspectPenalty = 1000
 	// stoppedPenalty puts agents whose upstream doesn't answer last.
@@ -68,6 +72,8 @@
 	if u.DataCentre != b.DataCentre {
 		cost += remotePenalty
 	}
+	failures := float64(a.report.Failures) / perMille * math.Exp2(-now.Sub(a.heard).Seconds()/failureHalfLife.Seconds())
+	cost += failureWeight * failures * failures
 	switch {
 	case a.report.State != jmhop.ReportOpen && now.Sub(a.heard) < stoppedMemory:
 		cost += stoppedPenalty
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -13,7 +13,8 @@
 const (
 	// firstAsked is how many agents a search asks at first; then it asks all.
 	firstAsked = 8
-	// askInterval is how often a search asks those that have not answered.
+	// askInterval is when a search first asks those again that have not answered.
+	// It doubles each time: they may be dark, and there may be many searches.
 	askInterval = 100 * time.Millisecond
 	// searchTime is how long a search lasts. The caller repeats its packet, at
 	// the latest after 1.6 s, and that begins another one.
@@ -36,7 +37,9 @@
 	ack      uint32
 	started  time.Time
 	asked    time.Time
-	rounds   int
+	again    time.Duration // until those are asked that have not answered
+	isWide   bool          // all are asked, not only the first in rank
+	pending  int           // of the first in rank, those that have not answered
 	absent   map[netip.Addr]bool
 }
 
@@ -59,7 +62,7 @@
 // ask asks the agents that have not answered.
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
 	s.asked = now
-	s.rounds++
+	s.again = min(max(2*s.again, askInterval), searchTime)
 	if a.mayHold(now, key) {
 		a.testOwn(now, key, s)
 		return
@@ -68,13 +71,17 @@
 		return
 	}
 	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer}
-	sent := 0
+	isFirst := s.pending == 0 && !s.isWide
+	s.isWide = !isFirst
 	for _, agent := range a.candidates(key) {
 		if s.absent[agent] {
 			continue
 		}
-		if sent++; s.rounds == 1 && sent > firstAsked {
-			return
+		if isFirst {
+			if s.pending == firstAsked {
+				return
+			}
+			s.pending++
 		}
 		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
 	}
@@ -180,9 +187,17 @@
 // HandleAbsent takes an agent's word that it does not hold a flow.
 func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, key jasminemoor.FlowKey) []Message {
 	a.begin(now)
-	if s := a.searches[key]; s != nil {
-		s.absent[from] = true
-		a.endIfGone(now, key, s)
+	s := a.searches[key]
+	if s == nil || s.absent[from] {
+		return a.out
+	}
+	s.absent[from] = true
+	if a.endIfGone(now, key, s) || s.isWide || s.pending == 0 {
+		return a.out
+	}
+	if s.pending--; s.pending == 0 {
+		s.isWide = true
+		a.ask(now, key, s)
 	}
 	return a.out
 }
@@ -217,7 +232,7 @@
 			delete(a.searches, key)
 			continue
 		}
-		if now.Sub(s.asked) >= askInterval {
+		if now.Sub(s.asked) >= s.again {
 			a.ask(now, key, s)
 		}
 	}
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -115,7 +115,6 @@
 	}
 	if p.Flags.Has(jasminemoor.FlagEnd) {
 		f.ended |= upstreamEnded
-		t.stopWaiting(f)
 	}
 	return took
 }
@@ -130,14 +129,17 @@
 	}
 }
 
-// expireWaiting takes it that requests without an answer for long are lost.
-func (t *table) expireWaiting(now time.Time) {
+// expireWaiting takes it that requests without an answer for long are lost, and
+// returns their number.
+func (t *table) expireWaiting(now time.Time) (lost int) {
 	limit := max(waitLimit, waitFactor*t.answerTime)
 	for _, f := range t.flows {
 		if f.isWaiting && now.Sub(f.asked) > limit {
 			t.stopWaiting(f)
+			lost++
 		}
 	}
+	return lost
 }
 
 // forget drops the flows that are closed or were silent for too long.
--- a/internal/measure/jmflows/naive.go
+++ b/internal/measure/jmflows/naive.go
@@ -82,7 +82,7 @@
 	return out, jmpass.ReasonSearched
 }
 
-func (a *naiveAgent) HandleUpstream(_ time.Time, p *jasminemoor.Packet, _ []byte) (out []jmpass.Message, reason jmpass.Reason) {
+func (a *naiveAgent) HandleUpstream(_ time.Time, p *jasminemoor.Packet, _ []byte, _ bool) (out []jmpass.Message, reason jmpass.Reason) {
 	if p.Flags.Has(jasminemoor.FlagReturned) {
 		key := p.Key()
 		if p.Flags.Has(jasminemoor.FlagOpen) {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -65,6 +65,7 @@
 	FaultKillAll      FaultKind = "KillAll"      // all processes, upstreams go on
 	FaultCrash        FaultKind = "Crash"        // a share of the upstreams
 	FaultSlow         FaultKind = "Slow"         // a share of the upstreams is slower by Factor
+	FaultBreak        FaultKind = "Break"        // a share of the upstreams breaks off Factor of its requests
 	FaultRollAgents   FaultKind = "RollAgents"   // each agent is restarted in turn, with Gap between
 	FaultRollBalancer FaultKind = "RollBalancer" // each balancer in turn
 )
@@ -112,6 +113,11 @@
 			n.upstream.speed = f.Factor
 			w.after(down, func() { n.upstream.speed = 1 })
 		}
+	case FaultBreak:
+		for _, n := range w.share(f) {
+			n.upstream.failing = f.Factor
+			w.after(down, func() { n.upstream.failing = 0 })
+		}
 	case FaultRollAgents, FaultRollBalancer:
 		nodes := w.agents
 		if f.Kind == FaultRollBalancer {
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -28,6 +28,7 @@
 	starts   int
 	warmAt   time.Time
 	speed    float64
+	failing  float64 // share of the requests that it breaks off
 	flows    map[jasminemoor.FlowKey]*upstreamFlow
 	running  int
 	queue    []*job
@@ -122,6 +123,11 @@
 	if r == nil || f.isBusy {
 		return
 	}
+	if w.Rand.Float64() < u.failing {
+		delete(u.flows, key)
+		u.sendPacket(key, &jasminemoor.Packet{Flags: jasminemoor.FlagReset, Sequence: f.sequence})
+		return
+	}
 	f.isBusy = true
 	j := &job{flow: key, request: r, queued: w.now}
 	if len(u.queue) >= queueLimit {
@@ -217,7 +223,7 @@
 			n.world.violate("agent got a packet that can't be decoded: %v", err)
 			return
 		}
-		out, _ := n.agent.HandleUpstream(n.world.now, &p, packet)
+		out, _ := n.agent.HandleUpstream(n.world.now, &p, packet, p.Length == refusalSize)
 		n.send(out, packet)
 	})
 }
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -32,7 +32,7 @@
 type agent interface {
 	SetSnapshot(s jmpass.Snapshot)
 	HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) ([]jmpass.Message, jmpass.Reason)
-	HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte) ([]jmpass.Message, jmpass.Reason)
+	HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) ([]jmpass.Message, jmpass.Reason)
 	HandleAbsent(now time.Time, from netip.Addr, key jasminemoor.FlowKey) []jmpass.Message
 	HandleHolder(now time.Time, key jasminemoor.FlowKey)
 	HandlePoll(now time.Time, from netip.Addr) []jmpass.Message
--- a/internal/standin/jmpackets/packets.go
+++ b/internal/standin/jmpackets/packets.go
@@ -21,8 +21,8 @@
 	Ack     = 8
 	Rst     = 128
 
-	headSize  = 32
-	flagsAt   = 18
+	headSize = 32
+	flagsAt  = 18
 )
 
 // Packet is one packet of the platform.
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -19,7 +19,7 @@
 	// KeySize is the size of the body of Absent and Holder.
 	KeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a report.
-	ReportSize = 21
+	ReportSize = 23
 )
 
 // Kind says what a datagram is for.
@@ -94,7 +94,9 @@
 	Waiting uint16
 	// Flows counts the open flows that have lasted a while.
 	Flows uint16
-	State ReportState
+	// Failures is the share of the recent requests that failed, in per mille.
+	Failures uint16
+	State    ReportState
 	// Revision is that of the agent's copy of the directory.
 	Revision uint64
 }
@@ -114,6 +116,7 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Incarnation))
 	b = binary.BigEndian.AppendUint16(b, r.Waiting)
 	b = binary.BigEndian.AppendUint16(b, r.Flows)
+	b = binary.BigEndian.AppendUint16(b, r.Failures)
 	b = append(b, byte(r.State))
 	return binary.BigEndian.AppendUint64(b, r.Revision)
 }
@@ -126,7 +129,8 @@
 	r.Incarnation = jasminemoor.Incarnation(binary.BigEndian.Uint64(b))
 	r.Waiting = binary.BigEndian.Uint16(b[8:])
 	r.Flows = binary.BigEndian.Uint16(b[10:])
-	r.State = ReportState(b[12])
-	r.Revision = binary.BigEndian.Uint64(b[13:])
+	r.Failures = binary.BigEndian.Uint16(b[12:])
+	r.State = ReportState(b[14])
+	r.Revision = binary.BigEndian.Uint64(b[15:])
 	return nil
 }
--- a/passthrough.go
+++ b/passthrough.go
@@ -97,6 +97,9 @@
 	// RequestID returns the id that a caller gave the request whose first bytes
 	// are in the packet, empty if there is none.
 	RequestID(datagram []byte) string
+	// IsFailure reports whether a packet of an upstream begins an answer that
+	// says that the request has failed or was not run.
+	IsFailure(datagram []byte) bool
 	// SetTag sets the tag of a packet, and makes one that an upstream refused
 	// deliverable again.
 	SetTag(datagram []byte, tag uint32)
