Searches have a budget and ask few agents first; new flows stay among the first in rank

Change: 1000 questions a second an agent, intervals that double, the first 12 in rank before all; new flows go to one of the first 8 in rank; an agent that found its upstream not running needs no test of it; lists are worked out once a view. Readers call at most each 150 ms, others than readers back off from 0.8 s. Ruled out: the store's outage alone (processes were ready 0.3 s after it).

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -26,10 +26,11 @@
 	maxTakeoverRank = 6
 	// minReadInterval is the least time between the starts of two calls, so
 	// that changes in quick succession share a call.
-	minReadInterval = 60 * time.Millisecond
+	minReadInterval = 150 * time.Millisecond
 	// Bounds of the pause after a call that failed. Readers and seeds look often,
 	// since the others hear of the platform's return from them.
 	minBackoff       = 150 * time.Millisecond
+	minOtherBackoff  = 800 * time.Millisecond
 	maxSeedBackoff   = 250 * time.Millisecond // of a seed without a copy
 	maxReaderBackoff = 1200 * time.Millisecond
 	maxOtherBackoff  = 5 * time.Second
@@ -129,28 +130,28 @@
 	Seeds []netip.Addr
 	Rand  *rand.Rand
 
-	replica    replica
-	isLoaded   bool
-	asOf       time.Time // the copy held everything then
-	number     uint64
-	isReading  bool
-	mustLoad   bool
-	lastRead   time.Time
-	backoff    time.Duration
-	readAfter  time.Time
-	pulling    time.Time
+	replica   replica
+	isLoaded  bool
+	asOf      time.Time // the copy held everything then
+	number    uint64
+	isReading bool
+	mustLoad  bool
+	lastRead  time.Time
+	backoff   time.Duration
+	readAfter time.Time
+	pulling   time.Time
 	// pending is the beacon that led to the pull under way.
 	pending     *Beacon
 	pendingFrom netip.Addr
-	seen       map[seenBeacon]bool
-	seenOrder  []seenBeacon
-	subs       map[netip.Addr]time.Time
-	subscribed time.Time
-	seedAsked  time.Time
-	seedCount  int
-	viewed     time.Time
-	agents     []netip.Addr // those of the upstreams in the copy
-	rank       int
+	seen        map[seenBeacon]bool
+	seenOrder   []seenBeacon
+	subs        map[netip.Addr]time.Time
+	subscribed  time.Time
+	seedAsked   time.Time
+	seedCount   int
+	viewed      time.Time
+	agents      []netip.Addr // those of the upstreams in the copy
+	rank        int
 }
 
 type seenBeacon struct {
@@ -230,7 +231,8 @@
 func (m *Machine) HandleRead(now time.Time, read Read, c *jasminemoor.DirectoryChanges, err error) (out Output) {
 	m.isReading = false
 	if err != nil {
-		m.backoff = min(max(m.backoff*2, minBackoff), m.maxBackoff())
+		least, most := m.backoffBounds()
+		m.backoff = min(max(m.backoff*2, least), most)
 		m.readAfter = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
 		m.mustLoad = m.mustLoad || isHistoryGone(err)
 		if isHistoryGone(err) {
@@ -259,14 +261,14 @@
 	return out
 }
 
-func (m *Machine) maxBackoff() time.Duration {
+func (m *Machine) backoffBounds() (least, most time.Duration) {
 	switch {
 	case !m.isLoaded && slices.Contains(m.Seeds, m.Self):
-		return maxSeedBackoff
+		return minBackoff, maxSeedBackoff
 	case !m.isLoaded || m.isReader():
-		return maxReaderBackoff
+		return minBackoff, maxReaderBackoff
 	}
-	return maxOtherBackoff
+	return minOtherBackoff, maxOtherBackoff
 }
 
 func (m *Machine) noteAsOf(asOf time.Time) {
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -52,15 +52,20 @@
 	tests     map[jasminemoor.FlowKey]test
 	searches  map[jasminemoor.FlowKey]*search
 	gone      map[jasminemoor.FlowKey]time.Time // flows that nobody holds
+	asks      float64                           // budget of packets to ask others with
+	asksAt    time.Time
 	balancers []balancerState
 	byAddr    map[netip.Addr]uint32
 	started   time.Time
-	swept     time.Time
-	isLeaving bool
-	upstream  upstreamState
-	gate      gate
-	results   results
-	out       []Message
+	// sawUpstreamDown says that the upstream's process was found to have ended
+	// since the agent started, so that it has had no flow before.
+	sawUpstreamDown bool
+	swept           time.Time
+	isLeaving       bool
+	upstream        upstreamState
+	gate            gate
+	results         results
+	out             []Message
 }
 
 // balancerState is what an agent knows of a balancer.
@@ -299,7 +304,7 @@
 
 // isComplete reports whether the table has every flow of the upstream.
 func (a *Agent) isComplete(now time.Time) bool {
-	return a.IsFirst || now.Sub(a.started) > maxFlowAge
+	return a.IsFirst || a.sawUpstreamDown || now.Sub(a.started) > maxFlowAge
 }
 
 // maxFlowAge is how long a flow may last before it may be discarded.
@@ -552,7 +557,7 @@
 
 func (a *Agent) shouldProbe(now time.Time) bool {
 	u := &a.upstream
-	isOverdue := !u.unanswered.IsZero() && now.Sub(u.unanswered) > upstreamTimeout
+	isOverdue := !u.unanswered.IsZero() && now.Sub(u.unanswered) > upstreamTimeout || u.probed.IsZero() && !a.IsFirst
 	if !isOverdue && !u.isDown && !u.isSilent || now.Sub(u.probed) < probeInterval {
 		return false
 	}
@@ -590,6 +595,7 @@
 	case ProbeAccepted:
 		u.isDown, u.isSilent, u.unanswered = false, false, time.Time{}
 	case ProbeRefused:
+		a.sawUpstreamDown = true
 		if !u.isDown {
 			u.isDown = true
 			for key, f := range a.table.flows {
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -7,7 +7,6 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -42,7 +41,7 @@
 	rotated  time.Time
 	agents   []agentState
 	byAddr   map[netip.Addr]uint32
-	scratch  []jmplacer.Candidate
+	scratch  []ranked
 }
 
 // balancerFlow is where a flow is. It has no pointers.
@@ -174,14 +173,14 @@
 // firstToAsk returns the agent that ranks first for a flow that this balancer
 // does not know, among those that seem to be there.
 func (b *Balancer) firstToAsk(now time.Time, flow jasminemoor.FlowKey, route *jmdirectory.Route) (to netip.Addr, ok bool) {
-	best := math.Inf(-1)
+	best, hash := math.Inf(-1), flow.Hash()
 	for _, name := range holders(route) {
 		service := b.snapshot.Services[name]
 		if service == nil {
 			continue
 		}
 		for _, u := range service.Upstreams {
-			score := rank(flow, u.Address.Addr())
+			score := rank(hash, u.Address.Addr())
 			if u.IsGone || b.agents[b.indexOf(u.Address.Addr())].isSuspect(now) {
 				score -= 1 // after all others
 			}
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -35,19 +35,22 @@
 	stoppedPenalty = 2000
 )
 
-// choose returns the ready upstream of a service where a new flow costs least.
+// placeWidth is how many upstreams are looked at for a new flow: those that rank
+// first for it. So any process finds a flow with few questions, however many
+// upstreams a service has.
+const placeWidth = 8
+
+// choose returns the ready upstream of a service where a new flow costs least,
+// among the placeWidth that rank first for it.
 func (b *Balancer) choose(now time.Time, flow jasminemoor.FlowKey, service *jmdirectory.Service, avoid netip.Addr) (at uint32, ok bool) {
 	if service == nil {
 		return 0, false
 	}
 	best := 0.0
-	for _, u := range service.Upstreams {
-		if !u.IsReady() {
-			continue
-		}
-		agent := u.Address.Addr()
+	for _, c := range b.firstInRank(flow, service) {
+		agent := c.upstream.Address.Addr()
 		index := b.indexOf(agent)
-		cost := b.cost(now, u, &b.agents[index]) + tieBreak*rank(flow, agent)
+		cost := b.cost(now, c.upstream, &b.agents[index]) + tieBreak*c.rank
 		if agent == avoid {
 			cost += suspectPenalty
 		}
@@ -58,6 +61,40 @@
 	return at, ok
 }
 
+// ranked is an upstream and its rank for a flow.
+type ranked struct {
+	upstream *jmdirectory.Upstream
+	rank     float64
+}
+
+// firstInRank returns the ready upstreams that rank first for a flow, in no
+// particular order.
+func (b *Balancer) firstInRank(flow jasminemoor.FlowKey, service *jmdirectory.Service) []ranked {
+	hash := flow.Hash()
+	first := b.scratch[:0]
+	for _, u := range service.Upstreams {
+		if !u.IsReady() {
+			continue
+		}
+		c := ranked{upstream: u, rank: rank(hash, u.Address.Addr())}
+		if len(first) < placeWidth {
+			first = append(first, c)
+			continue
+		}
+		least := 0
+		for i := range first {
+			if first[i].rank < first[least].rank {
+				least = i
+			}
+		}
+		if c.rank > first[least].rank {
+			first[least] = c
+		}
+	}
+	b.scratch = first
+	return first
+}
+
 // cost is the load of an upstream with one more flow.
 func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState) float64 {
 	slots := float64(u.Slots)
@@ -87,10 +124,10 @@
 const stoppedMemory = 3 * time.Second
 
 // rank returns a number from 0 to 1 by which each process orders the agents
-// for a flow alike.
-func rank(flow jasminemoor.FlowKey, agent netip.Addr) float64 {
+// for the flow with a hash alike.
+func rank(hash uint64, agent netip.Addr) float64 {
 	raw := agent.As16()
-	x := flow.Hash() ^ xxhash.Sum64(raw[:])
+	x := hash ^ xxhash.Sum64(raw[:])
 	x *= 0x9E3779B97F4A7C15
 	x ^= x >> 29
 	x *= 0xBF58476D1CE4E5B9
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -1,6 +1,7 @@
 package jmpass
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,11 +12,18 @@
 )
 
 const (
-	// firstAsked is how many agents a search asks at first; then it asks all.
-	firstAsked = 8
+	// firstAsked is how many agents a search asks at first, those that rank first
+	// for the flow; then it asks all. New flows are placed at one of the first
+	// placeWidth in rank.
+	firstAsked = 12
 	// askInterval is when a search first asks those again that have not answered.
 	// It doubles each time: they may be dark, and there may be many searches.
 	askInterval = 100 * time.Millisecond
+	// askRate bounds the packets that an agent asks others with in a second, and
+	// askBurst how many at once. Each costs the other agent and its upstream four
+	// datagrams, and after a power failure every agent asks.
+	askRate  = 1000
+	askBurst = 200
 	// searchTime is how long a search lasts. The caller repeats its packet, at
 	// the latest after 1.6 s, and that begins another one.
 	searchTime = 1700 * time.Millisecond
@@ -38,8 +46,15 @@
 	started  time.Time
 	asked    time.Time
 	again    time.Duration // until those are asked that have not answered
+	hasAsked bool          // others were asked
 	isWide   bool          // all are asked, not only the first in rank
-	pending  int           // of the first in rank, those that have not answered
+	// firstAnswered counts the answers until then.
+	firstAnswered int
+	// left are the agents that may hold the flow and have not said that they
+	// don't, by the view of a revision. The first in rank come first.
+	left     []netip.Addr
+	revision uint64
+	isListed bool // left was worked out
 	absent   map[netip.Addr]bool
 }
 
@@ -54,37 +69,57 @@
 	}
 	s.balancer, s.ack = balancer, p.Acknowledged
 	s.packet = append(s.packet[:0], packet...)
-	if s.asked.IsZero() {
+	if !s.hasAsked {
 		a.ask(now, key, s)
 	}
 }
 
 // ask asks the agents that have not answered.
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
-	s.asked = now
-	s.again = min(max(2*s.again, askInterval), searchTime)
 	if a.mayHold(now, key) {
+		s.asked, s.again = now, askInterval
 		a.testOwn(now, key, s)
 		return
 	}
 	if a.endIfGone(now, key, s) {
 		return
 	}
+	s.isWide = s.isWide || s.hasAsked
+	count := len(s.left)
+	if !s.isWide {
+		count = min(count, firstAsked)
+	}
+	if !a.takeAsks(now, count) {
+		// Others are being asked for other flows; this one's turn comes soon.
+		s.asked, s.again = now, askInterval/4
+		return
+	}
+	s.asked, s.again = now, min(max(2*s.again, askInterval), searchTime)
 	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer}
-	isFirst := s.pending == 0 && !s.isWide
-	s.isWide = !isFirst
-	for _, agent := range a.candidates(key) {
-		if s.absent[agent] {
-			continue
-		}
-		if isFirst {
-			if s.pending == firstAsked {
-				return
-			}
-			s.pending++
-		}
+	for _, agent := range s.left[:count] {
 		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
 	}
+	s.hasAsked = true
+}
+
+// takeAsks takes packets from the budget, and reports whether it had them.
+func (a *Agent) takeAsks(now time.Time, count int) bool {
+	refill := now.Sub(a.asksAt).Seconds() * askRate
+	a.asks, a.asksAt = min(a.asks+refill, askBurst), now
+	if a.asks < float64(count) {
+		return false
+	}
+	a.asks -= float64(count)
+	return true
+}
+
+// list works out who is left to ask, if the view has changed.
+func (a *Agent) list(key jasminemoor.FlowKey, s *search) {
+	if s.isListed && s.revision == a.snapshot.Revision {
+		return
+	}
+	s.isListed, s.revision = true, a.snapshot.Revision
+	s.left = slices.DeleteFunc(a.candidates(key), func(agent netip.Addr) bool { return s.absent[agent] })
 }
 
 // testOwn gives the packet of a search to the own upstream, which was not asked
@@ -126,17 +161,13 @@
 // endIfGone resets a flow if every agent that could hold it said that it does
 // not, and the list of those is recent.
 func (a *Agent) endIfGone(now time.Time, key jasminemoor.FlowKey, s *search) bool {
-	if a.snapshot.View == nil || !a.snapshot.isFresh(now) || !a.isOwnAbsent(now, key) {
+	if a.snapshot.View == nil || a.snapshot.Routes[key.Service()] == nil {
 		return false
 	}
-	if a.snapshot.Routes[key.Service()] == nil {
+	a.list(key, s)
+	if len(s.left) > 0 || !a.snapshot.isFresh(now) || !a.isOwnAbsent(now, key) {
 		return false
 	}
-	for _, agent := range a.candidates(key) {
-		if !s.absent[agent] {
-			return false
-		}
-	}
 	delete(a.searches, key)
 	a.gone[key] = now
 	a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: s.ack})
@@ -192,10 +223,11 @@
 		return a.out
 	}
 	s.absent[from] = true
-	if a.endIfGone(now, key, s) || s.isWide || s.pending == 0 {
+	s.left = slices.DeleteFunc(s.left, func(agent netip.Addr) bool { return agent == from })
+	if a.endIfGone(now, key, s) || s.isWide {
 		return a.out
 	}
-	if s.pending--; s.pending == 0 {
+	if s.firstAnswered++; s.firstAnswered >= firstAsked {
 		s.isWide = true
 		a.ask(now, key, s)
 	}
@@ -241,19 +273,15 @@
 // rankedAgents returns the agents of some upstreams in a flow's order, which is
 // the same in every process.
 func rankedAgents(key jasminemoor.FlowKey, upstreams []*jmdirectory.Upstream, isWanted func(*jmdirectory.Upstream) bool) (agents []netip.Addr) {
+	hash := key.Hash()
+	ranks := make(map[netip.Addr]float64, len(upstreams))
 	for _, u := range upstreams {
 		if isWanted(u) {
-			agents = append(agents, u.Address.Addr())
+			agent := u.Address.Addr()
+			agents = append(agents, agent)
+			ranks[agent] = rank(hash, agent)
 		}
 	}
-	slices.SortFunc(agents, func(x, y netip.Addr) int {
-		switch rx, ry := rank(key, x), rank(key, y); {
-		case rx > ry:
-			return -1
-		case rx < ry:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(agents, func(x, y netip.Addr) int { return cmp.Compare(ranks[y], ranks[x]) })
 	return agents
 }
