--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -16,10 +16,10 @@
 
 var begun = time.Unix(1_700_000_000, 0)
 
-func upstreamEntry(i int, revision uint64, state jasminemoor.UpstreamState) jasminemoor.Entry {
+func upstreamEntry(i int, revision uint64) jasminemoor.Entry {
 	id := "i-" + strconv.Itoa(i)
 	return jasminemoor.Entry{Key: "u/" + id, Revision: revision, Upstream: &jasminemoor.ListedUpstream{
-		ID: id, Service: "shop", Address: netip.AddrPortFrom(agentAddr(i), 8080), Slots: 5, State: state,
+		ID: id, Service: "shop", Address: netip.AddrPortFrom(agentAddr(i), 8080), Slots: 5,
 	}}
 }
 
@@ -74,14 +74,14 @@
 
 func TestUpstreamsLapseAndReturn(t *testing.T) {
 	var r replica
-	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{upstreamEntry(1, 1, jasminemoor.UpstreamReady)}}, true)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{upstreamEntry(1, 1)}}, true)
 	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{{Key: "u/i-1", Revision: 2}}}, false)
 	address := netip.AddrPortFrom(agentAddr(1), 8080)
 	u := r.view(begun).Upstreams[address]
 	require.True(t, u.IsGone)
 	require.False(t, u.IsReady())
 	require.Empty(t, r.view(begun.Add(goneMemory+time.Second)).Upstreams)
-	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 3, Entries: []jasminemoor.Entry{upstreamEntry(1, 3, jasminemoor.UpstreamReady)}}, false)
+	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 3, Entries: []jasminemoor.Entry{upstreamEntry(1, 3)}}, false)
 	require.True(t, r.view(begun).Upstreams[address].IsReady())
 }
 
@@ -89,7 +89,7 @@
 // of one whose entry has not lapsed yet.
 func TestAddressUsedAgain(t *testing.T) {
 	var r replica
-	old, next := upstreamEntry(1, 1, jasminemoor.UpstreamReady), upstreamEntry(1, 2, jasminemoor.UpstreamReady)
+	old, next := upstreamEntry(1, 1), upstreamEntry(1, 2)
 	old.Upstream.Born = 100
 	next.Key, next.Upstream.ID, next.Upstream.Service, next.Upstream.Born = "u/i-9", "i-9", "desk", 200
 	r.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{next, old}}, true)
@@ -102,13 +102,13 @@
 func TestWholeReplacesAll(t *testing.T) {
 	var a, b replica
 	a.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 5, Entries: []jasminemoor.Entry{
-		routingEntry(1, 1, 1, 2), upstreamEntry(1, 2, 0), upstreamEntry(2, 3, 0),
+		routingEntry(1, 1, 1, 2), upstreamEntry(1, 2), upstreamEntry(2, 3),
 	}}, true)
 	items, isWhole := a.delta(0)
 	require.True(t, isWhole)
 	b.merge(begun, items, a.revision, isWhole)
 	require.Equal(t, a.view(begun).Routes, b.view(begun).Routes)
-	a.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 9, Entries: []jasminemoor.Entry{routingEntry(2, 8, 2), upstreamEntry(2, 3, 0)}}, true)
+	a.applyEntries(begun, &jasminemoor.DirectoryChanges{Revision: 9, Entries: []jasminemoor.Entry{routingEntry(2, 8, 2), upstreamEntry(2, 3)}}, true)
 	items, isWhole = a.delta(b.revision)
 	require.True(t, isWhole, "a listing does not show what came and went before it")
 	require.True(t, b.merge(begun, items, a.revision, isWhole))
@@ -141,7 +141,7 @@
 	}
 	f.write(routingEntry(1, 0, 1, 2, 3))
 	for i := range agents {
-		f.write(upstreamEntry(i+1, 0, jasminemoor.UpstreamReady))
+		f.write(upstreamEntry(i+1, 0))
 		f.add(agentAddr(i+1), netip.AddrPortFrom(agentAddr(i+1), 8080))
 	}
 	for i := range balancers {
@@ -309,7 +309,7 @@
 	m := &Machine{Self: agentAddr(1), Upstream: netip.AddrPortFrom(agentAddr(1), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
 	r, found := m.NextRead(begun)
 	require.True(t, found && r.IsLoad)
-	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{routingEntry(1, 4, 1), upstreamEntry(1, 3, 0)}}, nil)
+	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{routingEntry(1, 4, 1), upstreamEntry(1, 3)}}, nil)
 	now := begun.Add(time.Second)
 	r, found = m.NextRead(now)
 	require.True(t, found && !r.IsLoad && r.Since == 4)
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -19,6 +19,8 @@
 	Services    map[string]*Service
 	// Upstreams holds the newest entry of each address.
 	Upstreams map[netip.AddrPort]*Upstream
+	// Agents holds the same by the address of the agent beside each.
+	Agents map[netip.Addr]*Upstream
 }
 
 // Route is a route and the services that its flows may be at.
@@ -106,7 +108,11 @@
 			v.Upstreams[u.Address] = u
 		}
 	}
+	v.Agents = make(map[netip.Addr]*Upstream, len(v.Upstreams))
 	for _, u := range v.Upstreams {
+		if other := v.Agents[u.Address.Addr()]; other == nil || isNewer(u, other) {
+			v.Agents[u.Address.Addr()] = u
+		}
 		s := v.Services[u.Service]
 		if s == nil {
 			s = &Service{Name: u.Service}
--- a/internal/fleet/jmtrail/trail.go
+++ b/internal/fleet/jmtrail/trail.go
@@ -97,8 +97,6 @@
 // Find returns the story of a request. It fails if no line names the request.
 func Find(lines []Line, request string) (s *Story, err error) {
 	s = &Story{Request: request}
-	instances := make(map[string]bool)
-	var first, last time.Time
 	for _, l := range lines {
 		if l.Request == request && !slices.Contains(s.Flows, l.Flow) {
 			s.Flows = append(s.Flows, l.Flow)
@@ -107,20 +105,9 @@
 	if len(s.Flows) == 0 {
 		return nil, eris.Errorf("no line names request %s: it never reached a process, or its lines were left out", request)
 	}
+	path := s.path(lines)
 	for _, l := range lines {
-		if !slices.Contains(s.Flows, l.Flow) {
-			continue
-		}
-		instances[l.Instance] = true
-		if first.IsZero() || l.Time.Before(first) {
-			first = l.Time
-		}
-		if l.Time.After(last) {
-			last = l.Time
-		}
-	}
-	for _, l := range lines {
-		isNear := instances[l.Instance] && !l.Time.Before(first.Add(-around)) && !l.Time.After(last.Add(around))
+		isNear := path.isNear(&l)
 		switch {
 		case slices.Contains(s.Flows, l.Flow):
 			s.Lines = append(s.Lines, l)
@@ -138,6 +125,33 @@
 	return s, nil
 }
 
+// path is the processes that a request's flows went through, and when.
+type path struct {
+	instances   map[string]bool
+	first, last time.Time
+}
+
+func (s *Story) path(lines []Line) (p path) {
+	p.instances = make(map[string]bool)
+	for _, l := range lines {
+		if !slices.Contains(s.Flows, l.Flow) {
+			continue
+		}
+		p.instances[l.Instance] = true
+		if p.first.IsZero() || l.Time.Before(p.first) {
+			p.first = l.Time
+		}
+		if l.Time.After(p.last) {
+			p.last = l.Time
+		}
+	}
+	return p
+}
+
+func (p *path) isNear(l *Line) bool {
+	return p.instances[l.Instance] && !l.Time.Before(p.first.Add(-around)) && !l.Time.After(p.last.Add(around))
+}
+
 // Print writes the story for people.
 func (s *Story) Print(w io.Writer) (err error) {
 	var b strings.Builder
--- a/internal/fleet/jmtrail/trail_test.go
+++ b/internal/fleet/jmtrail/trail_test.go
@@ -38,7 +38,7 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add(`{"time":"2026-07-17T16:54:07Z","msg":"x","Flow":"a","Request":"1"}`)
-	f.Fuzz(func(t *testing.T, text string) {
+	f.Fuzz(func(_ *testing.T, text string) {
 		lines, _, err := jmtrail.Read(strings.NewReader(text))
 		if err == nil {
 			_, _ = jmtrail.Find(lines, "1")
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -7,6 +7,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -136,12 +137,8 @@
 	if now.Sub(holder.heard) < silentAfter || !b.snapshot.isFresh(now) {
 		return false
 	}
-	for addr, u := range b.snapshot.Upstreams {
-		if addr.Addr() == holder.addr {
-			return u.IsGone && u.State == jasminemoor.UpstreamLeaving
-		}
-	}
-	return true
+	u := b.snapshot.Agents[holder.addr]
+	return u == nil || u.IsGone && u.State == jasminemoor.UpstreamLeaving
 }
 
 // place chooses the upstream of a new flow. A repeated opening packet goes to
@@ -180,7 +177,7 @@
 			continue
 		}
 		for _, u := range service.Upstreams {
-			score := rank(hash, u.Address.Addr())
+			score := jmplacer.Rank(hash, u.Address.Addr())
 			if u.IsGone || b.agents[b.indexOf(u.Address.Addr())].isSuspect(now) {
 				score -= 1 // after all others
 			}
@@ -194,6 +191,10 @@
 
 // HandleHolder takes an agent's word that it holds a flow.
 func (b *Balancer) HandleHolder(now time.Time, from netip.Addr, flow jasminemoor.FlowKey) {
+	if !b.isKnown(from) {
+		b.Counts[ReasonStranger]++
+		return
+	}
 	at := b.indexOf(from)
 	b.hear(now, at)
 	b.put(flow, balancerFlow{holder: at, isOpen: true})
@@ -201,6 +202,10 @@
 
 // HandleReport takes an agent's report in.
 func (b *Balancer) HandleReport(now time.Time, from netip.Addr, r *jmhop.Report) {
+	if !b.isKnown(from) {
+		b.Counts[ReasonStranger]++
+		return
+	}
 	at := b.indexOf(from)
 	if r.Incarnation < b.agents[at].report.Incarnation {
 		return
@@ -228,15 +233,13 @@
 }
 
 func (b *Balancer) isListed(agent netip.Addr) bool {
-	if b.snapshot.View == nil {
-		return false
-	}
-	for addr := range b.snapshot.Upstreams {
-		if addr.Addr() == agent {
-			return true
-		}
-	}
-	return false
+	return b.snapshot.View != nil && b.snapshot.Agents[agent] != nil
+}
+
+// isKnown reports whether an address is or was that of an agent.
+func (b *Balancer) isKnown(addr netip.Addr) bool {
+	_, found := b.byAddr[addr]
+	return found || b.isListed(addr)
 }
 
 // Flows returns the number of flows that are remembered.
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -5,10 +5,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -76,7 +75,7 @@
 		if !u.IsReady() {
 			continue
 		}
-		c := ranked{upstream: u, rank: rank(hash, u.Address.Addr())}
+		c := ranked{upstream: u, rank: jmplacer.Rank(hash, u.Address.Addr())}
 		if len(first) < placeWidth {
 			first = append(first, c)
 			continue
@@ -123,18 +122,6 @@
 // stoppedMemory is how long an agent's word counts that it takes no new flows.
 const stoppedMemory = 3 * time.Second
 
-// rank returns a number from 0 to 1 by which each process orders the agents
-// for the flow with a hash alike.
-func rank(hash uint64, agent netip.Addr) float64 {
-	raw := agent.As16()
-	x := hash ^ xxhash.Sum64(raw[:])
-	x *= 0x9E3779B97F4A7C15
-	x ^= x >> 29
-	x *= 0xBF58476D1CE4E5B9
-	x ^= x >> 32
-	return float64(x>>11) / (1 << 53)
-}
-
 // holders returns the services that may hold flows of a route.
 func holders(route *jmdirectory.Route) (services []string) {
 	for _, s := range route.Shares {
--- a/internal/flow/jmpass/gate_test.go
+++ b/internal/flow/jmpass/gate_test.go
@@ -59,7 +59,7 @@
 // TestRequestsWait gives an upstream of two slots four requests, holds the
 // others, and gives it the next with each answer.
 func TestRequestsWait(t *testing.T) {
-	a := newAgent(1, true, snapshot(1))
+	a := newAgent(true, snapshot(1))
 	for i := range 6 {
 		out := flowOf(a, begun, i)
 		if i < 2+spareRequests {
@@ -94,7 +94,7 @@
 	}
 	for name, lose := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := newAgent(1, true, snapshot(1))
+			a := newAgent(true, snapshot(1))
 			for i := range 2 + spareRequests {
 				flowOf(a, begun, i)
 			}
@@ -112,7 +112,7 @@
 
 // TestRepeatedPacketIsHeldOnce holds a packet once that its caller sends twice.
 func TestRepeatedPacketIsHeldOnce(t *testing.T) {
-	a := newAgent(1, true, snapshot(1))
+	a := newAgent(true, snapshot(1))
 	for i := range 2 + spareRequests + 1 {
 		flowOf(a, begun, i)
 	}
@@ -126,7 +126,7 @@
 
 // TestRequestIsAsOldAsItsFlow counts the time that an opening packet took.
 func TestRequestIsAsOldAsItsFlow(t *testing.T) {
-	a := newAgent(1, true, snapshot(1))
+	a := newAgent(true, snapshot(1))
 	for i := range 2 + spareRequests {
 		flowOf(a, begun, i)
 	}
@@ -141,7 +141,7 @@
 // TestEndBeforeAnswer has the end of a flow overtake the answer, as packets do:
 // it is no failure, and the answer still counts.
 func TestEndBeforeAnswer(t *testing.T) {
-	a := newAgent(1, true, snapshot(1))
+	a := newAgent(true, snapshot(1))
 	answers := 0
 	a.OnAnswer = func(time.Duration) { answers++ }
 	flowOf(a, begun, 0)
@@ -159,7 +159,7 @@
 // TestFailures walks through what raises the share of failures, and what
 // becomes of it.
 func TestFailures(t *testing.T) {
-	a := newAgent(1, true, snapshot(1))
+	a := newAgent(true, snapshot(1))
 	flowOf(a, begun, 0)
 	reset := fromUpstream(jasminemoor.FlagReset, 0)
 	reset.Destination = netip.AddrPortFrom(callers.Addr(), 2000)
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -97,6 +97,7 @@
 	ReasonLeaving
 	ReasonOtherService
 	ReasonHeldBack
+	ReasonStranger
 	reasonCount
 )
 
@@ -124,6 +125,7 @@
 	ReasonLeaving:           {"leaving", "upstream is leaving"},
 	ReasonOtherService:      {"other_service", "route is for another service"},
 	ReasonHeldBack:          {"held_back", "request waits for its upstream"},
+	ReasonStranger:          {"stranger", "message from an address that is no agent's"},
 }
 
 // String returns the name of the reason, for metrics.
--- a/internal/flow/jmpass/pass_test.go
+++ b/internal/flow/jmpass/pass_test.go
@@ -31,6 +31,7 @@
 		Routes:    make(map[netip.AddrPort]*jmdirectory.Route),
 		Services:  make(map[string]*jmdirectory.Service),
 		Upstreams: make(map[netip.AddrPort]*jmdirectory.Upstream),
+		Agents:    make(map[netip.Addr]*jmdirectory.Upstream),
 	}
 	for name, addr := range map[string]netip.AddrPort{"shop": shop, "desk": desk} {
 		v.Routes[addr] = &jmdirectory.Route{Route: jasminemoor.Route{
@@ -42,6 +43,7 @@
 	add := func(name string, i int) {
 		u := &jmdirectory.Upstream{ListedUpstream: jasminemoor.ListedUpstream{Service: name, Address: upstreamAddr(i), Slots: 2, DataCentre: "a"}}
 		v.Upstreams[u.Address] = u
+		v.Agents[u.Address.Addr()] = u
 		v.Services[name].Upstreams = append(v.Services[name].Upstreams, u)
 	}
 	for i := range n {
@@ -62,8 +64,9 @@
 	return func(v *jmdirectory.View) { v.Upstreams[upstreamAddr(i)].IsGone = true }
 }
 
-func newAgent(i int, isFirst bool, s Snapshot) *Agent {
-	a := &Agent{Self: agentAddr(i), Upstream: upstreamAddr(i), Service: "shop", IsFirst: isFirst}
+// newAgent returns the agent of the first upstream.
+func newAgent(isFirst bool, s Snapshot) *Agent {
+	a := &Agent{Self: agentAddr(1), Upstream: upstreamAddr(1), Service: "shop", IsFirst: isFirst}
 	a.SetSnapshot(s)
 	return a
 }
@@ -219,6 +222,19 @@
 	require.Equal(t, silent, place(now, 99))
 }
 
+// TestStrangersAreNotHeard drops what comes from no agent's address.
+func TestStrangersAreNotHeard(t *testing.T) {
+	b := &Balancer{Self: front, DataCentre: "a"}
+	b.SetSnapshot(snapshot(1))
+	m, _ := b.Handle(begun, opening(shop))
+	stranger := netip.MustParseAddr("100.64.0.99")
+	b.HandleHolder(begun, stranger, opening(shop).Key())
+	b.HandleReport(begun, stranger, &jmhop.Report{})
+	again, _ := b.Handle(begun, data(callerSequence+1, 10))
+	require.Equal(t, m.To, again.To)
+	require.Equal(t, uint64(2), b.Counts[ReasonStranger])
+}
+
 // TestLoadDecides puts new flows where they wait least.
 func TestLoadDecides(t *testing.T) {
 	cases := map[string]struct{ one, two jmhop.Report }{
@@ -242,13 +258,13 @@
 // TestOtherServiceNeverReached hands a flow on whose route is not for the
 // agent's own service: addresses are used again.
 func TestOtherServiceNeverReached(t *testing.T) {
-	a := newAgent(1, true, snapshot(2))
+	a := newAgent(true, snapshot(2))
 	out, reason := a.HandlePeer(begun, front, forwardHeader(0), opening(desk), nil)
 	require.Equal(t, ReasonOtherService, reason)
 	require.NotContains(t, kinds(out), ToUpstream)
 	require.Equal(t, agentAddr(9), find(out[len(out)-1:], ToPeer).To)
 
-	a = newAgent(1, false, snapshot(2))
+	a = newAgent(false, snapshot(2))
 	p := data(callerSequence, 10)
 	p.Destination = desk
 	out, _ = a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), p, []byte("packet"))
@@ -256,7 +272,7 @@
 }
 
 func TestLeavingUpstreamGetsNoNewFlows(t *testing.T) {
-	a := newAgent(1, true, snapshot(2, leaving(1)))
+	a := newAgent(true, snapshot(2, leaving(1)))
 	out, reason := a.HandlePeer(begun, front, forwardHeader(0), opening(shop), nil)
 	require.Equal(t, ReasonLeaving, reason)
 	require.Equal(t, agentAddr(2), find(out[len(out)-1:], ToPeer).To)
@@ -265,7 +281,7 @@
 
 // TestHandOnEnds bounds how often an opening packet is passed on.
 func TestHandOnEnds(t *testing.T) {
-	a := newAgent(1, true, snapshot(2, leaving(1)))
+	a := newAgent(true, snapshot(2, leaving(1)))
 	h := forwardHeader(0)
 	h.Hops = maxHops
 	out, _ := a.HandlePeer(begun, agentAddr(2), h, opening(shop), nil)
@@ -274,7 +290,7 @@
 
 // TestRefusedOpeningGoesOn takes a flow that the upstream has no room for to another.
 func TestRefusedOpeningGoesOn(t *testing.T) {
-	a := newAgent(1, true, snapshot(3))
+	a := newAgent(true, snapshot(3))
 	_, _ = a.HandlePeer(begun, front, forwardHeader(0), opening(shop), nil)
 	p := opening(shop)
 	p.Flags |= jasminemoor.FlagReturned
@@ -290,7 +306,7 @@
 // TestKnownFlowThatDied resets a flow that the agent saw its upstream take and
 // that the upstream no longer holds.
 func TestKnownFlowThatDied(t *testing.T) {
-	a := newAgent(1, true, snapshot(3))
+	a := newAgent(true, snapshot(3))
 	openFlow(t, a)
 	p := data(callerSequence+1, 10)
 	_, _ = a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), p, nil)
@@ -303,7 +319,7 @@
 // TestOtherHolder passes on the packets of a flow that the caller opened at the
 // upstream of another agent, though this agent's upstream answered as well.
 func TestOtherHolder(t *testing.T) {
-	a := newAgent(1, true, snapshot(2))
+	a := newAgent(true, snapshot(2))
 	openFlow(t, a)
 	p := data(callerSequence+1, 10)
 	p.Acknowledged = 77
@@ -320,7 +336,7 @@
 func TestProofThatFlowIsGone(t *testing.T) {
 	key := data(0, 0).Key()
 	begin := func(s Snapshot) *Agent {
-		a := newAgent(1, true, s)
+		a := newAgent(true, s)
 		out, _ := a.HandlePeer(begun, front, forwardHeader(0), data(callerSequence, 10), []byte("packet"))
 		require.NotContains(t, kinds(out), Reset)
 		return a
@@ -368,13 +384,13 @@
 func TestRestartedAgentAsksItsUpstream(t *testing.T) {
 	ask := &jmhop.Header{Kind: jmhop.KindAsk, Origin: front}
 	p := data(callerSequence, 10)
-	a := newAgent(1, false, snapshot(3))
+	a := newAgent(false, snapshot(3))
 	out, reason := a.HandlePeer(begun, agentAddr(2), ask, p, []byte("packet"))
 	require.Equal(t, ReasonTested, reason)
 	require.Equal(t, []Kind{ToUpstream}, kinds(out))
 
 	t.Run("the upstream refuses", func(t *testing.T) {
-		a := newAgent(1, false, snapshot(3))
+		a := newAgent(false, snapshot(3))
 		_, _ = a.HandlePeer(begun, agentAddr(2), ask, p, []byte("packet"))
 		refused := *p
 		refused.Flags |= jasminemoor.FlagReturned
@@ -386,7 +402,7 @@
 		require.NotContains(t, kinds(out), ToUpstream)
 	})
 	t.Run("the upstream answers", func(t *testing.T) {
-		a := newAgent(1, false, snapshot(3))
+		a := newAgent(false, snapshot(3))
 		_, _ = a.HandlePeer(begun, agentAddr(2), ask, p, []byte("packet"))
 		out, _ := a.HandleUpstream(begun, fromUpstream(jasminemoor.FlagAck, 100), nil, false)
 		var told []netip.Addr
@@ -399,7 +415,7 @@
 		require.Contains(t, kinds(out), ToCaller)
 	})
 	t.Run("the upstream is silent, then refuses another packet", func(t *testing.T) {
-		a := newAgent(1, false, snapshot(3))
+		a := newAgent(false, snapshot(3))
 		_, _ = a.HandlePeer(begun, agentAddr(2), ask, p, []byte("packet"))
 		_, _ = a.Tick(begun.Add(testTime))
 		refused := *p
@@ -409,7 +425,7 @@
 		require.NotContains(t, kinds(out), Reset)
 	})
 	t.Run("nothing is said before the own upstream was asked", func(t *testing.T) {
-		a := newAgent(1, false, Snapshot{})
+		a := newAgent(false, Snapshot{})
 		out, _ := a.HandlePeer(begun, front, forwardHeader(0), p, []byte("packet"))
 		require.Empty(t, out)
 		a.SetSnapshot(snapshot(2))
@@ -422,7 +438,7 @@
 // TestCrashedUpstream resets the flows of an upstream whose process has ended,
 // and hands new ones on.
 func TestCrashedUpstream(t *testing.T) {
-	a := newAgent(1, true, snapshot(2))
+	a := newAgent(true, snapshot(2))
 	openFlow(t, a)
 	_, _ = a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), data(callerSequence+1, 10), nil)
 	now := begun.Add(upstreamTimeout + time.Millisecond)
@@ -441,7 +457,7 @@
 
 // TestSilentUpstream keeps the flows: silence is no proof that they are gone.
 func TestSilentUpstream(t *testing.T) {
-	a := newAgent(1, true, snapshot(2))
+	a := newAgent(true, snapshot(2))
 	openFlow(t, a)
 	require.NotContains(t, kinds(a.HandleProbe(begun, ProbeSilent)), Reset)
 	_, reason := a.HandlePeer(begun, front, forwardHeader(0), opening(shop), nil)
@@ -458,7 +474,7 @@
 	p := data(callerSequence+1, 10)
 	require.Zero(t, testing.AllocsPerRun(100, func() { b.Handle(begun, p) }))
 
-	a := newAgent(1, true, snapshot(7))
+	a := newAgent(true, snapshot(7))
 	openFlow(t, a)
 	h, answer := forwardHeader(jmhop.FlagKnown), fromUpstream(jasminemoor.FlagAck, 100)
 	require.Zero(t, testing.AllocsPerRun(100, func() {
@@ -488,3 +504,75 @@
 		balancer.Handle(begun, p)
 	}
 }
+
+// many is a snapshot of a service with n upstreams.
+func many(n int) Snapshot {
+	return snapshot(0, func(v *jmdirectory.View) {
+		service := v.Services["shop"]
+		for i := range n {
+			u := &jmdirectory.Upstream{ListedUpstream: jasminemoor.ListedUpstream{
+				Service: "shop", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)}), 8080), Slots: 2,
+			}}
+			v.Upstreams[u.Address] = u
+			v.Agents[u.Address.Addr()] = u
+			service.Upstreams = append(service.Upstreams, u)
+		}
+	})
+}
+
+// TestSearchAsksFewFirst asks the first in rank, where the flow was placed, and
+// all others only once these have said no.
+func TestSearchAsksFewFirst(t *testing.T) {
+	s := many(200)
+	b := &Balancer{Self: front, DataCentre: "a"}
+	b.SetSnapshot(s)
+	holder, _ := b.Handle(begun, opening(shop))
+
+	a := newAgent(true, s)
+	p := data(callerSequence, 10)
+	out, _ := a.HandlePeer(begun, front, forwardHeader(0), p, []byte("packet"))
+	require.Len(t, out, firstAsked)
+	var asked []netip.Addr
+	for i := range out {
+		asked = append(asked, out[i].To)
+	}
+	require.Contains(t, asked, holder.To, "whatever the number of upstreams")
+	wide := 0
+	for _, agent := range asked {
+		wide += len(a.HandleAbsent(begun, agent, p.Key()))
+	}
+	require.Equal(t, 200-firstAsked, wide)
+}
+
+// TestSearchesHaveABudget bounds what a power failure makes an agent ask, while
+// nobody answers, as on the grown installation where asking took all processors.
+func TestSearchesHaveABudget(t *testing.T) {
+	a := newAgent(true, many(60))
+	sent, seconds := 0, 3
+	for now := begun; now.Sub(begun) < time.Duration(seconds)*time.Second; now = now.Add(25 * time.Millisecond) {
+		for i := range 10 {
+			p := data(callerSequence, 10)
+			p.Source = netip.AddrPortFrom(callers.Addr(), uint16(i+10*int(now.Sub(begun)/(25*time.Millisecond))))
+			out, _ := a.HandlePeer(now, front, forwardHeader(0), p, []byte("packet"))
+			sent += len(out)
+		}
+		out, _ := a.Tick(now)
+		sent += len(out)
+	}
+	reports := seconds * int(time.Second/idleReportInterval)
+	require.LessOrEqual(t, sent, askBurst+seconds*askRate+reports)
+}
+
+// TestUpstreamSeenDown lets an agent that was restarted answer for its upstream
+// once it has found that the upstream's process had ended as well.
+func TestUpstreamSeenDown(t *testing.T) {
+	a := newAgent(false, snapshot(2))
+	_, shouldProbe := a.Tick(begun)
+	require.True(t, shouldProbe, "at the start")
+	_ = a.HandleProbe(begun, ProbeRefused)
+	_ = a.HandleProbe(begun, ProbeAccepted)
+	ask := &jmhop.Header{Kind: jmhop.KindAsk, Origin: front}
+	out, reason := a.HandlePeer(begun, agentAddr(2), ask, data(callerSequence, 10), []byte("packet"))
+	require.Equal(t, ReasonNotHeld, reason)
+	require.Equal(t, jmhop.KindAbsent, out[0].Header.Kind)
+}
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -279,7 +280,7 @@
 		if isWanted(u) {
 			agent := u.Address.Addr()
 			agents = append(agents, agent)
-			ranks[agent] = rank(hash, agent)
+			ranks[agent] = jmplacer.Rank(hash, agent)
 		}
 	}
 	slices.SortFunc(agents, func(x, y netip.Addr) int { return cmp.Compare(ranks[y], ranks[x]) })
--- a/internal/flow/jmplacer/placer.go
+++ b/internal/flow/jmplacer/placer.go
@@ -65,8 +65,7 @@
 
 // score is the weighted rendezvous score -w/ln(u), with u uniform in (0, 1).
 func (e *entry) score(key uint64) float64 {
-	u := (float64(mix(key^e.seed)>>11) + 0.5) / (1 << 53)
-	return -e.weight / math.Log(u)
+	return -e.weight / math.Log(uniform(mix(key^e.seed)))
 }
 
 func seedOf(agent netip.AddrPort) uint64 {
@@ -75,6 +74,16 @@
 	return xxhash.Sum64(b)
 }
 
+// Rank returns a number from 0 to 1 by which every process orders the agents for
+// the flow with a hash alike, the largest first.
+func Rank(flow uint64, agent netip.Addr) float64 {
+	raw := agent.As16()
+	return uniform(mix(flow ^ xxhash.Sum64(raw[:])))
+}
+
+// uniform maps a hash to a number in (0, 1).
+func uniform(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
 // mix is the finalizer of the 64-bit variant of MurmurHash3.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -27,7 +27,6 @@
 	tries    int
 	runs     int
 	isEnded  bool
-	mayHave  bool // an earlier try may have run it
 	reported bool
 }
 
@@ -135,46 +134,63 @@
 		f = c.open(r.class)
 	}
 	f.request = r
+	t := &try{flow: f, request: r, done: done}
+	f.answered, f.failed = t.answered, t.failed
 	left := r.began.Add(time.Duration(r.class.Deadline)).Sub(w.now)
-	isOver := false
-	finish := func(again bool) {
-		if isOver {
-			return
-		}
-		isOver = true
-		if again {
-			c.try(r, done)
-			return
-		}
-		done()
+	w.after(left, t.expire)
+	if f.isOpen {
+		f.sendRequest()
 	}
-	f.answered = func(isSuccess bool) {
-		if isOver {
-			return
-		}
-		if isSuccess {
-			w.result.end(w, r, true)
-		}
-		if !r.class.IsLong || !isSuccess {
-			f.close()
-		}
-		finish(!isSuccess)
+}
+
+// try is one try of a request on a flow.
+type try struct {
+	flow    *callerFlow
+	request *request
+	done    func() // called once no more tries follow
+	isOver  bool
+}
+
+func (t *try) finish(again bool) {
+	if t.isOver {
+		return
 	}
-	f.failed = func() {
-		// What may not run twice is repeated only if the flow never opened.
-		finish(r.class.Idempotent || !f.isOpen)
-		if !r.class.Idempotent && f.isOpen {
-			w.result.end(w, r, false)
-		}
+	t.isOver = true
+	if again {
+		t.flow.caller.try(t.request, t.done)
+		return
 	}
-	w.after(left, func() {
-		if !isOver {
-			f.close()
-			finish(false)
-		}
-	})
-	if f.isOpen {
-		f.sendRequest()
+	t.done()
+}
+
+func (t *try) answered(isSuccess bool) {
+	if t.isOver {
+		return
+	}
+	w := t.flow.caller.world
+	if isSuccess {
+		w.result.end(w, t.request, true)
+	}
+	if !t.request.class.IsLong || !isSuccess {
+		t.flow.close()
+	}
+	t.finish(!isSuccess)
+}
+
+func (t *try) failed() {
+	// What may not run twice is repeated only if the flow never opened.
+	isFinal := !t.request.class.Idempotent && t.flow.isOpen
+	t.finish(!isFinal)
+	if isFinal {
+		w := t.flow.caller.world
+		w.result.end(w, t.request, false)
+	}
+}
+
+func (t *try) expire() {
+	if !t.isOver {
+		t.flow.close()
+		t.finish(false)
 	}
 }
 
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -46,7 +46,6 @@
 	flow    jasminemoor.FlowKey
 	request *request
 	queued  time.Time
-	isDone  bool
 }
 
 func (u *upstream) start(isCold bool) {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -124,7 +124,7 @@
 	return q[i].at.Before(q[j].at)
 }
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) } //nolint:forcetypeassert,revive // only events are pushed
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) } // only events are pushed
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -141,7 +141,7 @@
 func (w *World) Run() (r *Result, err error) {
 	w.begin()
 	for w.events.Len() > 0 && w.violation == nil {
-		e := heap.Pop(&w.events).(event) //nolint:forcetypeassert,revive // only events are pushed
+		e := heap.Pop(&w.events).(event) // only events are pushed
 		if e.at.Sub(w.begun) > w.Length {
 			break
 		}
@@ -265,6 +265,7 @@
 		Routes:    make(map[netip.AddrPort]*jmdirectory.Route),
 		Services:  map[string]*jmdirectory.Service{service: s},
 		Upstreams: make(map[netip.AddrPort]*jmdirectory.Upstream),
+		Agents:    make(map[netip.Addr]*jmdirectory.Upstream),
 	}
 	for i := range w.Classes {
 		c := &w.Classes[i]
@@ -286,6 +287,7 @@
 		}
 		s.Upstreams = append(s.Upstreams, u)
 		v.Upstreams[u.Address] = u
+		v.Agents[n.addr] = u
 	}
 	return v
 }
--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -58,6 +58,15 @@
 	Removed bool   `json:"removed,omitempty"`
 }
 
+// answer is the body of an answer. Each call fills its own part.
+type answer struct {
+	*item
+	Items      []item `json:"items,omitempty"`
+	Events     []item `json:"events,omitempty"`
+	HasMore    bool   `json:"has_more,omitempty"`
+	CurrentRev uint64 `json:"current_rev"`
+}
+
 // Put writes a value, as the operator or an upstream would.
 func (s *Store) Put(key string, value any) {
 	text, isText := value.(string)
@@ -192,10 +201,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, struct {
-		item
-		CurrentRev uint64 `json:"current_rev"`
-	}{i, s.rev})
+	reply(w, answer{item: &i, CurrentRev: s.rev})
 }
 
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
@@ -212,7 +218,7 @@
 		}
 		items = append(items, s.items[key])
 	}
-	reply(w, map[string]any{"items": items, "has_more": hasMore, "current_rev": s.rev})
+	reply(w, answer{Items: items, HasMore: hasMore, CurrentRev: s.rev})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
@@ -237,13 +243,13 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "current_rev": rev})
+			reply(w, answer{Events: events, CurrentRev: rev})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, map[string]any{"events": events, "current_rev": rev})
+			reply(w, answer{Events: events, CurrentRev: rev})
 			return
 		case <-r.Context().Done():
 			return
