--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -96,28 +96,13 @@
 			v.Routes[addr] = &Route{Route: *known.route, Former: known.former}
 		}
 	}
+	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for _, known := range r.upstreams {
-		isGone := known.upstream == nil
-		if isGone && (known.last == nil || now.Sub(known.changed) > goneMemory) {
-			continue
-		}
-		listed := known.upstream
-		if isGone {
-			listed = known.last
-		}
-		u := &Upstream{ListedUpstream: *listed, Revision: known.revision, WarmAt: known.warmAt, IsGone: isGone}
-		if isGone {
-			u.GoneAt = known.changed
-		}
-		if other := v.Upstreams[u.Address]; other == nil || isNewer(u, other) {
-			v.Upstreams[u.Address] = u
+		if u := known.view(now); u != nil {
+			v.add(u)
 		}
 	}
-	v.Agents = make(map[netip.Addr]*Upstream, len(v.Upstreams))
 	for _, u := range v.Upstreams {
-		if other := v.Agents[u.Address.Addr()]; other == nil || isNewer(u, other) {
-			v.Agents[u.Address.Addr()] = u
-		}
 		s := v.Services[u.Service]
 		if s == nil {
 			s = &Service{Name: u.Service}
@@ -131,6 +116,30 @@
 	return v
 }
 
+// view returns an upstream as views show it, nil if it has been gone for long.
+func (k *knownUpstream) view(now time.Time) *Upstream {
+	u := &Upstream{Revision: k.revision, WarmAt: k.warmAt}
+	switch {
+	case k.upstream != nil:
+		u.ListedUpstream = *k.upstream
+	case k.last == nil || now.Sub(k.changed) > goneMemory:
+		return nil
+	default:
+		u.ListedUpstream, u.IsGone, u.GoneAt = *k.last, true, k.changed
+	}
+	return u
+}
+
+// add adds an upstream, unless a later one has its address.
+func (v *View) add(u *Upstream) {
+	if other := v.Upstreams[u.Address]; other == nil || isNewer(u, other) {
+		v.Upstreams[u.Address] = u
+	}
+	if other := v.Agents[u.Address.Addr()]; other == nil || isNewer(u, other) {
+		v.Agents[u.Address.Addr()] = u
+	}
+}
+
 // isNewer reports whether u says more of an address than other: a later
 // upstream took the address over, while the entry of the first one lapses.
 func isNewer(u, other *Upstream) bool {
