--- a/internal/flow/jmgateway/sender.go
+++ b/internal/flow/jmgateway/sender.go
@@ -67,7 +67,7 @@
 	}
 	switch m.Kind {
 	case jmpass.ToUpstream:
-		s.codec.SetTag(packet, m.Tag)
+		s.codec.Restore(packet)
 		s.outlet.add(s.upstream, packet, nil)
 	case jmpass.ToCaller:
 		s.outlet.add(netip.AddrPortFrom(m.Flow.Caller().Addr(), s.callerPort), packet, nil)
@@ -79,7 +79,7 @@
 		to := netip.AddrPortFrom(m.To, s.peerPort)
 		switch {
 		case m.HasPacket:
-			s.codec.SetTag(packet, 0)
+			s.codec.Restore(packet)
 			s.outlet.add(to, s.header[:], packet)
 		case m.Report != nil:
 			s.body = m.Report.Append(s.body[:0])
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -12,20 +12,6 @@
 const (
 	// maxHops is how many agents may pass an opening packet on.
 	maxHops = 3
-	// reportInterval is the least time between two reports to a balancer that
-	// sends new flows.
-	reportInterval = 50 * time.Millisecond
-	// idleReportInterval is the time between reports to one that sends others.
-	idleReportInterval = 250 * time.Millisecond
-	// balancerMemory is how long a balancer that sends nothing gets reports.
-	balancerMemory = 1500 * time.Millisecond
-	// maxReports bounds the reports of one tick.
-	maxReports = 16
-	// upstreamTimeout is how long an upstream may leave a packet without any
-	// answer before it is looked at.
-	upstreamTimeout = 150 * time.Millisecond
-	// probeInterval is the least time between two looks.
-	probeInterval = 200 * time.Millisecond
 	// sweepInterval is how often the table drops old flows.
 	sweepInterval = time.Second
 )
@@ -68,23 +54,6 @@
 	out             []Message
 }
 
-// balancerState is what an agent knows of a balancer.
-type balancerState struct {
-	addr     netip.Addr
-	heard    time.Time
-	reported time.Time
-	isDue    bool // has sent a new flow since the last report
-}
-
-// upstreamState is what an agent knows of its upstream.
-type upstreamState struct {
-	// unanswered is when the first packet was given to it since it last sent one.
-	unanswered time.Time
-	probed     time.Time
-	isDown     bool // it refuses connections: its process has ended
-	isSilent   bool // it does not answer at all
-}
-
 // test is a packet that was given to the upstream to see whether it holds the flow.
 type test struct {
 	at       time.Time
@@ -95,18 +64,6 @@
 // SetSnapshot replaces the view of the directory.
 func (a *Agent) SetSnapshot(s Snapshot) { a.snapshot = s }
 
-// Leave has the agent tell the balancers that it is about to end.
-func (a *Agent) Leave(now time.Time) []Message {
-	a.out = a.out[:0]
-	a.isLeaving = true
-	for i := range a.balancers {
-		if now.Sub(a.balancers[i].heard) < balancerMemory*2 {
-			a.report(now, &a.balancers[i])
-		}
-	}
-	return a.out
-}
-
 // HandlePeer decides on a caller's packet that a balancer or an agent sent.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
 	a.begin(now)
@@ -153,7 +110,7 @@
 		a.table.add(key, f)
 	}
 	f.balancer, f.hops, f.used = at+1, h.Hops, now
-	a.giveUpstream(now, key, 0)
+	a.giveUpstream(now, key)
 	if h.Hops > 0 {
 		a.tellHolder(h.Origin, key)
 	}
@@ -239,7 +196,7 @@
 		if _, isTesting := a.tests[key]; !isTesting {
 			a.tests[key] = test{at: now, balancer: h.Origin}
 		}
-		a.giveUpstream(now, key, 0)
+		a.giveUpstream(now, key)
 		return ReasonTested
 	}
 	a.startSearch(now, key, h.Origin, p, packet)
@@ -272,12 +229,6 @@
 	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key})
 }
 
-func (a *Agent) noteUnanswered(now time.Time) {
-	if a.upstream.unanswered.IsZero() {
-		a.upstream.unanswered = now
-	}
-}
-
 // mayHold reports whether the upstream may hold a flow that the agent has not
 // seen begin.
 func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey) bool {
@@ -310,9 +261,9 @@
 // maxFlowAge is how long a flow may last before it may be discarded.
 const maxFlowAge = time.Minute
 
-func (a *Agent) giveUpstream(now time.Time, key jasminemoor.FlowKey, tag uint32) {
+func (a *Agent) giveUpstream(now time.Time, key jasminemoor.FlowKey) {
 	a.noteUnanswered(now)
-	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Tag: tag})
+	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key})
 }
 
 func (a *Agent) tellHolder(balancer netip.Addr, key jasminemoor.FlowKey) {
@@ -336,165 +287,6 @@
 	a.gate.remove(key)
 }
 
-// HandleUpstream decides on a packet that the upstream sent. Packet is the whole
-// of it, and isFailure says that it begins an answer of failure.
-func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) (out []Message, reason Reason) {
-	a.begin(now)
-	a.upstream = upstreamState{probed: a.upstream.probed}
-	if p.Flags.Has(jasminemoor.FlagReturned) {
-		reason = a.handleReturned(now, p, packet)
-	} else {
-		reason = a.handleAnswer(now, p, isFailure)
-	}
-	a.Counts[reason]++
-	return a.out, reason
-}
-
-// noteResult takes note of what became of a request: an answer, or a reset. An
-// ordinary end may overtake the answer.
-func (a *Agent) noteResult(now time.Time, f *flow, p *jasminemoor.Packet, isFailure bool) {
-	isReset := p.Flags.Has(jasminemoor.FlagReset)
-	if !f.isWaiting || p.Length == 0 && !isReset {
-		return
-	}
-	if a.results.add(now, isFailure || isReset) {
-		a.reportAll(now)
-	}
-}
-
-func (a *Agent) handleAnswer(now time.Time, p *jasminemoor.Packet, isFailure bool) Reason {
-	key := p.ReverseKey()
-	f := a.table.get(key)
-	if f == nil {
-		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen)}
-		a.table.add(key, f)
-	}
-	if p.Flags.Has(jasminemoor.FlagOpen) {
-		f.hasOffer, f.offer = true, p.Sequence
-	}
-	a.noteResult(now, f, p, isFailure)
-	if took := a.table.noteUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
-		a.OnAnswer(took)
-	}
-	if t, found := a.tests[key]; found {
-		a.endTest(key, t)
-	}
-	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
-	if p.Flags.Has(jasminemoor.FlagReset) {
-		a.drop(key)
-	}
-	a.release(now)
-	return ReasonHeld
-}
-
-// endTest takes note that the upstream holds a flow.
-func (a *Agent) endTest(key jasminemoor.FlowKey, t test) {
-	delete(a.tests, key)
-	if t.asker.IsValid() {
-		a.tellHolder(t.asker, key)
-	}
-	a.tellHolder(t.balancer, key)
-}
-
-// handleReturned decides on a packet that the upstream refused.
-func (a *Agent) handleReturned(now time.Time, p *jasminemoor.Packet, packet []byte) Reason {
-	key := p.Key()
-	f := a.table.get(key)
-	if p.Flags.Has(jasminemoor.FlagOpen) {
-		h := jmhop.Header{}
-		if f != nil && !f.isOpen {
-			h.Hops, h.Origin = f.hops, a.balancerOf(f)
-			a.table.remove(key)
-		}
-		a.handOn(now, key, p, &h, packet)
-		return ReasonRefusedByUpstream
-	}
-	a.absent[key] = now
-	if t, found := a.tests[key]; found {
-		delete(a.tests, key)
-		if t.asker.IsValid() {
-			a.tellAbsent(t.asker, key)
-			return ReasonNotHeld
-		}
-		a.startSearch(now, key, t.balancer, p, packet)
-		return ReasonSearched
-	}
-	if f == nil || !f.isOpen {
-		return ReasonNotHeld
-	}
-	if !f.isSure {
-		origin := a.balancerOf(f)
-		a.drop(key)
-		a.startSearch(now, key, origin, p, packet)
-		return ReasonSearched
-	}
-	// The agent has seen the upstream take the flow, so nobody else holds it.
-	if !p.Flags.Has(jasminemoor.FlagReset) {
-		f.lastAck = p.Acknowledged
-		a.resetFlow(key, f)
-		return ReasonRefusedByUpstream
-	}
-	a.drop(key)
-	return ReasonNotHeld
-}
-
-// balancerOf returns the balancer that a flow's last packet came through, not
-// valid if none is known.
-func (a *Agent) balancerOf(f *flow) (addr netip.Addr) {
-	if f.balancer == 0 {
-		return addr
-	}
-	return a.balancers[f.balancer-1].addr
-}
-
-func (a *Agent) noteBalancer(now time.Time, addr netip.Addr) (at uint32) {
-	at, found := a.byAddr[addr]
-	if !found {
-		if a.byAddr == nil {
-			a.byAddr = make(map[netip.Addr]uint32)
-		}
-		at = uint32(len(a.balancers))
-		a.balancers = append(a.balancers, balancerState{addr: addr})
-		a.byAddr[addr] = at
-	}
-	a.balancers[at].heard = now
-	return at
-}
-
-// HandlePoll answers a balancer that asks for a sign of life.
-func (a *Agent) HandlePoll(now time.Time, from netip.Addr) []Message {
-	a.begin(now)
-	a.report(now, &a.balancers[a.noteBalancer(now, from)])
-	return a.out
-}
-
-func (a *Agent) report(now time.Time, b *balancerState) {
-	b.reported, b.isDue = now, false
-	if !b.addr.IsValid() {
-		return
-	}
-	r := &jmhop.Report{
-		Incarnation: a.Incarnation,
-		Waiting:     clampUint16(a.table.waiting + len(a.gate.held)),
-		Flows:       clampUint16(a.table.longFlows(now)),
-		Failures:    clampUint16(int(a.results.share(now) * perMille)),
-	}
-	if a.snapshot.View != nil {
-		r.Revision = a.snapshot.Revision
-	}
-	switch {
-	case a.isLeaving:
-		r.State = jmhop.ReportLeaving
-	case a.upstream.isDown || a.upstream.isSilent:
-		r.State = jmhop.ReportStopped
-	}
-	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport}, Report: r})
-}
-
-const perMille = 1000
-
-func clampUint16(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
-
 // Tick drives the searches, the reports and the upkeep. It is called some
 // times in each reportInterval. With shouldProbe the upstream is to be looked
 // at, and the result goes to HandleProbe.
@@ -544,83 +336,5 @@
 	}
 }
 
-// expireWaiting takes requests without an answer for long to have failed.
-func (a *Agent) expireWaiting(now time.Time) {
-	isNews := false
-	for range a.table.expireWaiting(now) {
-		isNews = a.results.add(now, true) || isNews
-	}
-	if isNews {
-		a.reportAll(now)
-	}
-}
-
-func (a *Agent) shouldProbe(now time.Time) bool {
-	u := &a.upstream
-	isOverdue := !u.unanswered.IsZero() && now.Sub(u.unanswered) > upstreamTimeout || u.probed.IsZero() && !a.IsFirst
-	if !isOverdue && !u.isDown && !u.isSilent || now.Sub(u.probed) < probeInterval {
-		return false
-	}
-	u.probed = now
-	return true
-}
-
-// Probe is what a look at the upstream's port has shown.
-type Probe uint8
-
-// The results of a look.
-const (
-	ProbeAccepted Probe = iota // it accepts connections
-	ProbeRefused               // nobody listens: its process has ended
-	ProbeSilent                // nothing came back
-)
-
-// String returns the result in words.
-func (p Probe) String() string {
-	switch p {
-	case ProbeAccepted:
-		return "accepts connections"
-	case ProbeRefused:
-		return "refuses connections"
-	}
-	return "does not answer"
-}
-
-// HandleProbe takes the result of a look at the upstream in. If its process
-// has ended, all its flows are gone.
-func (a *Agent) HandleProbe(now time.Time, result Probe) []Message {
-	a.begin(now)
-	u := &a.upstream
-	switch result {
-	case ProbeAccepted:
-		u.isDown, u.isSilent, u.unanswered = false, false, time.Time{}
-	case ProbeRefused:
-		a.sawUpstreamDown = true
-		if !u.isDown {
-			u.isDown = true
-			for key, f := range a.table.flows {
-				if f.isOpen {
-					a.resetFlow(key, f)
-				}
-			}
-			a.reportAll(now)
-		}
-	case ProbeSilent:
-		if !u.isSilent {
-			u.isSilent = true
-			a.reportAll(now)
-		}
-	}
-	return a.out
-}
-
-func (a *Agent) reportAll(now time.Time) {
-	for i := range a.balancers {
-		if now.Sub(a.balancers[i].heard) < balancerMemory {
-			a.report(now, &a.balancers[i])
-		}
-	}
-}
-
 // Flows returns the number of flows, and of requests that wait for an answer.
 func (a *Agent) Flows() (flows, waiting int) { return len(a.table.flows), a.table.waiting }
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -53,8 +53,6 @@
 	HasPacket bool
 	// Report is the body of a report.
 	Report *jmhop.Report
-	// Tag marks a packet for the upstream.
-	Tag uint32
 	// Sequence is that of a reset.
 	Sequence uint32
 }
--- /dev/null
+++ b/internal/flow/jmpass/report.go
@@ -0,0 +1,105 @@
+package jmpass
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
+)
+
+const (
+	// reportInterval is the least time between two reports to a balancer that
+	// sends new flows.
+	reportInterval = 50 * time.Millisecond
+	// idleReportInterval is the time between reports to one that sends others.
+	idleReportInterval = 250 * time.Millisecond
+	// balancerMemory is how long a balancer that sends nothing gets reports.
+	balancerMemory = 1500 * time.Millisecond
+	// maxReports bounds the reports of one tick.
+	maxReports = 16
+)
+
+// balancerState is what an agent knows of a balancer.
+type balancerState struct {
+	addr     netip.Addr
+	heard    time.Time
+	reported time.Time
+	isDue    bool // has sent a new flow since the last report
+}
+
+// Leave has the agent tell the balancers that it is about to end.
+func (a *Agent) Leave(now time.Time) []Message {
+	a.out = a.out[:0]
+	a.isLeaving = true
+	for i := range a.balancers {
+		if now.Sub(a.balancers[i].heard) < balancerMemory*2 {
+			a.report(now, &a.balancers[i])
+		}
+	}
+	return a.out
+}
+
+// balancerOf returns the balancer that a flow's last packet came through, not
+// valid if none is known.
+func (a *Agent) balancerOf(f *flow) (addr netip.Addr) {
+	if f.balancer == 0 {
+		return addr
+	}
+	return a.balancers[f.balancer-1].addr
+}
+
+func (a *Agent) noteBalancer(now time.Time, addr netip.Addr) (at uint32) {
+	at, found := a.byAddr[addr]
+	if !found {
+		if a.byAddr == nil {
+			a.byAddr = make(map[netip.Addr]uint32)
+		}
+		at = uint32(len(a.balancers))
+		a.balancers = append(a.balancers, balancerState{addr: addr})
+		a.byAddr[addr] = at
+	}
+	a.balancers[at].heard = now
+	return at
+}
+
+// HandlePoll answers a balancer that asks for a sign of life.
+func (a *Agent) HandlePoll(now time.Time, from netip.Addr) []Message {
+	a.begin(now)
+	a.report(now, &a.balancers[a.noteBalancer(now, from)])
+	return a.out
+}
+
+func (a *Agent) report(now time.Time, b *balancerState) {
+	b.reported, b.isDue = now, false
+	if !b.addr.IsValid() {
+		return
+	}
+	r := &jmhop.Report{
+		Incarnation: a.Incarnation,
+		Waiting:     clampUint16(a.table.waiting + len(a.gate.held)),
+		Flows:       clampUint16(a.table.longFlows(now)),
+		Failures:    clampUint16(int(a.results.share(now) * perMille)),
+	}
+	if a.snapshot.View != nil {
+		r.Revision = a.snapshot.Revision
+	}
+	switch {
+	case a.isLeaving:
+		r.State = jmhop.ReportLeaving
+	case a.upstream.isDown || a.upstream.isSilent:
+		r.State = jmhop.ReportStopped
+	}
+	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport}, Report: r})
+}
+
+const perMille = 1000
+
+func clampUint16(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
+
+func (a *Agent) reportAll(now time.Time) {
+	for i := range a.balancers {
+		if now.Sub(a.balancers[i].heard) < balancerMemory {
+			a.report(now, &a.balancers[i])
+		}
+	}
+}
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -200,7 +200,7 @@
 	if a.mayHold(now, key) {
 		if _, isTesting := a.tests[key]; !isTesting {
 			a.tests[key] = test{at: now, balancer: h.Origin, asker: from}
-			a.giveUpstream(now, key, 0)
+			a.giveUpstream(now, key)
 		}
 		return ReasonTested
 	}
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -303,7 +303,7 @@
 		}
 		switch m.Kind {
 		case jmpass.ToUpstream:
-			codec{}.SetTag(body, m.Tag)
+			codec{}.Restore(body)
 			n.upstream.deliver(clone(body))
 		case jmpass.ToCaller:
 			w.toCaller(m.Flow, clone(body), false)
@@ -311,7 +311,7 @@
 			w.toCaller(m.Flow, codec{}.AppendReset(nil, m.Flow, m.Sequence), true)
 		case jmpass.ToPeer:
 			if m.HasPacket {
-				codec{}.SetTag(body, 0)
+				codec{}.Restore(body)
 			}
 			w.toPeer(n, &m, clone(body))
 		}
@@ -382,16 +382,12 @@
 	p.Flags = jasminemoor.PacketFlags(b[36])
 	p.Sequence = binary.BigEndian.Uint32(b[37:])
 	p.Acknowledged = binary.BigEndian.Uint32(b[41:])
-	p.Tag = binary.BigEndian.Uint32(b[45:])
 	p.Length = int(binary.BigEndian.Uint32(b[49:]))
 	p.Age = time.Duration(binary.BigEndian.Uint64(b[53:]))
 	return nil
 }
 
-func (codec) Data(b []byte) []byte { return b[headSize:] }
-
-func (codec) SetTag(b []byte, tag uint32) {
-	binary.BigEndian.PutUint32(b[45:], tag)
+func (codec) Restore(b []byte) {
 	b[36] &^= byte(jasminemoor.FlagReturned)
 }
 
@@ -409,7 +405,6 @@
 	b[36] = byte(p.Flags)
 	binary.BigEndian.PutUint32(b[37:], p.Sequence)
 	binary.BigEndian.PutUint32(b[41:], p.Acknowledged)
-	binary.BigEndian.PutUint32(b[45:], p.Tag)
 	binary.BigEndian.PutUint32(b[49:], uint32(p.Length))
 	binary.BigEndian.PutUint64(b[53:], uint64(p.Age))
 	return b
--- a/internal/standin/jmprocess/fleet.go
+++ b/internal/standin/jmprocess/fleet.go
@@ -187,7 +187,7 @@
 	}
 	f.logs = append(f.logs, log)
 	p := &Process{Name: name, Args: args}
-	if err = p.start(f.Binary, log); err != nil {
+	if err = p.Start(f.Binary, log); err != nil {
 		return err
 	}
 	f.processes[name] = p
--- /dev/null
+++ b/internal/standin/jmprocess/passthrough_test.go
@@ -0,0 +1,482 @@
+package jmprocess_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmprocess"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmstore"
+)
+
+var (
+	soakSeed  = flag.Uint64("soak-seed", 1, "first seed of the soak of pass-through flows")
+	soakSeeds = flag.Uint64("soak-seeds", 2, "how many seeds the soak runs with")
+	soakTime  = flag.Duration("soak-time", 6*time.Second, "how long faults go on in each")
+)
+
+// Ports and sizes of the soak's installation.
+const (
+	soakPeers     = 27720
+	soakPackets   = 28172
+	soakReady     = 28167
+	soakOutbound  = 28162
+	soakUpstream  = 28165
+	soakBalancers = 3
+	soakAgents    = 4
+	soakFeeds     = 6
+	soakBookers   = 3
+	soakDeadline  = 4 * time.Second
+)
+
+var soakShop = netip.MustParseAddrPort("198.18.0.1:8443")
+
+// soak runs real processes, injures them from outside by signals and by the
+// stand-ins, and checks from the callers' and the upstreams' side what must hold.
+type soak struct {
+	t      *testing.T
+	rng    *rand.Rand
+	binary string
+	dir    string
+	store  *jmstore.Store
+	url    string
+	caller *jmpackets.Caller
+	logs   []*os.File
+
+	mu        sync.Mutex
+	processes map[string]*jmprocess.Process
+	busy      map[string]bool // processes and upstreams that a fault is at
+	upstreams []*jmpackets.Upstream
+	crashes   []int // of each upstream
+	version   int
+	served    int
+	unserved  int
+	faults    []string
+	story     []string
+}
+
+func soakAddr(kind, i, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 88, byte(kind), byte(i)}), uint16(port))
+}
+
+// fault records a promise that was broken.
+func (s *soak) fault(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, fmt.Sprintf(format, args...))
+}
+
+func (s *soak) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.story = append(s.story, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func (s *soak) publish() {
+	s.mu.Lock()
+	s.version += 1 + s.rng.IntN(3)
+	version := s.version
+	s.mu.Unlock()
+	route := func(port int) map[string]any {
+		return map[string]any{
+			"name": fmt.Sprint("r-", port), "host": soakShop.Addr().String(), "prefix": fmt.Sprintf("/%d/", port), "route_type": "idempotent",
+			"timeout_ms": 3000, "target_latency_ms": 200, "priority": 2, "service": "shop",
+		}
+	}
+	// The second route's port is the version, so that callers can tell it.
+	s.store.Put("op/config", map[string]any{
+		"version": version, "routes": []any{route(int(soakShop.Port())), route(10_000 + version)},
+		"limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+func (s *soak) register(i int, state string) {
+	s.store.Put(fmt.Sprintf("servers/i-%d-%d", i, s.crashes[i-1]), map[string]any{
+		"service": "shop", "address": soakAddr(2, i, soakUpstream).String(), "zone": "here", "max_concurrency": 5, "state": state,
+		"born": time.Now().UnixMilli(),
+	})
+}
+
+func (s *soak) start() {
+	listener, err := net.Listen("tcp", "127.88.0.1:0")
+	require.NoError(s.t, err)
+	server := &http.Server{Handler: s.store}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	s.url = listener.Addr().String()
+	s.publish()
+	for i := 1; i <= soakAgents; i++ {
+		u := &jmpackets.Upstream{Address: soakAddr(2, i, soakUpstream), Outbound: soakAddr(2, i, soakOutbound), Name: fmt.Sprint("shop", i), Work: 10 * time.Millisecond}
+		require.NoError(s.t, u.Start(context.Background()))
+		s.t.Cleanup(u.Crash)
+		s.upstreams = append(s.upstreams, u)
+		s.crashes = append(s.crashes, 0)
+		s.register(i, "ready")
+		s.run("agent", 2, i, true)
+	}
+	for i := 1; i <= soakBalancers; i++ {
+		s.run("balancer", 1, i, true)
+	}
+	s.caller = &jmpackets.Caller{Address: soakAddr(3, 1, soakPackets), Routers: s.rotation}
+	require.NoError(s.t, s.caller.Start())
+	s.t.Cleanup(func() { _ = s.caller.Close() })
+	require.Eventually(s.t, func() bool { return len(s.rotation()) == soakBalancers }, 10*time.Second, 20*time.Millisecond)
+}
+
+// run starts a process of the product.
+func (s *soak) run(role string, kind, i int, isFirst bool) {
+	name := fmt.Sprint(role, "-", i)
+	settings := jmlocal.Settings{
+		Name: name, Address: soakAddr(kind, i, 0).Addr(), DataCentre: "here", FirstPort: soakPeers, LastPort: soakPeers + 15,
+		Seeds: []netip.AddrPort{soakAddr(1, 1, soakPeers)}, IsFirstStart: isFirst, Packets: soakAddr(kind, i, soakPackets),
+		Ready: soakAddr(kind, i, soakReady), Platform: jmlocal.Platform{Address: netip.MustParseAddrPort(s.url)},
+	}
+	if kind == 2 {
+		settings.Outbound, settings.Upstream, settings.Service = soakAddr(2, i, soakOutbound), soakAddr(2, i, soakUpstream), "shop"
+	}
+	text, err := json.Marshal(settings)
+	require.NoError(s.t, err)
+	path := filepath.Join(s.dir, name+".json")
+	require.NoError(s.t, os.WriteFile(path, text, 0o600))
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(s.t, err)
+	p := &jmprocess.Process{Name: name, Args: []string{"passthrough", role, "-settings", path}}
+	require.NoError(s.t, p.Start(s.binary, log))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logs = append(s.logs, log)
+	s.processes[name] = p
+}
+
+// rotation returns the balancers that are ready, as routers would use them.
+func (s *soak) rotation() (ready []netip.AddrPort) {
+	client := http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := 1; i <= soakBalancers; i++ {
+		response, err := client.Get("http://" + soakAddr(1, i, soakReady).String() + "/")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			ready = append(ready, soakAddr(1, i, soakPackets))
+		}
+	}
+	return ready
+}
+
+// routers asks for the rotation from time to time, and returns the newest.
+func (s *soak) routers(ctx context.Context) {
+	var mu sync.Mutex
+	current := s.rotation()
+	s.caller.Routers = func() []netip.AddrPort {
+		mu.Lock()
+		defer mu.Unlock()
+		return current
+	}
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(200 * time.Millisecond)
+			next := s.rotation()
+			if len(next) == 0 {
+				continue // routers then use all that they had
+			}
+			mu.Lock()
+			current = next
+			mu.Unlock()
+		}
+	}()
+}
+
+// crashesOf returns how often each upstream has crashed.
+func (s *soak) crashesOf() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes := make(map[string]int)
+	for i, n := range s.crashes {
+		crashes[fmt.Sprint("shop", i+1)] = n
+	}
+	return crashes
+}
+
+func (s *soak) count(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.served++
+	} else {
+		s.unserved++
+	}
+}
+
+// feed keeps a flow open and sends a request on it again and again. The flow
+// may be reset only after its upstream has crashed.
+func (s *soak) feed(ctx context.Context, number int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		f, err := s.open(ctx)
+		if err != nil {
+			s.count(err)
+			continue
+		}
+		s.follow(ctx, f, fmt.Sprintf("feed-%d-%d", number, n))
+	}
+}
+
+func (s *soak) follow(ctx context.Context, f *jmpackets.Flow, id string) {
+	defer f.Close()
+	upstream, before := "", s.crashesOf()
+	for n := 0; ctx.Err() == nil; n++ {
+		request, cancel := context.WithTimeout(context.WithoutCancel(ctx), soakDeadline)
+		answer, err := f.Do(request, fmt.Sprintf("%s-%d", id, n))
+		cancel()
+		s.count(err)
+		switch {
+		case errors.Is(err, jmpackets.ErrReset):
+			if upstream != "" && s.crashesOf()[upstream] == before[upstream] {
+				s.fault("%s at %s was reset though its upstream lives", id, upstream)
+			}
+			return
+		case errors.Is(err, jmpackets.ErrDeadline):
+			return
+		case err != nil:
+			s.fault("%s: %v", id, err)
+			return
+		}
+		at, _, _ := strings.Cut(answer, ":")
+		if upstream != "" && at != upstream {
+			s.fault("%s was answered by %s and %s", id, upstream, at)
+		}
+		upstream = at
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+func (s *soak) open(ctx context.Context) (*jmpackets.Flow, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 1400*time.Millisecond)
+	defer cancel()
+	return s.caller.Open(ctx, soakShop)
+}
+
+// book sends requests that must not run twice, on a flow each.
+func (s *soak) book(ctx context.Context, number int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		f, err := s.open(ctx)
+		if err == nil {
+			request, cancel := context.WithTimeout(context.WithoutCancel(ctx), soakDeadline)
+			_, err = f.Do(request, fmt.Sprintf("order-%d-%d", number, n))
+			cancel()
+			f.Close()
+		}
+		s.count(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// strike makes one fault at random and repairs it after a while.
+func (s *soak) strike() {
+	s.mu.Lock()
+	kind, i := s.rng.IntN(9), 1+s.rng.IntN(soakAgents)
+	pause := time.Duration(200+s.rng.IntN(1500)) * time.Millisecond
+	storeFault := jmstore.Fault(1 + s.rng.IntN(4))
+	role, number, place := "agent", 2, i
+	if s.rng.IntN(2) == 0 {
+		role, number, place = "balancer", 1, 1+s.rng.IntN(soakBalancers)
+	}
+	name := fmt.Sprint(role, "-", place)
+	target := name
+	switch kind {
+	case 4, 5:
+		target = fmt.Sprint("upstream-", i)
+	case 6, 7, 8:
+		target = "store"
+	}
+	if s.busy[target] {
+		s.mu.Unlock()
+		return
+	}
+	s.busy[target] = true
+	p := s.processes[name]
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.busy, target)
+	}()
+	switch kind {
+	case 0:
+		s.note("kill %s for %s", name, pause)
+		p.Kill()
+		time.Sleep(pause)
+		s.run(role, number, place, false)
+	case 1:
+		s.note("stop %s", name)
+		if err := p.Stop(); err != nil {
+			s.fault("%s did not stop gracefully: %v", name, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.run(role, number, place, false)
+	case 2:
+		s.note("pause %s for %s", name, pause)
+		_ = p.Pause()
+		time.Sleep(pause)
+		_ = p.Resume()
+	case 3:
+		s.note("hup %s", name)
+		_ = p.Signal(syscall.SIGHUP)
+	case 4:
+		s.note("crash upstream %d for %s", i, pause)
+		s.mu.Lock()
+		old := s.crashes[i-1]
+		s.crashes[i-1]++
+		s.mu.Unlock()
+		s.upstreams[i-1].Crash()
+		time.Sleep(pause)
+		require.NoError(s.t, s.upstreams[i-1].Start(context.Background()))
+		s.register(i, "ready")
+		s.store.Remove(fmt.Sprintf("servers/i-%d-%d", i, old))
+	case 5:
+		s.note("upstream %d leaves for %s", i, pause)
+		s.register(i, "draining")
+		time.Sleep(pause)
+		s.register(i, "ready")
+	case 6:
+		s.note("store fails in way %d for %s", storeFault, pause)
+		s.store.SetFault(netip.Addr{}, storeFault)
+		time.Sleep(pause)
+		s.store.SetFault(netip.Addr{}, jmstore.FaultNone)
+	case 7:
+		s.note("store forgets")
+		s.store.Forget()
+	case 8:
+		s.note("new configuration")
+		s.publish()
+	}
+}
+
+// play runs callers, and two series of faults that overlap.
+func (s *soak) play() {
+	ctx, cancel := context.WithTimeout(context.Background(), *soakTime)
+	defer cancel()
+	s.routers(ctx)
+	var callers, strikers sync.WaitGroup
+	for i := range soakFeeds {
+		callers.Go(func() { s.feed(ctx, i) })
+	}
+	for i := range soakBookers {
+		callers.Go(func() { s.book(ctx, i) })
+	}
+	for range 2 {
+		strikers.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(300 * time.Millisecond)
+				s.strike()
+			}
+		})
+	}
+	strikers.Wait()
+	callers.Wait()
+}
+
+// checkEnd looks at what the upstreams saw, and whether all is well again.
+func (s *soak) checkEnd() {
+	for i, u := range s.upstreams {
+		if _, broken := u.Opened(); broken > 0 {
+			s.fault("upstream %d got %d packets that were changed", i+1, broken)
+		}
+	}
+	runs := make(map[string]int)
+	for _, u := range s.upstreams {
+		for id, n := range u.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			s.fault("%s ran %d times", id, n)
+		}
+	}
+	if n := s.caller.Broken(); n > 0 {
+		s.fault("callers got %d packets that were changed or for nobody", n)
+	}
+	s.caller.Routers = s.rotation
+	newest := netip.AddrPortFrom(soakShop.Addr(), uint16(10_000+s.version))
+	isBack := func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		f, err := s.caller.Open(ctx, newest)
+		if err != nil {
+			return false
+		}
+		defer f.Close()
+		_, err = f.Do(ctx, fmt.Sprint("end-", time.Now().UnixNano()))
+		return err == nil
+	}
+	if !assertEventually(isBack, 8*time.Second) {
+		s.fault("the newest configuration is not in force, or nothing is served, 8 s after the faults")
+	}
+}
+
+func assertEventually(condition func() bool, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSoak injures an installation at random. The seeds of failed runs are kept
+// in regressions below, each with its cause.
+func TestSoak(t *testing.T) {
+	binary, err := jmprocess.Build(context.Background(), t.TempDir(), false)
+	require.NoError(t, err)
+	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := &soak{
+				t: t, rng: rand.New(rand.NewPCG(seed, seed)), binary: binary, dir: t.TempDir(), store: &jmstore.Store{},
+				processes: make(map[string]*jmprocess.Process), busy: make(map[string]bool),
+			}
+			t.Cleanup(func() {
+				for _, p := range s.processes {
+					p.Kill()
+				}
+				for _, log := range s.logs {
+					_ = log.Close()
+				}
+			})
+			s.start()
+			s.play()
+			s.checkEnd()
+			t.Logf("%d served, %d not, faults injected: %s", s.served, s.unserved, strings.Join(s.story, "; "))
+			if len(s.faults) > 0 {
+				s.keepLogs()
+			}
+			require.Empty(t, s.faults)
+			require.Greater(t, s.served, s.unserved)
+		})
+	}
+}
+
+// keepLogs copies the processes' logs to where they outlive the test.
+func (s *soak) keepLogs() {
+	dir, err := os.MkdirTemp("", "soak-")
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.CopyFS(dir, os.DirFS(s.dir)))
+	s.t.Logf("logs are in %s", dir)
+}
--- a/internal/standin/jmprocess/process.go
+++ b/internal/standin/jmprocess/process.go
@@ -39,8 +39,8 @@
 	return binary, nil
 }
 
-// start starts the process. Its standard error goes to log.
-func (p *Process) start(binary string, log io.Writer) error {
+// Start starts the process. What it writes goes to log.
+func (p *Process) Start(binary string, log io.Writer) error {
 	p.cmd = exec.Command(binary, p.Args...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
--- a/passthrough.go
+++ b/passthrough.go
@@ -37,9 +37,6 @@
 	// Age is how long ago the caller sent an opening packet first, as far as
 	// the head tells; callers repeat it.
 	Age time.Duration
-	// Tag is four bytes of the system's own. An upstream ignores them, and
-	// leaves them as they are in a packet that it refuses.
-	Tag uint32
 }
 
 // Key returns the key of the packet's flow, for a packet of the caller.
@@ -92,17 +89,14 @@
 	// Decode reads the head of a datagram. It fails if the datagram is cut
 	// short or holds no packet.
 	Decode(datagram []byte, p *Packet) error
-	// Data returns the data behind the head of a datagram that was decoded.
-	Data(datagram []byte) []byte
 	// RequestID returns the id that a caller gave the request whose first bytes
 	// are in the packet, empty if there is none.
 	RequestID(datagram []byte) string
 	// IsFailure reports whether a packet of an upstream begins an answer that
 	// says that the request has failed or was not run.
 	IsFailure(datagram []byte) bool
-	// SetTag sets the tag of a packet, and makes one that an upstream refused
-	// deliverable again.
-	SetTag(datagram []byte, tag uint32)
+	// Restore makes a packet that an upstream refused as its sender wrote it.
+	Restore(datagram []byte)
 	// AppendReset appends a reset of the flow towards its caller.
 	AppendReset(b []byte, flow FlowKey, sequence uint32) []byte
 	// MaxSize is the size of the largest packet in bytes.
