--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -176,8 +176,7 @@
 func (m *Machine) Tick(now time.Time) (out Output) {
 	if now.Sub(m.viewed) >= viewInterval {
 		m.viewed = now
-		m.replica.forget(now)
-		out.HasNews = m.isLoaded
+		out.HasNews = m.replica.forget(now) && m.isLoaded
 	}
 	if !m.isLoaded && len(m.Seeds) > 0 && now.Sub(m.seedAsked) >= seedInterval {
 		m.seedAsked = now
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -327,6 +327,24 @@
 	require.Less(t, f.calls, 40)
 }
 
+// TestViewIsComposedOnlyForNews spares the work at rest, and still forgets what
+// was removed.
+func TestViewIsComposedOnlyForNews(t *testing.T) {
+	m := &Machine{Self: balancerAddr(1), Rand: rand.New(rand.NewPCG(1, 1))}
+	r, _ := m.NextRead(begun)
+	m.HandleRead(begun, r, &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{upstreamEntry(1, 4)}}, nil)
+	removal := []Item{{Revision: 5, Upstream: &UpstreamItem{Key: "u/i-1"}}}
+	m.Handle(begun, agentAddr(2), &Message{Beacon: &Beacon{Reader: agentAddr(2), Number: 1, Revision: 5, Since: 4, News: removal}})
+	news := 0
+	for now := begun; now.Sub(begun) < 3*goneMemory; now = now.Add(100 * time.Millisecond) {
+		if m.Tick(now).HasNews {
+			news++
+			require.Empty(t, m.View(now).Upstreams)
+		}
+	}
+	require.Equal(t, 1, news)
+}
+
 // TestPauseMakesOld has a process that stood still read the platform itself.
 func TestPauseMakesOld(t *testing.T) {
 	m := &Machine{Self: balancerAddr(1), Rand: rand.New(rand.NewPCG(1, 1))}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -74,6 +74,7 @@
 	last     *jasminemoor.ListedUpstream // before its removal
 	changed  time.Time
 	warmAt   time.Time
+	isOver   bool // its removal was so long ago that it is in no view
 }
 
 func (r *replica) init() {
@@ -206,7 +207,7 @@
 	if known.upstream != nil {
 		known.last = known.upstream
 	}
-	known.revision, known.upstream, known.changed = revision, item.Upstream, now
+	known.revision, known.upstream, known.changed, known.isOver = revision, item.Upstream, now, false
 	if item.Upstream != nil {
 		known.warmAt = now.Add(item.Upstream.WarmIn)
 	}
@@ -271,14 +272,22 @@
 	return isNew
 }
 
-// forget drops removals that are too old for any peer to lack.
-func (r *replica) forget(now time.Time) {
+// forget drops removals that are too old for any peer to lack. It reports
+// whether upstreams that were removed are no longer in the view.
+func (r *replica) forget(now time.Time) (hasChanged bool) {
 	for key, known := range r.upstreams {
-		if known.upstream == nil && now.Sub(known.changed) > removalMemory {
+		if known.upstream != nil {
+			continue
+		}
+		if !known.isOver && now.Sub(known.changed) > goneMemory {
+			known.isOver, hasChanged = true, true
+		}
+		if now.Sub(known.changed) > removalMemory {
 			r.since = max(r.since, known.revision)
 			delete(r.upstreams, key)
 		}
 	}
+	return hasChanged
 }
 
 // removalMemory is how long removals are told to peers one by one. A peer that
