Reports have a budget

Cause: at the target an agent would have told 690 balancers of its load, up to 640 times a second: 45 KB/s, where 3 KB/s are allowed for control (worked out for docs/CAPACITY.md). Change: 15 reports a second to balancers that send no new flows, in turn; the budget of searches is the same type now.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -32,17 +32,20 @@
 	// OnAnswer, where set, is called with the time to the first byte of each answer.
 	OnAnswer func(took time.Duration)
 
-	snapshot  Snapshot
-	table     table
-	absent    map[jasminemoor.FlowKey]time.Time // flows that the upstream refused
-	tests     map[jasminemoor.FlowKey]test
-	searches  map[jasminemoor.FlowKey]*search
-	gone      map[jasminemoor.FlowKey]time.Time // flows that nobody holds
-	asks      float64                           // budget of packets to ask others with
-	asksAt    time.Time
-	balancers []balancerState
-	byAddr    map[netip.Addr]uint32
-	started   time.Time
+	snapshot Snapshot
+	table    table
+	absent   map[jasminemoor.FlowKey]time.Time // flows that the upstream refused
+	tests    map[jasminemoor.FlowKey]test
+	searches map[jasminemoor.FlowKey]*search
+	gone     map[jasminemoor.FlowKey]time.Time // flows that nobody holds
+	// asks is the budget of packets to ask others with, and reports that of
+	// reports to balancers that send no new flows. nextReport is whose turn it is.
+	asks       budget
+	reports    budget
+	nextReport int
+	balancers  []balancerState
+	byAddr     map[netip.Addr]uint32
+	started    time.Time
 	// sawUpstreamDown says that the upstream's process was found to have ended
 	// since the agent started, so that it has had no flow before.
 	sawUpstreamDown bool
@@ -292,18 +295,7 @@
 // at, and the result goes to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
 	a.begin(now)
-	sent := 0
-	for i := range a.balancers {
-		b := &a.balancers[i]
-		interval := idleReportInterval
-		if b.isDue {
-			interval = reportInterval
-		}
-		if now.Sub(b.heard) < balancerMemory && now.Sub(b.reported) >= interval && sent < maxReports {
-			sent++
-			a.report(now, b)
-		}
-	}
+	a.reportRegularly(now)
 	a.driveTests(now)
 	a.driveSearches(now)
 	if len(a.gate.held) > 0 {
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -15,8 +15,11 @@
 	idleReportInterval = 250 * time.Millisecond
 	// balancerMemory is how long a balancer that sends nothing gets reports.
 	balancerMemory = 1500 * time.Millisecond
-	// maxReports bounds the reports of one tick.
-	maxReports = 16
+	// idleReportRate bounds the reports in a second to balancers that send no new
+	// flows, and idleReportBurst how many at once: with many balancers before an
+	// agent these would be most of what it sends for control.
+	idleReportRate  = 15
+	idleReportBurst = 16
 )
 
 // balancerState is what an agent knows of a balancer.
@@ -62,6 +65,26 @@
 	return at
 }
 
+// reportRegularly reports to the balancers whose turn it is. Where there are
+// many, those that send no new flows take turns.
+func (a *Agent) reportRegularly(now time.Time) {
+	first := a.nextReport
+	for n := range a.balancers {
+		at := (first + n) % len(a.balancers)
+		b := &a.balancers[at]
+		if now.Sub(b.heard) >= balancerMemory {
+			continue
+		}
+		switch since := now.Sub(b.reported); {
+		case b.isDue && since >= reportInterval:
+			a.report(now, b)
+		case since >= idleReportInterval && a.reports.take(now, 1, idleReportRate, idleReportBurst):
+			a.nextReport = at + 1
+			a.report(now, b)
+		}
+	}
+}
+
 // HandlePoll answers a balancer that asks for a sign of life.
 func (a *Agent) HandlePoll(now time.Time, from netip.Addr) []Message {
 	a.begin(now)
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -90,7 +90,7 @@
 	if !s.isWide {
 		count = min(count, firstAsked)
 	}
-	if !a.takeAsks(now, count) {
+	if !a.asks.take(now, count, askRate, askBurst) {
 		// Others are being asked for other flows; this one's turn comes soon.
 		s.asked, s.again = now, askInterval/4
 		return
@@ -103,17 +103,6 @@
 	s.hasAsked = true
 }
 
-// takeAsks takes packets from the budget, and reports whether it had them.
-func (a *Agent) takeAsks(now time.Time, count int) bool {
-	refill := now.Sub(a.asksAt).Seconds() * askRate
-	a.asks, a.asksAt = min(a.asks+refill, askBurst), now
-	if a.asks < float64(count) {
-		return false
-	}
-	a.asks -= float64(count)
-	return true
-}
-
 // list works out who is left to ask, if the view has changed.
 func (a *Agent) list(key jasminemoor.FlowKey, s *search) {
 	if s.isListed && s.revision == a.snapshot.Revision {
