--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -132,6 +132,11 @@
 	from     []netip.Addr
 	waiting  map[netip.Addr]Read
 	due      map[netip.Addr]time.Time
+	// perSecond bounds the platform's calls, if above 0; a load counts for
+	// callsPerLoad.
+	perSecond, callsPerLoad int
+	second                  time.Time
+	inSecond                int
 }
 
 func newFleet(t *testing.T, balancers, agents int) *fleet {
@@ -207,7 +212,7 @@
 }
 
 func (f *fleet) read(m *Machine, r Read) Output {
-	if f.isCut[m.Self] {
+	if f.isCut[m.Self] || !f.isAdmitted(r) {
 		return m.HandleRead(f.now, r, nil, eris.Wrap(context.DeadlineExceeded, "platform"))
 	}
 	c := &jasminemoor.DirectoryChanges{Revision: f.revision}
@@ -225,6 +230,21 @@
 	return m.HandleRead(f.now, r, c, nil)
 }
 
+func (f *fleet) isAdmitted(r Read) bool {
+	if f.perSecond == 0 {
+		return true
+	}
+	if second := f.now.Truncate(time.Second); !second.Equal(f.second) {
+		f.second, f.inSecond = second, 0
+	}
+	cost := 1
+	if r.IsLoad {
+		cost = f.callsPerLoad
+	}
+	f.inSecond += cost
+	return f.inSecond <= f.perSecond
+}
+
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.step()
@@ -369,3 +389,25 @@
 	m.Handle(now, agentAddr(1), &Message{Beacon: &Beacon{Reader: agentAddr(1), Number: 1, Revision: 4, Since: 4, Age: 3 * time.Second}})
 	require.Equal(t, now.Add(-3*time.Second), m.AsOf())
 }
+
+// TestWholeFleetStarts has all processes start at once before a platform that
+// serves a bounded number of calls a second; a load takes several.
+func TestWholeFleetStarts(t *testing.T) {
+	const (
+		callsPerLoad = 6
+		bound        = 5 * time.Second // a change is to be everywhere by then
+	)
+	for name, perSecond := range map[string]int{"all served": 6000, "a third served": 600, "few served": 60} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 100, 200)
+			for _, m := range f.machines {
+				m.Seeds = []netip.Addr{balancerAddr(1), balancerAddr(2), balancerAddr(3)}
+			}
+			f.perSecond, f.callsPerLoad = perSecond, callsPerLoad
+			f.run(time.Second)
+			took := f.slowest(20*time.Second) + time.Second
+			t.Logf("%s, %d calls", took, f.calls)
+			require.Less(t, took, bound)
+		})
+	}
+}
