A stalled reader of the logs no longer blocks packets

Cause: log lines were written to standard output under the lock of the decisions, so a reader that stalls would have stopped the traffic. Found by reading; the test TestStalledReaderDoesNotBlock holds it.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -50,7 +50,9 @@
 			if *path == "" {
 				return &exitError{code: exitUsage, text: "-settings is missing"}
 			}
-			log, err := logs.logger(t.out)
+			out := jmdecision.NewQueue(t.out)
+			defer out.Close()
+			log, err := logs.logger(out)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/fleet/jmdecision/queue_test.go
@@ -0,0 +1,65 @@
+package jmdecision_test
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+)
+
+// buffer is a bytes.Buffer for two goroutines.
+type buffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func TestQueueKeepsOrder(t *testing.T) {
+	out := &buffer{}
+	q := jmdecision.NewQueue(out)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, err := q.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	require.NoError(t, q.Close())
+	require.Equal(t, "one\ntwo\nthree\n", out.String())
+}
+
+// TestStalledReaderDoesNotBlock writes far more than fits to a reader that
+// takes nothing, and then begins to read.
+func TestStalledReaderDoesNotBlock(t *testing.T) {
+	reader, writer := io.Pipe()
+	q := jmdecision.NewQueue(writer)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10_000 {
+			_, _ = q.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the writer waits for the reader")
+	}
+	out := &buffer{}
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		_, _ = io.Copy(out, reader)
+	}()
+	require.NoError(t, q.Close())
+	_ = writer.Close()
+	<-copied
+	require.Contains(t, out.String(), `"LeftOut":`)
+}
