Packets that other agents ask about go through the gate

Cause: after a power failure balancers start one after the other, and the routers move flows to those that have just started. These don't know the flows; the first agent in rank asks the others, and the holder gave the packet to its upstream at once. So requests that waited at the gate went past it, late ones before those in time, and of a request of two packets the upstream got the first, which then held one of its places for a second.

Change: the holder offers such a packet to the gate as it does with those of balancers. Test: TestRepeatedRequestsWaitToo, red before.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -72,7 +72,7 @@
 	a.begin(now)
 	switch {
 	case h.Kind == jmhop.KindAsk:
-		reason = a.handleAsk(now, from, h, p)
+		reason = a.handleAsk(now, from, h, p, packet)
 	case p.Flags.Has(jasminemoor.FlagOpen):
 		reason = a.handleOpen(now, from, h, p)
 	default:
--- a/internal/flow/jmpass/gate_test.go
+++ b/internal/flow/jmpass/gate_test.go
@@ -194,3 +194,23 @@
 	m, _ = b.Handle(begun, p)
 	require.Equal(t, agentAddr(1), m.To)
 }
+
+// TestRepeatedRequestsWaitToo has a caller repeat a request that waits, through a
+// balancer that does not know the flow, so that another agent asks for its holder.
+func TestRepeatedRequestsWaitToo(t *testing.T) {
+	a := newAgent(true, snapshot(2))
+	for i := range 2 + spareRequests + 1 {
+		flowOf(a, begun, i)
+	}
+	held := 2 + spareRequests
+	repeated := data(callerSequence+1, 10)
+	repeated.Source = netip.AddrPortFrom(callers.Addr(), uint16(2000+held))
+	ask := &jmhop.Header{Kind: jmhop.KindAsk, Origin: front}
+	out, reason := a.HandlePeer(begun, agentAddr(2), ask, repeated, []byte{byte(held)})
+	require.Equal(t, ReasonHeld, reason)
+	require.Equal(t, []Kind{ToPeer, ToPeer}, kinds(out), "both are told who holds the flow, and nothing more")
+	_, waiting := a.Flows()
+	require.Equal(t, 2+spareRequests, waiting)
+	out = answerTo(a, begun, 0)
+	require.Equal(t, []Kind{ToCaller, ToUpstream}, kinds(out), "it is given to the upstream once")
+}
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -172,7 +172,7 @@
 }
 
 // handleAsk decides on a packet of a flow that another agent searches for.
-func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
+func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	key := p.Key()
 	if f := a.held(key, p); f != nil {
 		if a.upstream.isDown {
@@ -181,7 +181,7 @@
 			return ReasonUpstreamDown
 		}
 		f.balancer = a.noteBalancer(now, h.Origin) + 1
-		a.deliver(now, key, f, p)
+		a.offer(now, key, f, p, packet)
 		a.tellHolder(h.Origin, key)
 		a.tellHolder(from, key)
 		return ReasonHeld
