An upstream gets one request more than it has slots, not two

Cause: what waits in the upstream is served in the order of arrival; only what waits at the agent can still be chosen. Two spare requests took 27 ms of the 200 ms that a request has while upstreams are cold.

--- a/internal/flow/jmpass/gate.go
+++ b/internal/flow/jmpass/gate.go
@@ -9,7 +9,7 @@
 const (
 	// spareRequests is how many requests more than it has slots an upstream is
 	// given, so that no slot stays empty between two of them.
-	spareRequests = 2
+	spareRequests = 1
 	// maxHeld bounds the requests that wait at an agent.
 	maxHeld = 1024
 	// maxHeldPackets bounds the packets of one of them.
