Retries of callers whose flow was lost don't go before requests in time

Cause: after a power failure agents reset the flows that were lost; their callers try again within 110 ms on flows that look new. The gate took these requests for ones that can be in time, though they are late by 0.2 s or more.

Ruled out: leaving it to the age of opening packets; it starts anew with each try.

--- a/internal/flow/jmgateway/balancer.go
+++ b/internal/flow/jmgateway/balancer.go
@@ -194,8 +194,8 @@
 			b.control.Receive(ctx, from, body)
 		case jmhop.KindReport:
 			b.handleReport(now, from, body)
-		case jmhop.KindHolder:
-			b.handleHolder(now, from, body)
+		case jmhop.KindHolder, jmhop.KindGone:
+			b.handleFlow(now, from, &h, body)
 		default:
 			b.Malformed.Add(1)
 		}
@@ -213,13 +213,18 @@
 	b.machine.HandleReport(now, from, &r)
 }
 
-func (b *Balancer) handleHolder(now time.Time, from netip.Addr, body []byte) {
+// handleFlow takes an agent's word on a flow in.
+func (b *Balancer) handleFlow(now time.Time, from netip.Addr, h *jmhop.Header, body []byte) {
 	if len(body) != jmhop.KeySize {
 		b.Malformed.Add(1)
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if h.Kind == jmhop.KindGone {
+		b.machine.HandleGone(now, from, jasminemoor.FlowKey(body), h.Age)
+		return
+	}
 	b.machine.HandleHolder(now, from, jasminemoor.FlowKey(body))
 }
 
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -95,7 +95,7 @@
 
 // handleOpen decides on an opening packet.
 func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
-	at := a.noteBalancer(now, h.Origin)
+	at := a.noteBalancer(now, h)
 	a.balancers[at].isDue = true
 	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
 		a.report(now, &a.balancers[at])
@@ -109,7 +109,7 @@
 	delete(a.gone, key)
 	f := a.table.get(key)
 	if f == nil {
-		f = &flow{opened: now.Add(-p.Age)}
+		f = &flow{opened: now.Add(-max(p.Age, h.Age))}
 		a.table.add(key, f)
 	}
 	f.balancer, f.hops, f.used = at+1, h.Hops, now
@@ -155,7 +155,8 @@
 	if !ok {
 		return
 	}
-	header := jmhop.Header{Kind: jmhop.KindForward, Hops: h.Hops + 1, Origin: h.Origin}
+	header := *h
+	header.Kind, header.Hops = jmhop.KindForward, h.Hops+1
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
 }
 
@@ -178,20 +179,23 @@
 // handleForward decides on a packet of an open flow.
 func (a *Agent) handleForward(now time.Time, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	key := p.Key()
-	at := a.noteBalancer(now, h.Origin)
+	at := a.noteBalancer(now, h)
 	if f := a.held(key, p); f != nil {
 		f.balancer = at + 1
 		if h.Flags&jmhop.FlagKnown == 0 {
 			a.tellHolder(h.Origin, key)
 		}
 		if a.upstream.isDown {
-			a.resetFlow(key, f)
+			a.resetFlow(now, key, f, p.Length > 0)
 			return ReasonUpstreamDown
 		}
 		a.offer(now, key, f, p, packet)
 		return ReasonHeld
 	}
 	if at, found := a.gone[key]; found && now.Sub(at) < goneMemory {
+		if p.Length > 0 {
+			a.tellGone(now, key, h.Origin, now.Sub(at))
+		}
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		return ReasonAbsentEverywhere
 	}
@@ -277,8 +281,18 @@
 }
 
 // resetFlow ends a flow whose upstream is known not to hold it any more.
-func (a *Agent) resetFlow(key jasminemoor.FlowKey, f *flow) {
+// HasRequest says that the packet at hand has data.
+func (a *Agent) resetFlow(now time.Time, key jasminemoor.FlowKey, f *flow, hasRequest bool) {
 	if f.ended != bothEnded {
+		r := a.gate.find(key)
+		switch {
+		case r != nil:
+			a.tellGone(now, key, a.balancerOf(f), now.Sub(r.arrived))
+		case f.isWaiting:
+			a.tellGone(now, key, a.balancerOf(f), now.Sub(f.asked))
+		case hasRequest:
+			a.tellGone(now, key, a.balancerOf(f), 0)
+		}
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: f.lastAck})
 	}
 	a.drop(key)
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -44,6 +44,8 @@
 	agents   []agentState
 	byAddr   map[netip.Addr]uint32
 	scratch  []ranked
+	retries  retries
+	code     uint8 // of the data centre
 }
 
 // balancerFlow is where a flow is. It has no pointers.
@@ -85,6 +87,7 @@
 	}
 	if b.viewed.IsZero() {
 		b.viewed = now
+		b.code = jmhop.DataCentreCode(b.DataCentre)
 	}
 	b.rotate(now)
 	flow := p.Key()
@@ -121,7 +124,7 @@
 		Flow:      flow,
 		To:        to,
 		HasPacket: true,
-		Header:    jmhop.Header{Kind: jmhop.KindForward, Flags: flags, Origin: b.Self},
+		Header:    jmhop.Header{Kind: jmhop.KindForward, Flags: flags, Origin: b.Self, DataCentre: b.code},
 	}
 }
 
@@ -172,7 +175,11 @@
 		chosen.asked = now
 	}
 	b.put(flow, balancerFlow{holder: at})
-	return b.forward(flow, chosen.addr, 0), reason
+	m = b.forward(flow, chosen.addr, 0)
+	if !found {
+		m.Header.Age = b.retries.take(now, flow.Caller().Addr())
+	}
+	return m, reason
 }
 
 // firstToAsk returns the agent that ranks first for a flow that this balancer
@@ -230,6 +237,7 @@
 
 // Tick returns the agents to ask for a sign of life.
 func (b *Balancer) Tick(now time.Time) (polls []netip.Addr) {
+	b.retries.forget(now)
 	for i := range b.agents {
 		a := &b.agents[i]
 		if a.isSuspect(now) && now.Sub(a.polled) >= pollInterval && b.isListed(a.addr) {
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -24,10 +24,11 @@
 
 // balancerState is what an agent knows of a balancer.
 type balancerState struct {
-	addr     netip.Addr
-	heard    time.Time
-	reported time.Time
-	isDue    bool // has sent a new flow since the last report
+	addr       netip.Addr
+	dataCentre uint8 // code of its data centre
+	heard      time.Time
+	reported   time.Time
+	isDue      bool // has sent a new flow since the last report
 }
 
 // Leave has the agent tell the balancers that it is about to end.
@@ -51,7 +52,14 @@
 	return a.balancers[f.balancer-1].addr
 }
 
-func (a *Agent) noteBalancer(now time.Time, addr netip.Addr) (at uint32) {
+// noteBalancer takes note of the balancer that a packet came through.
+func (a *Agent) noteBalancer(now time.Time, h *jmhop.Header) (at uint32) {
+	at = a.indexOf(h.Origin)
+	a.balancers[at].heard, a.balancers[at].dataCentre = now, h.DataCentre
+	return at
+}
+
+func (a *Agent) indexOf(addr netip.Addr) (at uint32) {
 	at, found := a.byAddr[addr]
 	if !found {
 		if a.byAddr == nil {
@@ -61,7 +69,6 @@
 		a.balancers = append(a.balancers, balancerState{addr: addr})
 		a.byAddr[addr] = at
 	}
-	a.balancers[at].heard = now
 	return at
 }
 
@@ -88,7 +95,9 @@
 // HandlePoll answers a balancer that asks for a sign of life.
 func (a *Agent) HandlePoll(now time.Time, from netip.Addr) []Message {
 	a.begin(now)
-	a.report(now, &a.balancers[a.noteBalancer(now, from)])
+	at := a.indexOf(from)
+	a.balancers[at].heard = now
+	a.report(now, &a.balancers[at])
 	return a.out
 }
 
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -44,6 +44,7 @@
 	balancer netip.Addr
 	packet   []byte
 	ack      uint32
+	hasData  bool // the packet has data
 	started  time.Time
 	asked    time.Time
 	again    time.Duration // until those are asked that have not answered
@@ -68,7 +69,7 @@
 		s = &search{started: now, absent: make(map[netip.Addr]bool)}
 		a.searches[key] = s
 	}
-	s.balancer, s.ack = balancer, p.Acknowledged
+	s.balancer, s.ack, s.hasData = balancer, p.Acknowledged, p.Length > 0
 	s.packet = append(s.packet[:0], packet...)
 	if !s.hasAsked {
 		a.ask(now, key, s)
@@ -96,7 +97,7 @@
 		return
 	}
 	s.asked, s.again = now, min(max(2*s.again, askInterval), searchTime)
-	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer}
+	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer)}
 	for _, agent := range s.left[:count] {
 		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
 	}
@@ -160,6 +161,9 @@
 	}
 	delete(a.searches, key)
 	a.gone[key] = now
+	if s.hasData {
+		a.tellGone(now, key, s.balancer, a.ageOfLost(now, now.Sub(s.started)))
+	}
 	a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: s.ack})
 	a.Counts[ReasonAbsentEverywhere]++
 	return true
@@ -176,11 +180,11 @@
 	key := p.Key()
 	if f := a.held(key, p); f != nil {
 		if a.upstream.isDown {
-			a.resetFlow(key, f)
+			a.resetFlow(now, key, f, p.Length > 0)
 			a.tellAbsent(from, key)
 			return ReasonUpstreamDown
 		}
-		f.balancer = a.noteBalancer(now, h.Origin) + 1
+		f.balancer = a.noteBalancer(now, h) + 1
 		a.offer(now, key, f, p, packet)
 		a.tellHolder(h.Origin, key)
 		a.tellHolder(from, key)
@@ -242,7 +246,7 @@
 			continue
 		}
 		if a.table.get(key) == nil {
-			a.table.add(key, &flow{opened: now, used: now, isOpen: true, balancer: a.noteBalancer(now, t.balancer) + 1})
+			a.table.add(key, &flow{opened: now, used: now, isOpen: true, balancer: a.indexOf(t.balancer) + 1})
 		}
 		a.endTest(key, t)
 	}
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -125,7 +125,7 @@
 	// The agent has seen the upstream take the flow, so nobody else holds it.
 	if !p.Flags.Has(jasminemoor.FlagReset) {
 		f.lastAck = p.Acknowledged
-		a.resetFlow(key, f)
+		a.resetFlow(now, key, f, p.Length > 0)
 		return ReasonRefusedByUpstream
 	}
 	a.drop(key)
@@ -188,7 +188,7 @@
 			u.isDown = true
 			for key, f := range a.table.flows {
 				if f.isOpen {
-					a.resetFlow(key, f)
+					a.resetFlow(now, key, f, false)
 				}
 			}
 			a.reportAll(now)
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -25,6 +25,7 @@
 	SetSnapshot(s jmpass.Snapshot)
 	Handle(now time.Time, p *jasminemoor.Packet) (jmpass.Message, jmpass.Reason)
 	HandleHolder(now time.Time, from netip.Addr, flow jasminemoor.FlowKey)
+	HandleGone(now time.Time, from netip.Addr, flow jasminemoor.FlowKey, age time.Duration)
 	HandleReport(now time.Time, from netip.Addr, r *jmhop.Report)
 	Tick(now time.Time) []netip.Addr
 }
@@ -351,6 +352,8 @@
 		} else {
 			n.agent.HandleHolder(now, m.Flow)
 		}
+	case jmhop.KindGone:
+		n.balancer.HandleGone(now, from, m.Flow, m.Header.Age)
 	case jmhop.KindAbsent:
 		n.send(n.agent.HandleAbsent(now, from, m.Flow), nil)
 	case jmhop.KindPoll:
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -7,15 +7,19 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminemoor/jasminemoor"
 )
 
 // Sizes in bytes.
 const (
-	HeaderSize = 20
-	addrStart  = 4
+	HeaderSize = 21
+	addrStart  = 5
 	// KeySize is the size of the body of Absent and Holder.
 	KeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a report.
@@ -34,8 +38,15 @@
 	KindReport  Kind = 0xB5 // an agent's load
 	KindPoll    Kind = 0xB6 // asks an agent for its report
 	KindControl Kind = 0xB7 // a control message as msgpack
+	KindGone    Kind = 0xB8 // the sender has reset a flow; its caller tries again soon
 )
 
+// AgeUnit is the resolution of Header.Age.
+const AgeUnit = 20 * time.Millisecond
+
+// DataCentreCode returns the code of a data centre in headers. Two may share one.
+func DataCentreCode(name string) uint8 { return uint8(xxhash.Sum64String(name)) }
+
 // Flags of a header.
 const (
 	// FlagKnown says that the balancer holds the receiver to be the flow's holder.
@@ -54,13 +65,20 @@
 	Flags uint8
 	// Hops counts the agents that passed the packet on.
 	Hops uint8
+	// Age is how long ago a caller sent the request first that it tries again on
+	// a new flow, as far as is known. It is rounded down to AgeUnit, and bounded.
+	Age time.Duration
+	// DataCentre is the code of the data centre of the balancer that the packet
+	// came through.
+	DataCentre uint8
 	// Origin is the balancer that the packet came through.
 	Origin netip.Addr
 }
 
 // Marshal writes the header into the first HeaderSize bytes of b.
 func (h *Header) Marshal(b []byte) {
-	b[0], b[1], b[2], b[3] = byte(h.Kind), h.Flags, h.Hops, 0
+	b[0], b[1], b[2], b[4] = byte(h.Kind), h.Flags, h.Hops, h.DataCentre
+	b[3] = byte(min(max(h.Age/AgeUnit, 0), math.MaxUint8))
 	if !h.Origin.IsValid() {
 		clear(b[addrStart:HeaderSize])
 		return
@@ -74,8 +92,9 @@
 	if len(b) < HeaderSize {
 		return ErrShort
 	}
-	h.Kind, h.Flags, h.Hops = Kind(b[0]), b[1], b[2]
-	if h.Kind < KindForward || h.Kind > KindControl {
+	h.Kind, h.Flags, h.Hops, h.DataCentre = Kind(b[0]), b[1], b[2], b[4]
+	h.Age = time.Duration(b[3]) * AgeUnit
+	if h.Kind < KindForward || h.Kind > KindGone {
 		return ErrKind
 	}
 	raw := [16]byte(b[addrStart:HeaderSize])
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -13,6 +14,7 @@
 	for name, h := range map[string]jmhop.Header{
 		"forward":   {Kind: jmhop.KindForward, Flags: jmhop.FlagKnown, Hops: 2, Origin: netip.MustParseAddr("10.0.0.1")},
 		"IPv6":      {Kind: jmhop.KindAsk, Origin: netip.MustParseAddr("2001:db8::1")},
+		"retry":     {Kind: jmhop.KindGone, Age: 600 * time.Millisecond, DataCentre: 7},
 		"no origin": {Kind: jmhop.KindReport},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -25,6 +27,23 @@
 	}
 }
 
+// TestAgeIsBounded rounds ages down and bounds them.
+func TestAgeIsBounded(t *testing.T) {
+	for age, want := range map[time.Duration]time.Duration{
+		-time.Second:            0,
+		jmhop.AgeUnit - 1:       0,
+		3*jmhop.AgeUnit + 1:     3 * jmhop.AgeUnit,
+		time.Hour:               255 * jmhop.AgeUnit,
+		255*jmhop.AgeUnit + 100: 255 * jmhop.AgeUnit,
+	} {
+		b := make([]byte, jmhop.HeaderSize)
+		h := jmhop.Header{Kind: jmhop.KindGone, Age: age}
+		h.Marshal(b)
+		require.NoError(t, h.Unmarshal(b))
+		require.Equal(t, want, h.Age, age)
+	}
+}
+
 func TestUnmarshalRefuses(t *testing.T) {
 	var h jmhop.Header
 	require.ErrorIs(t, h.Unmarshal(make([]byte, jmhop.HeaderSize-1)), jmhop.ErrShort)
