One agent reads the platform, and another takes over when it is silent

Change: the first agent in the order reads. One that has not heard for 1.5 s, and 0.1 s more for each place in the order, looks, and goes on as the deputy until it hears of one before it. News goes to six agents instead of four, since only one beacon carries it. Tests: TestDeputyReads, and the cases of TestChangeIsEverywhereInTime for the reader, and for the reader and its deputy after another; the bound of 3 s stays.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -14,13 +14,13 @@
 // Timing of the spreading. The bounds that it has to meet are seconds: a
 // change must be in force everywhere, and a reader that fails be replaced.
 const (
-	// WatchWait is how long a reader's watch waits for a change. Each answer
+	// WatchWait is how long the reader's watch waits for a change. Each answer
 	// tells the whole fleet that the copy is recent.
 	WatchWait = 1200 * time.Millisecond
-	// StaleAfter is the age of the copy from which others than the readers
-	// read the platform.
-	StaleAfter = 1700 * time.Millisecond
-	// takeoverStep spreads those reads over time by a process's rank.
+	// StaleAfter is the age of the copy from which another agent reads in place
+	// of the reader: its wait, and what a slow platform takes to answer.
+	StaleAfter = 1500 * time.Millisecond
+	// takeoverStep spreads that over time by an agent's rank.
 	takeoverStep = 100 * time.Millisecond
 	// maxTakeoverRank bounds how long the last in the order waits.
 	maxTakeoverRank = 6
@@ -48,10 +48,9 @@
 )
 
 const (
-	// Readers is how many agents watch the platform.
-	Readers = 2
-	// Fanout is how many agents a process passes news on to.
-	Fanout = 4
+	// Fanout is how many agents a process passes news on to. On average one of
+	// 400 is missed, and hears with the next beacon that it lacks something.
+	Fanout = 6
 	// subscribeCount is how many agents a balancer asks for news.
 	subscribeCount = 3
 	// maxNews bounds the items that ride on a beacon. A peer that lacks more
@@ -151,7 +150,10 @@
 	seedCount   int
 	viewed      time.Time
 	agents      []netip.Addr // those of the upstreams in the copy
-	rank        int
+	// rank is the place in the order in which agents become the reader.
+	rank int
+	// isDeputy is set while the agent reads in place of those before it.
+	isDeputy bool
 }
 
 type seenBeacon struct {
@@ -206,20 +208,24 @@
 	if !m.isLoaded || m.mustLoad {
 		return Read{IsLoad: true}, true
 	}
-	wait := WatchWait
 	if !m.isReader() {
-		wait = 0 // one look, to catch up
+		return Read{Since: m.replica.revision, Wait: lookWait}, true
 	}
-	return Read{Since: m.replica.revision, Wait: max(wait, time.Millisecond)}, true
+	return Read{Since: m.replica.revision, Wait: WatchWait}, true
 }
 
-func (m *Machine) isReader() bool { return m.Upstream.IsValid() && m.rank < Readers }
+// lookWait is the wait of a look that is to catch up, the least there is.
+const lookWait = time.Millisecond
+
+// isReader reports whether the agent watches the platform for all others: the
+// first in the order, and one that has found those before it silent.
+func (m *Machine) isReader() bool { return m.Upstream.IsValid() && (m.rank == 0 || m.isDeputy) }
 
 func (m *Machine) shouldRead(now time.Time) bool {
 	if !m.isLoaded || m.isReader() {
 		return true
 	}
-	patience := StaleAfter + time.Duration(min(m.rank-Readers, maxTakeoverRank))*takeoverStep
+	patience := StaleAfter + time.Duration(min(m.rank, maxTakeoverRank))*takeoverStep
 	if !m.Upstream.IsValid() {
 		patience = StaleAfter + maxTakeoverRank*takeoverStep
 	}
@@ -246,6 +252,9 @@
 		m.noteAsOf(now)
 		return m.tell(now, nil, m.replica.revision)
 	}
+	if !read.IsLoad && read.Wait == lookWait {
+		m.isDeputy = m.Upstream.IsValid()
+	}
 	since := m.replica.revision
 	news := m.replica.applyEntries(now, c, read.IsLoad)
 	if read.IsLoad {
@@ -310,6 +319,9 @@
 		return
 	}
 	m.note(id)
+	if readerScore(b.Reader) > readerScore(m.Self) && b.Age < StaleAfter {
+		m.isDeputy = false
+	}
 	isKnown := m.isLoaded && b.Revision <= m.replica.revision
 	canApply := m.isLoaded && b.Since <= m.replica.revision
 	switch {
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -270,9 +270,14 @@
 func TestChangeIsEverywhereInTime(t *testing.T) {
 	const bound = 3 * time.Second // of the users' installations
 	cases := map[string]func(f *fleet){
-		"calm":                        func(*fleet) {},
-		"both readers cut off":        func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isCut[a] = true }) },
-		"both readers dead":           func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isDead[a] = true }) },
+		"calm":               func(*fleet) {},
+		"the reader cut off": func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isCut[a] = true }) },
+		"the reader dead":    func(f *fleet) { f.eachReader(func(a netip.Addr) { f.isDead[a] = true }) },
+		"the reader and its deputy dead": func(f *fleet) {
+			f.eachReader(func(a netip.Addr) { f.isDead[a] = true })
+			f.run(StaleAfter + time.Second)
+			f.eachReader(func(a netip.Addr) { f.isDead[a] = true })
+		},
 		"all agents cut off":          func(f *fleet) { f.eachAgent(func(a netip.Addr) { f.isCut[a] = true }) },
 		"all agents dead, as a burst": func(f *fleet) { f.eachAgent(func(a netip.Addr) { f.isDead[a] = true }) },
 	}
@@ -324,6 +329,35 @@
 	}
 }
 
+// TestDeputyReads has the reader die and return: one agent reads in its place
+// meanwhile, and no more than one afterwards.
+func TestDeputyReads(t *testing.T) {
+	f := newFleet(t, 5, 20)
+	f.run(3 * time.Second)
+	readers := func() (readers []netip.Addr) {
+		f.eachReader(func(a netip.Addr) {
+			if !f.isDead[a] {
+				readers = append(readers, a)
+			}
+		})
+		return readers
+	}
+	first := readers()
+	require.Len(t, first, 1)
+	f.isDead[first[0]] = true
+	f.run(StaleAfter + time.Second)
+	deputies := readers()
+	require.Len(t, deputies, 1)
+	f.calls = 0
+	const seconds = 10
+	f.run(seconds * time.Second)
+	require.Equal(t, deputies, readers())
+	require.Less(t, f.calls, 2*seconds, "the deputy watches, and does not look again and again")
+	f.isDead[first[0]] = false
+	f.run(2 * WatchWait)
+	require.Equal(t, first, readers())
+}
+
 // TestHistoryGone loads everything anew.
 func TestHistoryGone(t *testing.T) {
 	m := &Machine{Self: agentAddr(1), Upstream: netip.AddrPortFrom(agentAddr(1), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
