Reports of an agent whose clock was set back count

Cause: an agent that starts again after its time of day was set back has a lower incarnation than before, and balancers left its reports out for good: it was taken for dark and got new flows only after all others. Found by reading what uses the time of day. A lower incarnation now counts once the reports of the higher one are older than a datagram can be under way (0.3 s). Test: TestReportAfterClockStep, red before.

--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -26,6 +26,10 @@
 	// silentAfter is how long an agent may be silent until the removal of its
 	// upstream's entry is taken as the end of its flows.
 	silentAfter = time.Second
+	// reorderTime is how long a datagram may be under way at most. After that a
+	// report of a lower incarnation is of a run that began after the agent's clock
+	// was set back.
+	reorderTime = 300 * time.Millisecond
 )
 
 // Balancer decides on the packets of callers. One goroutine at a time uses it;
@@ -58,7 +62,9 @@
 type agentState struct {
 	addr   netip.Addr
 	report jmhop.Report
-	heard  time.Time
+	// reported is when the report came, and heard when anything did.
+	reported time.Time
+	heard    time.Time
 	// asked is when the first flow was sent that no report has answered.
 	asked  time.Time
 	polled time.Time
@@ -222,10 +228,11 @@
 		return
 	}
 	at := b.indexOf(from)
-	if r.Incarnation < b.agents[at].report.Incarnation {
+	if r.Incarnation < b.agents[at].report.Incarnation && now.Sub(b.agents[at].reported) < reorderTime {
 		return
 	}
 	b.hear(now, at)
+	b.agents[at].reported = now
 	b.agents[at].report = *r
 	b.agents[at].placed = 0
 }
--- a/internal/flow/jmpass/balancer_test.go
+++ b/internal/flow/jmpass/balancer_test.go
@@ -215,3 +215,23 @@
 		balancer.Handle(begun, p)
 	}
 }
+
+// TestReportAfterClockStep has an agent start again after its clock was set back:
+// its incarnation is below that of its earlier run. Only a report that was under
+// way meanwhile is left out.
+func TestReportAfterClockStep(t *testing.T) {
+	b := &Balancer{Self: front, DataCentre: "a"}
+	b.SetSnapshot(snapshot(2))
+	report := func(after time.Duration, incarnation jasminemoor.Incarnation, waiting uint16) {
+		b.HandleReport(begun.Add(after), agentAddr(1), &jmhop.Report{Incarnation: incarnation, Waiting: waiting})
+	}
+	waiting := func() uint16 { return b.agents[b.indexOf(agentAddr(1))].report.Waiting }
+	report(0, 5, 1)
+	report(time.Millisecond, 9, 2)
+	report(2*time.Millisecond, 5, 3)
+	require.Equal(t, uint16(2), waiting(), "of the run before, overtaken")
+	report(reorderTime+time.Millisecond, 4, 4)
+	require.Equal(t, uint16(4), waiting())
+	report(reorderTime+2*time.Millisecond, 4, 5)
+	require.Equal(t, uint16(5), waiting())
+}
