Soak: paths that are delayed, reset, cut one way or silenced, and more processes

Each process reaches the store, and the routers each balancer, through a proxy on loopback (standin/jmproxy) that the soak injures with the other faults. The numbers of balancers and agents are flags, and series of faults grow with them.

--- a/internal/standin/jmprocess/passthrough_test.go
+++ b/internal/standin/jmprocess/passthrough_test.go
@@ -23,6 +23,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmprocess"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmproxy"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmstore"
 )
 
@@ -30,20 +31,34 @@
 	soakSeed  = flag.Uint64("soak-seed", 1, "first seed of the soak of pass-through flows")
 	soakSeeds = flag.Uint64("soak-seeds", 2, "how many seeds the soak runs with")
 	soakTime  = flag.Duration("soak-time", 6*time.Second, "how long faults go on in each")
+	// The usual size keeps the run in CI short; by hand there may be hundreds.
+	soakBalancers = flag.Int("soak-balancers", 3, "balancers of the soak's installation, 250 at most")
+	soakAgents    = flag.Int("soak-agents", 4, "agents and upstreams of the soak's installation, 250 at most")
 )
 
 // Ports and sizes of the soak's installation.
 const (
-	soakPeers     = 27720
-	soakPackets   = 28172
-	soakReady     = 28167
-	soakOutbound  = 28162
-	soakUpstream  = 28165
-	soakBalancers = 3
-	soakAgents    = 4
-	soakFeeds     = 6
-	soakBookers   = 3
-	soakDeadline  = 4 * time.Second
+	soakPeers    = 27720
+	soakPackets  = 28172
+	soakReady    = 28167
+	soakOutbound = 28162
+	soakUpstream = 28165
+	soakStore    = 28169
+	soakFeeds    = 6 // and one for each four agents
+	soakBookers  = 3
+	soakDeadline = 4 * time.Second
+	soakLatency  = 150 * time.Millisecond // what a slow path adds
+	// strikeShare is how many processes there are for each series of faults.
+	strikeShare = 15
+)
+
+// Kinds of address: the third byte.
+const (
+	soakBalancer = iota + 1
+	soakAgent
+	soakCaller
+	soakEntry  // of the path from the routers to a balancer
+	soakStores // of the path from a process to the store, and its kind added
 )
 
 var soakShop = netip.MustParseAddrPort("198.18.0.1:8443")
@@ -59,6 +74,10 @@
 	url    string
 	caller *jmpackets.Caller
 	logs   []*os.File
+	// stores are the paths of the processes to the store, and entries those of
+	// the routers to the balancers.
+	stores  map[string]*jmproxy.Proxy
+	entries []*jmproxy.Proxy
 
 	mu        sync.Mutex
 	processes map[string]*jmprocess.Process
@@ -109,7 +128,7 @@
 
 func (s *soak) register(i int, state string) {
 	s.store.Put(fmt.Sprintf("servers/i-%d-%d", i, s.crashes[i-1]), map[string]any{
-		"service": "shop", "address": soakAddr(2, i, soakUpstream).String(), "zone": "here", "max_concurrency": 5, "state": state,
+		"service": "shop", "address": soakAddr(soakAgent, i, soakUpstream).String(), "zone": "here", "max_concurrency": 5, "state": state,
 		"born": time.Now().UnixMilli(),
 	})
 }
@@ -122,22 +141,41 @@
 	s.t.Cleanup(func() { _ = server.Close() })
 	s.url = listener.Addr().String()
 	s.publish()
-	for i := 1; i <= soakAgents; i++ {
-		u := &jmpackets.Upstream{Address: soakAddr(2, i, soakUpstream), Outbound: soakAddr(2, i, soakOutbound), Name: fmt.Sprint("shop", i), Work: 10 * time.Millisecond}
+	for i := 1; i <= *soakAgents; i++ {
+		u := &jmpackets.Upstream{Address: soakAddr(soakAgent, i, soakUpstream), Outbound: soakAddr(soakAgent, i, soakOutbound), Name: fmt.Sprint("shop", i), Work: 10 * time.Millisecond}
 		require.NoError(s.t, u.Start(context.Background()))
 		s.t.Cleanup(u.Crash)
 		s.upstreams = append(s.upstreams, u)
 		s.crashes = append(s.crashes, 0)
 		s.register(i, "ready")
-		s.run("agent", 2, i, true)
+		s.run("agent", soakAgent, i, true)
 	}
-	for i := 1; i <= soakBalancers; i++ {
-		s.run("balancer", 1, i, true)
+	for i := 1; i <= *soakBalancers; i++ {
+		s.entries = append(s.entries, s.proxy(soakAddr(soakEntry, i, soakPackets), soakAddr(soakBalancer, i, soakPackets)))
+		s.run("balancer", soakBalancer, i, true)
 	}
-	s.caller = &jmpackets.Caller{Address: soakAddr(3, 1, soakPackets), Routers: s.rotation}
+	s.caller = &jmpackets.Caller{Address: soakAddr(soakCaller, 1, soakPackets), Routers: s.rotation}
 	require.NoError(s.t, s.caller.Start())
 	s.t.Cleanup(func() { _ = s.caller.Close() })
-	require.Eventually(s.t, func() bool { return len(s.rotation()) == soakBalancers }, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(s.t, func() bool { return len(s.rotation()) == *soakBalancers }, 30*time.Second, 20*time.Millisecond)
+}
+
+// proxy returns a path that can be injured.
+func (s *soak) proxy(address, target netip.AddrPort) *jmproxy.Proxy {
+	p := &jmproxy.Proxy{Address: address, Target: target, Latency: soakLatency}
+	require.NoError(s.t, p.Start(context.Background()))
+	s.t.Cleanup(p.Close)
+	return p
+}
+
+// storeOf returns a process's own path to the store.
+func (s *soak) storeOf(name string, kind, i int) *jmproxy.Proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stores[name] == nil {
+		s.stores[name] = s.proxy(soakAddr(soakStores+kind, i, soakStore), netip.MustParseAddrPort(s.url))
+	}
+	return s.stores[name]
 }
 
 // run starts a process of the product.
@@ -145,11 +183,11 @@
 	name := fmt.Sprint(role, "-", i)
 	settings := jmlocal.Settings{
 		Name: name, Address: soakAddr(kind, i, 0).Addr(), DataCentre: "here", FirstPort: soakPeers, LastPort: soakPeers + 15,
-		Seeds: []netip.AddrPort{soakAddr(1, 1, soakPeers)}, IsFirstStart: isFirst, Packets: soakAddr(kind, i, soakPackets),
-		Ready: soakAddr(kind, i, soakReady), Platform: jmlocal.Platform{Address: netip.MustParseAddrPort(s.url)},
+		Seeds: []netip.AddrPort{soakAddr(soakBalancer, 1, soakPeers)}, IsFirstStart: isFirst, Packets: soakAddr(kind, i, soakPackets),
+		Ready: soakAddr(kind, i, soakReady), Platform: jmlocal.Platform{Address: s.storeOf(name, kind, i).Address},
 	}
-	if kind == 2 {
-		settings.Outbound, settings.Upstream, settings.Service = soakAddr(2, i, soakOutbound), soakAddr(2, i, soakUpstream), "shop"
+	if kind == soakAgent {
+		settings.Outbound, settings.Upstream, settings.Service = soakAddr(soakAgent, i, soakOutbound), soakAddr(soakAgent, i, soakUpstream), "shop"
 	}
 	text, err := json.Marshal(settings)
 	require.NoError(s.t, err)
@@ -168,14 +206,22 @@
 // rotation returns the balancers that are ready, as routers would use them.
 func (s *soak) rotation() (ready []netip.AddrPort) {
 	client := http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for i := 1; i <= soakBalancers; i++ {
-		response, err := client.Get("http://" + soakAddr(1, i, soakReady).String() + "/")
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
-			ready = append(ready, soakAddr(1, i, soakPackets))
+	isReady := make([]bool, *soakBalancers)
+	var wg sync.WaitGroup
+	for i := range isReady {
+		wg.Go(func() {
+			response, err := client.Get("http://" + soakAddr(soakBalancer, i+1, soakReady).String() + "/")
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			isReady[i] = response.StatusCode == http.StatusOK
+		})
+	}
+	wg.Wait()
+	for i, is := range isReady {
+		if is {
+			ready = append(ready, s.entries[i].Address)
 		}
 	}
 	return ready
@@ -291,12 +337,14 @@
 // strike makes one fault at random and repairs it after a while.
 func (s *soak) strike() {
 	s.mu.Lock()
-	kind, i := s.rng.IntN(9), 1+s.rng.IntN(soakAgents)
+	kind, i := s.rng.IntN(11), 1+s.rng.IntN(*soakAgents)
 	pause := time.Duration(200+s.rng.IntN(1500)) * time.Millisecond
 	storeFault := jmstore.Fault(1 + s.rng.IntN(4))
-	role, number, place := "agent", 2, i
+	pathFault := jmproxy.Fault(1 + s.rng.IntN(int(jmproxy.FaultCount)-1))
+	entry := s.rng.IntN(*soakBalancers)
+	role, number, place := "agent", soakAgent, i
 	if s.rng.IntN(2) == 0 {
-		role, number, place = "balancer", 1, 1+s.rng.IntN(soakBalancers)
+		role, number, place = "balancer", soakBalancer, 1+s.rng.IntN(*soakBalancers)
 	}
 	name := fmt.Sprint(role, "-", place)
 	target := name
@@ -305,6 +353,10 @@
 		target = fmt.Sprint("upstream-", i)
 	case 6, 7, 8:
 		target = "store"
+	case 9:
+		target = "path of " + name
+	case 10:
+		target = fmt.Sprint("path to balancer ", entry+1)
 	}
 	if s.busy[target] {
 		s.mu.Unlock()
@@ -366,22 +418,33 @@
 	case 8:
 		s.note("new configuration")
 		s.publish()
+	case 9:
+		s.note("path from %s to the store: %s for %s", name, pathFault, pause)
+		path := s.storeOf(name, number, place)
+		path.Set(pathFault)
+		time.Sleep(pause)
+		path.Set(jmproxy.Pass)
+	case 10:
+		s.note("path to balancer %d: %s for %s", entry+1, pathFault, pause)
+		s.entries[entry].Set(pathFault)
+		time.Sleep(pause)
+		s.entries[entry].Set(jmproxy.Pass)
 	}
 }
 
-// play runs callers, and two series of faults that overlap.
+// play runs callers, and two or more series of faults that overlap.
 func (s *soak) play() {
 	ctx, cancel := context.WithTimeout(context.Background(), *soakTime)
 	defer cancel()
 	s.routers(ctx)
 	var callers, strikers sync.WaitGroup
-	for i := range soakFeeds {
+	for i := range soakFeeds + *soakAgents/4 {
 		callers.Go(func() { s.feed(ctx, i) })
 	}
 	for i := range soakBookers {
 		callers.Go(func() { s.book(ctx, i) })
 	}
-	for range 2 {
+	for range 2 + (*soakAgents+*soakBalancers)/strikeShare {
 		strikers.Go(func() {
 			for ctx.Err() == nil {
 				time.Sleep(300 * time.Millisecond)
@@ -450,7 +513,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := &soak{
 				t: t, rng: rand.New(rand.NewPCG(seed, seed)), binary: binary, dir: t.TempDir(), store: &jmstore.Store{},
-				processes: make(map[string]*jmprocess.Process), busy: make(map[string]bool),
+				processes: make(map[string]*jmprocess.Process), busy: make(map[string]bool), stores: make(map[string]*jmproxy.Proxy),
 			}
 			t.Cleanup(func() {
 				for _, p := range s.processes {
--- /dev/null
+++ b/internal/standin/jmproxy/proxy_test.go
@@ -0,0 +1,109 @@
+package jmproxy_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmproxy"
+)
+
+const (
+	patience = 200 * time.Millisecond
+	latency  = 60 * time.Millisecond
+)
+
+// start returns a proxy before a server that sends back what it gets.
+func start(t *testing.T) *jmproxy.Proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(port.Addr().String())
+	require.NoError(t, port.Close())
+	p := &jmproxy.Proxy{Address: address, Target: netip.MustParseAddrPort(listener.Addr().String()), Latency: latency}
+	require.NoError(t, p.Start(context.Background()))
+	t.Cleanup(p.Close)
+	return p
+}
+
+func exchange(conn net.Conn) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
+
+func TestFaultsOfConnections(t *testing.T) {
+	cases := map[jmproxy.Fault]error{
+		jmproxy.Pass:         nil,
+		jmproxy.Delay:        nil,
+		jmproxy.Reset:        syscall.ECONNRESET,
+		jmproxy.CutRequests:  os.ErrDeadlineExceeded,
+		jmproxy.CutResponses: os.ErrDeadlineExceeded,
+		jmproxy.Silence:      os.ErrDeadlineExceeded,
+	}
+	for fault, want := range cases {
+		t.Run(fault.String(), func(t *testing.T) {
+			p := start(t)
+			conn, err := net.Dial("tcp", p.Address.String())
+			require.NoError(t, err)
+			defer conn.Close()
+			require.NoError(t, exchange(conn))
+			p.Set(fault)
+			begun := time.Now()
+			err = exchange(conn)
+			if errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) {
+				err = syscall.ECONNRESET // the other signs of it
+			}
+			require.ErrorIs(t, err, want)
+			if fault == jmproxy.Delay {
+				require.GreaterOrEqual(t, time.Since(begun), latency)
+			}
+		})
+	}
+}
+
+func TestFaultsOfDatagrams(t *testing.T) {
+	for fault, isPassed := range map[jmproxy.Fault]bool{
+		jmproxy.Pass: true, jmproxy.Delay: true, jmproxy.CutResponses: true,
+		jmproxy.Reset: false, jmproxy.CutRequests: false, jmproxy.Silence: false,
+	} {
+		t.Run(fault.String(), func(t *testing.T) {
+			p := start(t)
+			target, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(p.Target))
+			require.NoError(t, err)
+			defer target.Close()
+			p.Set(fault)
+			conn, err := net.Dial("udp4", p.Address.String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = conn.Write([]byte("x"))
+			require.NoError(t, err)
+			require.NoError(t, target.SetReadDeadline(time.Now().Add(patience)))
+			_, err = target.Read(make([]byte, 1))
+			require.Equal(t, isPassed, err == nil)
+		})
+	}
+}
