--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -51,31 +51,10 @@
 	mu       sync.Mutex   // guards machine
 	machine  jmpass.Agent
 	outbound *net.UDPConn
-	leaving  chan struct{}
-	leave    sync.Once
-	drained  chan struct{}
-	start    sync.Once
-}
-
-func (a *Agent) init() {
-	a.start.Do(func() { a.leaving, a.drained = make(chan struct{}), make(chan struct{}) })
-}
-
-// Drained is closed once the agent has left.
-func (a *Agent) Drained() <-chan struct{} {
-	a.init()
-	return a.drained
 }
 
 // Leave has the agent tell the balancers that it ends, and end.
-func (a *Agent) Leave() {
-	a.init()
-	a.leave.Do(func() {
-		a.Log.Info("process: leaving")
-		a.isReady.Store(false)
-		close(a.leaving)
-	})
-}
+func (a *Agent) Leave() { a.beginLeaving(a.Log) }
 
 // Run serves until ctx ends. It returns once all its goroutines have ended.
 func (a *Agent) Run(ctx context.Context) (err error) {
--- a/internal/flow/jmgateway/balancer.go
+++ b/internal/flow/jmgateway/balancer.go
@@ -53,35 +53,11 @@
 	begun     time.Time
 	hasView   chan struct{}
 	viewed    sync.Once
-	leaving   chan struct{}
-	leave     sync.Once
-	drained   chan struct{}
-	start     sync.Once
-}
-
-func (b *Balancer) init() {
-	b.start.Do(func() {
-		b.leaving, b.drained, b.hasView = make(chan struct{}), make(chan struct{}), make(chan struct{})
-		b.begun = time.Now()
-	})
-}
-
-// Drained is closed once the balancer has left.
-func (b *Balancer) Drained() <-chan struct{} {
-	b.init()
-	return b.drained
 }
 
 // Leave takes the balancer out of service gracefully: it is no longer ready,
 // and forwards until the platform's routers use others.
-func (b *Balancer) Leave() {
-	b.init()
-	b.leave.Do(func() {
-		b.Log.Info("process: leaving")
-		b.isReady.Store(false)
-		close(b.leaving)
-	})
-}
+func (b *Balancer) Leave() { b.beginLeaving(b.Log) }
 
 // Run serves until ctx ends. It returns once all its goroutines have ended.
 func (b *Balancer) Run(ctx context.Context) (err error) {
@@ -91,6 +67,7 @@
 		}
 	}()
 	b.init()
+	b.begun, b.hasView = time.Now(), make(chan struct{})
 	b.machine.Self, b.machine.DataCentre = b.Settings.Address, b.Settings.DataCentre
 	b.settings, b.codec, b.log, b.decided = b.Settings, b.Codec, b.Log, b.Decisions
 	b.control = &Control{Directory: b.Directory, Log: b.Log, OnNews: b.setSnapshot}
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,30 @@
 	peers    *net.UDPConn
 	tcp      net.Listener
 	isReady  atomic.Bool
+
+	start   sync.Once
+	leave   sync.Once
+	leaving chan struct{} // closed when the process is to leave
+	drained chan struct{} // closed once it has
+}
+
+func (p *process) init() {
+	p.start.Do(func() { p.leaving, p.drained = make(chan struct{}), make(chan struct{}) })
+}
+
+// Drained is closed once the process has left.
+func (p *process) Drained() <-chan struct{} {
+	p.init()
+	return p.drained
+}
+
+func (p *process) beginLeaving(log logrus.FieldLogger) {
+	p.init()
+	p.leave.Do(func() {
+		log.Info("process: leaving")
+		p.isReady.Store(false)
+		close(p.leaving)
+	})
 }
 
 // Control returns the copy of the directory, or nil before Run.
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -31,8 +31,6 @@
 	Outbound netip.AddrPort
 	// Ready is where a process answers whether it is ready.
 	Ready netip.AddrPort
-	// Control is where a balancer accepts the exchanges of processes that start.
-	Control netip.AddrPort
 	// Upstream and Service are those of an agent.
 	Upstream netip.AddrPort
 	Service  string
@@ -44,8 +42,6 @@
 // Platform is where the platform's store is.
 type Platform struct {
 	Address netip.AddrPort
-	// ReadsPerSecond is how many calls all processes together may make.
-	ReadsPerSecond int
 }
 
 // Role is what a process does.
--- a/internal/settings/jmlocal/settings_test.go
+++ b/internal/settings/jmlocal/settings_test.go
@@ -14,7 +14,7 @@
 	"Name": "side-1", "Address": "10.0.0.2", "DataCentre": "a", "FirstPort": 7720, "LastPort": 7735,
 	"Seeds": ["10.0.0.1:8166"], "Packets": "10.0.0.2:8172", "Outbound": "10.0.0.2:8162",
 	"Ready": "10.0.0.2:8167", "Upstream": "10.0.0.2:8165", "Service": "shop",
-	"Platform": {"Address": "10.9.0.1:8169", "ReadsPerSecond": 2000}, "Unknown": [1],
+	"Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
 }`
 
 func TestParse(t *testing.T) {
