Areas use each other in one direction

wire, settings, fleet, request, flow, operate, measure, standin: each only those before it. Moved: jmconnid to wire, jmspread and jmplacer to fleet, jmoperator and jmtrail to the new area operate.

--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -7,8 +7,8 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 )
 
 func agentCommand(t *terminal) *ffcli.Command {
--- a/cmd/jasminemoor/balancer.go
+++ b/cmd/jasminemoor/balancer.go
@@ -5,8 +5,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 )
 
 func balancerCommand(t *terminal) *ffcli.Command {
--- a/cmd/jasminemoor/explain.go
+++ b/cmd/jasminemoor/explain.go
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmtrail"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmtrail"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmgateway"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	jmadapter "github.com/jasminemoor/jasminemoor/platform"
 )
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -14,7 +14,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmwatch"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -11,8 +11,8 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
-	"github.com/jasminemoor/jasminemoor/internal/settings/jmspread"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmspread"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/internal/fleet/jmcontrol/messages.go
+++ b/internal/fleet/jmcontrol/messages.go
@@ -5,7 +5,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
-	"github.com/jasminemoor/jasminemoor/internal/settings/jmspread"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmspread"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/internal/flow/jmplacer/placer_test.go
+++ b/internal/fleet/jmplacer/placer_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 )
 
 func agent(i int) netip.AddrPort {
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -21,11 +21,11 @@
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmreturn"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmserver"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 )
 
 const (
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -11,8 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmagent/packetconn_test.go
+++ b/internal/flow/jmagent/packetconn_test.go
@@ -13,8 +13,8 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmagent/peers.go
+++ b/internal/flow/jmagent/peers.go
@@ -11,7 +11,7 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 )
 
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -14,10 +14,10 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmbalancer/bench_test.go
+++ b/internal/flow/jmbalancer/bench_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -6,8 +6,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmbalancer/route_test.go
+++ b/internal/flow/jmbalancer/route_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -8,7 +8,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
--- a/internal/measure/jmmodel/policy.go
+++ b/internal/measure/jmmodel/policy.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 )
 
 // relayCandidates is how many peers a full agent offers a request to.
--- a/internal/fleet/jmoperator/explain.go
+++ b/internal/operate/jmoperator/explain.go
@@ -12,7 +12,7 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/internal/fleet/jmoperator/operator_test.go
+++ b/internal/operate/jmoperator/operator_test.go
@@ -16,10 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmgateway"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/internal/fleet/jmoperator/status.go
+++ b/internal/operate/jmoperator/status.go
@@ -11,9 +11,9 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
--- a/internal/fleet/jmtrail/trail_test.go
+++ b/internal/operate/jmtrail/trail_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmtrail"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmtrail"
 )
 
 func TestStoryOfRecordedRequest(t *testing.T) {
--- a/internal/settings/jmtree/check.go
+++ b/internal/settings/jmtree/check.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"github.com/jasminemoor/jasminemoor"
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
 )
 
--- a/internal/standin/jmprocess/fleet.go
+++ b/internal/standin/jmprocess/fleet.go
@@ -18,7 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jasminemoor/jasminemoor/client"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmoperator"
+	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmfabric"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmlab"
--- a/internal/flow/jmconnid/connid_test.go
+++ b/internal/wire/jmconnid/connid_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/jasminemoor/jasminemoor/internal/flow/jmconnid"
+	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
 )
 
 var (
