--- a/internal/settings/jmlocal/settings_test.go
+++ b/internal/settings/jmlocal/settings_test.go
@@ -35,7 +35,7 @@
 		"no outbound":     {`"Outbound": "10.0.0.2:8162",`, "", "Outbound"},
 		"no upstream":     {`"Upstream": "10.0.0.2:8165", `, "", "Upstream"},
 		"no service":      {`"Service": "shop",`, "", "Service"},
-		"no platform":     {`"Address": "10.9.0.1:8169", `, "", "Platform.Address"},
+		"no platform":     {`"Address": "10.9.0.1:8169"`, "", "Platform.Address"},
 		"another type":    {`"DataCentre": "a"`, `"DataCentre": 5`, "DataCentre"},
 	}
 	for name, tc := range cases {
