Requests that wait are told from those at their upstream, in logs and counters

Found by reading OPERATIONS.md against the code: it promised a line for a request that waits (held_back), but the reason was only counted and the line said that the upstream holds the flow. Now the packet's own line says so; the line when the request goes on, and that when its caller gives up first, have how long it waited (given_up is counted too). Balancers log the age that a retry carries, and a process when it becomes or is no longer the reader. Test: TestGivenUpIsTold; TestRepeatedRequestsWaitToo expects the new reason.

Also: a request whose answer would come after its caller gives up goes last, as that of a caller that has left.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -208,7 +208,7 @@
 	if !m.isLoaded || m.mustLoad {
 		return Read{IsLoad: true}, true
 	}
-	if !m.isReader() {
+	if !m.IsReader() {
 		return Read{Since: m.replica.revision, Wait: lookWait}, true
 	}
 	return Read{Since: m.replica.revision, Wait: WatchWait}, true
@@ -217,12 +217,14 @@
 // lookWait is the wait of a look that is to catch up, the least there is.
 const lookWait = time.Millisecond
 
-// isReader reports whether the agent watches the platform for all others: the
+// IsReader reports whether the agent watches the platform for all others: the
 // first in the order, and one that has found those before it silent.
-func (m *Machine) isReader() bool { return m.Upstream.IsValid() && (m.rank == 0 || m.isDeputy) }
+func (m *Machine) IsReader() bool {
+	return m.isLoaded && m.Upstream.IsValid() && (m.rank == 0 || m.isDeputy)
+}
 
 func (m *Machine) shouldRead(now time.Time) bool {
-	if !m.isLoaded || m.isReader() {
+	if !m.isLoaded || m.IsReader() {
 		return true
 	}
 	patience := StaleAfter + time.Duration(min(m.rank, maxTakeoverRank))*takeoverStep
@@ -273,7 +275,7 @@
 	switch {
 	case !m.isLoaded && slices.Contains(m.Seeds, m.Self):
 		return minBackoff, maxSeedBackoff
-	case !m.isLoaded || m.isReader():
+	case !m.isLoaded || m.IsReader():
 		return minBackoff, maxReaderBackoff
 	}
 	return minOtherBackoff, maxOtherBackoff
--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -156,7 +156,7 @@
 		if h.Kind == jmhop.KindAbsent {
 			out := a.machine.HandleAbsent(now, from, jasminemoor.FlowKey(body))
 			s.send(out, nil)
-			a.noteReset(out)
+			a.noteOthers(out)
 		} else {
 			a.machine.HandleHolder(now, jasminemoor.FlowKey(body))
 		}
@@ -186,6 +186,7 @@
 		}
 		out, reason := a.machine.HandleUpstream(now, &p, packet, a.Codec.IsFailure(packet))
 		s.send(out, packet)
+		a.noteWaited(out)
 		a.note(now, reason, &p, packet, last(out))
 	}
 	a.mu.Unlock()
@@ -211,7 +212,7 @@
 			a.mu.Lock()
 			out, shouldProbe := a.machine.Tick(now)
 			s.send(out, nil)
-			a.noteReset(out)
+			a.noteOthers(out)
 			a.mu.Unlock()
 			s.outlet.flush()
 			if shouldProbe {
@@ -221,8 +222,8 @@
 	}
 }
 
-// noteReset logs the resets that no packet at hand has led to.
-func (a *Agent) noteReset(out []jmpass.Message) {
+// noteOthers logs what became of flows without a packet at hand.
+func (a *Agent) noteOthers(out []jmpass.Message) {
 	for i := range out {
 		if out[i].Kind == jmpass.Reset {
 			a.decided.Notable("flow: reset, as no upstream holds it", logrus.Fields{
@@ -230,6 +231,28 @@
 			})
 		}
 	}
+	a.noteWaited(out)
+}
+
+// noteWaited logs what became of requests that have waited.
+func (a *Agent) noteWaited(out []jmpass.Message) {
+	for i := range out {
+		m := &out[i]
+		if m.Waited == 0 {
+			continue
+		}
+		fields := func(reason jmpass.Reason) logrus.Fields {
+			return logrus.Fields{
+				"Instance": a.Settings.Name, "Flow": m.Flow.String(), "Request": a.Codec.RequestID(m.Packet),
+				"Reason": reason.String(), "WaitedMs": m.Waited.Milliseconds(), "Outcome": m.Kind.String(),
+			}
+		}
+		if m.Kind == jmpass.Dropped {
+			a.decided.Notable("flow: "+jmpass.ReasonGivenUp.Text(), fields(jmpass.ReasonGivenUp))
+			continue
+		}
+		a.decided.Ordinary("flow: request that waited goes to its upstream", func() logrus.Fields { return fields(jmpass.ReasonHeld) })
+	}
 }
 
 // probe looks whether the upstream's process accepts connections. It sends no
@@ -263,7 +286,7 @@
 	a.mu.Lock()
 	out := a.machine.HandleProbe(time.Now(), result)
 	s.send(out, nil)
-	a.noteReset(out)
+	a.noteOthers(out)
 	a.mu.Unlock()
 	s.outlet.flush()
 }
--- a/internal/flow/jmgateway/control.go
+++ b/internal/flow/jmgateway/control.go
@@ -59,6 +59,7 @@
 	start    sync.Once
 	calls    conc.WaitGroup
 	isAway   bool // the platform did not answer the last call
+	isReader bool // this process reads the platform for all others
 }
 
 // ControlCounters counts control traffic since the process started.
@@ -129,6 +130,11 @@
 }
 
 func (c *Control) act(ctx context.Context, now time.Time, out jmdirectory.Output) {
+	if isReader := c.machine.IsReader(); isReader != c.isReader {
+		c.isReader = isReader
+		c.Log.WithFields(logrus.Fields{"IsReader": isReader, "AgeMs": now.Sub(c.machine.AsOf()).Milliseconds()}).
+			Info("directory: the reader of the platform has changed")
+	}
 	if s := c.snapshot.Load(); out.HasNews || s == nil && c.machine.IsLoaded() || s != nil && c.machine.AsOf().After(s.AsOf) {
 		c.publish(now, out.HasNews)
 	}
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -199,6 +199,9 @@
 		fields["AgeMs"] = now.Sub(s.AsOf).Milliseconds()
 	}
 	if m != nil && m.Kind != 0 {
+		if m.Header.Age > 0 {
+			fields["RequestAgeMs"] = m.Header.Age.Milliseconds()
+		}
 		fields["Outcome"] = m.Kind.String()
 		if m.To.IsValid() {
 			fields["To"] = m.To
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -189,8 +189,7 @@
 			a.resetFlow(now, key, f, p.Length > 0)
 			return ReasonUpstreamDown
 		}
-		a.offer(now, key, f, p, packet)
-		return ReasonHeld
+		return a.offer(now, key, f, p, packet)
 	}
 	if at, found := a.gone[key]; found && now.Sub(at) < goneMemory {
 		if p.Length > 0 {
--- a/internal/flow/jmpass/gate.go
+++ b/internal/flow/jmpass/gate.go
@@ -64,18 +64,24 @@
 	}
 }
 
-// next takes out the request to give to the upstream now, nil if there is
-// none, given how long an answer takes and how many slots the upstream has.
-// Requests whose callers have given up are dropped.
-func (g *gate) next(now time.Time, answerTime time.Duration, slots int) (chosen *request) {
+// expire takes out the requests whose callers have given up.
+func (g *gate) expire(now time.Time) (expired []*request) {
 	kept := g.held[:0]
 	for _, r := range g.held {
 		if now.Before(r.deadline) {
 			kept = append(kept, r)
+		} else {
+			expired = append(expired, r)
 		}
 	}
 	clear(g.held[len(kept):])
 	g.held = kept
+	return expired
+}
+
+// next takes out the request to give to the upstream now, nil if there is
+// none, given how long an answer takes and how many slots the upstream has.
+func (g *gate) next(now time.Time, answerTime time.Duration, slots int) (chosen *request) {
 	at, late := -1, -1
 	answered := now.Add(answerTime)
 	for i, r := range g.held {
@@ -83,7 +89,7 @@
 			at = i
 		}
 		isLast := answered.After(r.target) && answered.Add(lastChance).After(r.deadline)
-		if isLast && !r.isLeft && (late < 0 || goesBefore(r, g.held[late], answered)) {
+		if isLast && !r.isLost(answered) && (late < 0 || goesBefore(r, g.held[late], answered)) {
 			late = i
 		}
 	}
@@ -131,13 +137,16 @@
 // in time, for another one to go first.
 const slackSlots = 2
 
+// isLost reports whether nobody would wait any more for an answer at a time.
+func (r *request) isLost(answered time.Time) bool { return r.isLeft || answered.After(r.deadline) }
+
 // goesBefore reports whether r is to be answered before other, if an answer
 // would come at a time.
 func goesBefore(r, other *request, answered time.Time) bool {
 	isInTime, isOtherInTime := !answered.After(r.target), !answered.After(other.target)
 	switch {
-	case r.isLeft != other.isLeft:
-		return other.isLeft
+	case r.isLost(answered) != other.isLost(answered):
+		return other.isLost(answered)
 	case isInTime != isOtherInTime:
 		return isInTime
 	case r.priority != other.priority:
@@ -159,16 +168,15 @@
 
 // offer gives a packet of an open flow to the upstream, or holds it back while
 // the upstream has all the requests that it can work on.
-func (a *Agent) offer(now time.Time, key jasminemoor.FlowKey, f *flow, p *jasminemoor.Packet, packet []byte) {
+func (a *Agent) offer(now time.Time, key jasminemoor.FlowKey, f *flow, p *jasminemoor.Packet, packet []byte) Reason {
 	if len(a.gate.held) > 0 {
 		if r := a.gate.find(key); r != nil {
-			a.holdMore(now, key, f, r, p, packet)
-			return
+			return a.holdMore(now, key, f, r, p, packet)
 		}
 	}
 	if p.Length == 0 || f.isWaiting || f.ended != 0 || !f.isNewData(p) || a.table.waiting < a.maxRequests() || len(a.gate.held) >= maxHeld {
 		a.deliver(now, key, f, p)
-		return
+		return ReasonHeld
 	}
 	r := &request{flow: key, arrived: now}
 	if f.dataEnd == 0 && !f.opened.IsZero() {
@@ -179,22 +187,25 @@
 	r.add(p, packet)
 	a.gate.held = append(a.gate.held, r)
 	f.used, f.isOpen = now, true
-	a.Counts[ReasonHeldBack]++
+	return ReasonHeldBack
 }
 
 // holdMore takes in a packet of a flow whose request is held back.
-func (a *Agent) holdMore(now time.Time, key jasminemoor.FlowKey, f *flow, r *request, p *jasminemoor.Packet, packet []byte) {
+func (a *Agent) holdMore(now time.Time, key jasminemoor.FlowKey, f *flow, r *request, p *jasminemoor.Packet, packet []byte) Reason {
 	f.used = now
+	r.isLeft = r.isLeft || p.Flags.Has(jasminemoor.FlagEnd)
 	switch {
 	case p.Flags.Has(jasminemoor.FlagReset):
 		a.gate.remove(key)
 		a.deliver(now, key, f, p)
+		return ReasonHeld
 	case p.Length == 0 && !p.Flags.Has(jasminemoor.FlagEnd):
 		a.deliver(now, key, f, p)
+		return ReasonHeld
 	case len(r.packets) < maxHeldPackets && !r.has(packet):
 		r.add(p, packet)
 	}
-	r.isLeft = r.isLeft || p.Flags.Has(jasminemoor.FlagEnd)
+	return ReasonHeldBack
 }
 
 // has reports whether a packet is held already, and the caller has repeated it.
@@ -242,8 +253,17 @@
 	return defaultSlots
 }
 
+// dropExpired lets go of the held requests whose callers have given up.
+func (a *Agent) dropExpired(now time.Time) {
+	for _, r := range a.gate.expire(now) {
+		a.Counts[ReasonGivenUp]++
+		a.out = append(a.out, Message{Kind: Dropped, Flow: r.flow, Packet: r.packets[0], Waited: now.Sub(r.arrived)})
+	}
+}
+
 // release gives held requests to the upstream while it has room.
 func (a *Agent) release(now time.Time) {
+	a.dropExpired(now)
 	for len(a.gate.held) > 0 && a.table.waiting < a.maxRequests() {
 		r := a.gate.next(now, max(a.table.answerTime, initialAnswerTime), a.slots())
 		if r == nil {
@@ -253,8 +273,12 @@
 		if f == nil {
 			continue
 		}
-		for _, packet := range r.packets {
-			a.out = append(a.out, Message{Kind: ToUpstream, Flow: r.flow, Packet: packet})
+		for i, packet := range r.packets {
+			m := Message{Kind: ToUpstream, Flow: r.flow, Packet: packet}
+			if i == 0 {
+				m.Waited = now.Sub(r.arrived)
+			}
+			a.out = append(a.out, m)
 		}
 		a.noteUnanswered(now)
 		f.dataEnd = r.dataEnd
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -20,10 +20,11 @@
 
 // The kinds of message.
 const (
-	ToUpstream Kind = iota + 1 // a packet for the agent's own upstream
-	ToCaller                   // a packet of the upstream, for its caller
-	ToPeer                     // a packet, a key or a body for another process
-	Reset                      // a reset of the flow, for its caller
+	Dropped    Kind = iota // nothing is sent: a request's caller has given up
+	ToUpstream             // a packet for the agent's own upstream
+	ToCaller               // a packet of the upstream, for its caller
+	ToPeer                 // a packet, a key or a body for another process
+	Reset                  // a reset of the flow, for its caller
 )
 
 // String returns the name of the kind.
@@ -53,6 +54,9 @@
 	HasPacket bool
 	// Report is the body of a report.
 	Report *jmhop.Report
+	// Waited is how long the request in Packet has waited at the agent, 0 if it
+	// has not.
+	Waited time.Duration
 	// Sequence is that of a reset.
 	Sequence uint32
 }
@@ -95,6 +99,7 @@
 	ReasonLeaving
 	ReasonOtherService
 	ReasonHeldBack
+	ReasonGivenUp
 	ReasonStranger
 	reasonCount
 )
@@ -123,6 +128,7 @@
 	ReasonLeaving:           {"leaving", "upstream is leaving"},
 	ReasonOtherService:      {"other_service", "route is for another service"},
 	ReasonHeldBack:          {"held_back", "request waits for its upstream"},
+	ReasonGivenUp:           {"given_up", "caller gave up while its request waited"},
 	ReasonStranger:          {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -185,10 +185,10 @@
 			return ReasonUpstreamDown
 		}
 		f.balancer = a.noteBalancer(now, h) + 1
-		a.offer(now, key, f, p, packet)
+		reason := a.offer(now, key, f, p, packet)
 		a.tellHolder(h.Origin, key)
 		a.tellHolder(from, key)
-		return ReasonHeld
+		return reason
 	}
 	if a.mayHold(now, key) {
 		if _, isTesting := a.tests[key]; !isTesting {
