Balancers that an agent knows are bounded

Whoever reaches an agent's port could name any number of origins. Test: TestBalancersAreBounded. An opening packet that the upstream refused keeps its request's age and its balancer's data centre when it is handed on.

--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -20,6 +20,9 @@
 	// agent these would be most of what it sends for control.
 	idleReportRate  = 15
 	idleReportBurst = 16
+	// maxBalancers bounds the balancers that an agent knows, three times the users'
+	// target: whoever reaches the port can name any as the origin of a packet.
+	maxBalancers = 2048
 )
 
 // balancerState is what an agent knows of a balancer.
@@ -65,13 +68,30 @@
 		if a.byAddr == nil {
 			a.byAddr = make(map[netip.Addr]uint32)
 		}
-		at = uint32(len(a.balancers))
-		a.balancers = append(a.balancers, balancerState{addr: addr})
+		at = a.newBalancer()
+		a.balancers[at] = balancerState{addr: addr}
 		a.byAddr[addr] = at
 	}
 	return at
 }
 
+// newBalancer returns a free place among the balancers: where there is none, that
+// of the one that was not heard for the longest. Flows that came through it learn
+// of theirs with the next packet.
+func (a *Agent) newBalancer() (at uint32) {
+	if len(a.balancers) < maxBalancers {
+		a.balancers = append(a.balancers, balancerState{})
+		return uint32(len(a.balancers) - 1)
+	}
+	for i := range a.balancers {
+		if a.balancers[i].heard.Before(a.balancers[at].heard) {
+			at = uint32(i)
+		}
+	}
+	delete(a.byAddr, a.balancers[at].addr)
+	return at
+}
+
 // reportRegularly reports to the balancers whose turn it is. Where there are
 // many, those that send no new flows take turns.
 func (a *Agent) reportRegularly(now time.Time) {
--- a/internal/flow/jmpass/report_test.go
+++ b/internal/flow/jmpass/report_test.go
@@ -38,3 +38,17 @@
 	require.LessOrEqual(t, sent, idleReportBurst+seconds*idleReportRate)
 	require.Len(t, heard, balancers)
 }
+
+// TestBalancersAreBounded names more balancers than there are.
+func TestBalancersAreBounded(t *testing.T) {
+	a := newAgent(true, snapshot(1))
+	addr := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}) }
+	for i := range 2 * maxBalancers {
+		now := begun.Add(time.Duration(i) * time.Millisecond)
+		_, _ = a.HandlePeer(now, addr(i), &jmhop.Header{Kind: jmhop.KindForward, Origin: addr(i)}, opening(shop), nil)
+	}
+	require.Len(t, a.balancers, maxBalancers)
+	require.Len(t, a.byAddr, maxBalancers)
+	require.Contains(t, a.byAddr, addr(2*maxBalancers-1), "the last stays")
+	require.NotContains(t, a.byAddr, addr(0))
+}
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -97,7 +97,8 @@
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		h := jmhop.Header{}
 		if f != nil && !f.isOpen {
-			h.Hops, h.Origin = f.hops, a.balancerOf(f)
+			h.Hops, h.Origin, h.Age = f.hops, a.balancerOf(f), now.Sub(f.opened)
+			h.DataCentre = a.dataCentreOf(h.Origin)
 			a.table.remove(key)
 		}
 		a.handOn(now, key, p, &h, packet)
