A deputy yields to agents only, not to a balancer's look

Found by reading. A balancer that is stale looks by itself, and its address may come before the deputy's in the order; the deputy then ended its term and the copies aged for 1.5 s. Test: TestDeputyYields, red before.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -255,6 +255,7 @@
 		return m.tell(now, nil, m.replica.revision)
 	}
 	if !read.IsLoad && read.Wait == lookWait {
+		// Those before this agent were silent, and the platform answers here.
 		m.isDeputy = m.Upstream.IsValid()
 	}
 	since := m.replica.revision
@@ -321,7 +322,7 @@
 		return
 	}
 	m.note(id)
-	if readerScore(b.Reader) > readerScore(m.Self) && b.Age < StaleAfter {
+	if m.isDeputy && b.Age < StaleAfter && readerScore(b.Reader) > readerScore(m.Self) && slices.Contains(m.agents, b.Reader) {
 		m.isDeputy = false
 	}
 	isKnown := m.isLoaded && b.Revision <= m.replica.revision
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -358,6 +358,43 @@
 	require.Equal(t, first, readers())
 }
 
+// TestDeputyYields has a deputy hear beacons: it goes on reading unless one is
+// recent, and of an agent before it.
+func TestDeputyYields(t *testing.T) {
+	first, second := agentAddr(1), agentAddr(2)
+	if readerScore(first) < readerScore(second) {
+		first, second = second, first
+	}
+	before := balancerAddr(1) // an address before both, but no agent's
+	for i := 2; readerScore(before) < readerScore(first); i++ {
+		before = balancerAddr(i)
+	}
+	cases := map[string]struct {
+		reader netip.Addr
+		age    time.Duration
+		want   bool
+	}{
+		"the reader is back":          {first, 0, false},
+		"an old beacon of the reader": {first, StaleAfter, true},
+		"a look of a balancer":        {before, 0, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := &Machine{Self: second, Upstream: netip.AddrPortFrom(second, 8080), Rand: rand.New(rand.NewPCG(1, 1))}
+			r, _ := m.NextRead(begun)
+			c := &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{upstreamEntry(1, 3), upstreamEntry(2, 4)}}
+			m.HandleRead(begun, r, c, nil)
+			now := begun.Add(2 * StaleAfter)
+			r, found := m.NextRead(now)
+			require.True(t, found)
+			m.HandleRead(now, r, &jasminemoor.DirectoryChanges{Revision: 4}, nil)
+			require.True(t, m.IsReader())
+			m.Handle(now, tc.reader, &Message{Beacon: &Beacon{Reader: tc.reader, Number: 1, Revision: 4, Since: 4, Age: tc.age}})
+			require.Equal(t, tc.want, m.IsReader())
+		})
+	}
+}
+
 // TestHistoryGone loads everything anew.
 func TestHistoryGone(t *testing.T) {
 	m := &Machine{Self: agentAddr(1), Upstream: netip.AddrPortFrom(agentAddr(1), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
