Nothing is reset while a peer's list of upstreams is newer

Trace, from the kept logs: agent 2 had loaded revision 4 at its start; upstream 4 registered with revision 5 some milliseconds later. Nothing changed then, so no beacon came before 1.2 s. At 0.57 s a packet of a flow at upstream 4 came to agent 2 through a balancer that had not seen the flow begin; agent 2 asked all that its list named, all said no, and the list was recent by its age (bound 2.5 s).

Change: headers carry the low 32 bits of the sender's revision. An agent that has seen a newer one than its own draws no conclusion for 3 s or until it has caught up; and a process that stays behind for 60 ms asks the peer.

Ruled out: waiting for a list as of the search's begin; resets would take 1.2 s.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -345,6 +345,16 @@
 	m.pass(out, now, b, from)
 }
 
+// CatchUp asks a peer whose copy is newer for what this one lacks, unless an
+// exchange is under way.
+func (m *Machine) CatchUp(now time.Time, peer netip.Addr) (out Output) {
+	if now.Sub(m.pulling) > pullTimeout {
+		m.pulling, m.pending = now, nil
+		out.Pulls = append(out.Pulls, peer)
+	}
+	return out
+}
+
 func (m *Machine) note(id seenBeacon) {
 	if m.seen == nil {
 		m.seen = make(map[seenBeacon]bool)
--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -144,6 +144,7 @@
 		return false
 	}
 	body := datagram[jmhop.HeaderSize:]
+	a.control.NoteRevision(ctx, now, from, &h)
 	switch h.Kind {
 	case jmhop.KindControl:
 		a.control.Receive(ctx, from, body)
@@ -154,7 +155,7 @@
 			return false
 		}
 		if h.Kind == jmhop.KindAbsent {
-			out := a.machine.HandleAbsent(now, from, jasminemoor.FlowKey(body))
+			out := a.machine.HandleAbsent(now, from, &h, jasminemoor.FlowKey(body))
 			s.send(out, nil)
 			a.noteOthers(out)
 		} else {
--- a/internal/flow/jmgateway/balancer.go
+++ b/internal/flow/jmgateway/balancer.go
@@ -166,6 +166,7 @@
 			continue
 		}
 		from, body := batch[i].Addr.Addr(), datagram[jmhop.HeaderSize:]
+		b.control.NoteRevision(ctx, now, from, &h)
 		switch h.Kind {
 		case jmhop.KindControl:
 			b.control.Receive(ctx, from, body)
--- a/internal/flow/jmgateway/control.go
+++ b/internal/flow/jmgateway/control.go
@@ -60,6 +60,10 @@
 	calls    conc.WaitGroup
 	isAway   bool // the platform did not answer the last call
 	isReader bool // this process reads the platform for all others
+	// behindSince is when a peer was first seen to have a newer copy than this one,
+	// in nanoseconds since begun; 0 if none has.
+	behindSince atomic.Int64
+	begun       time.Time
 }
 
 // ControlCounters counts control traffic since the process started.
@@ -74,6 +78,7 @@
 func (c *Control) init() {
 	c.start.Do(func() {
 		c.inbox = make(chan func(time.Time), inboxSize)
+		c.begun = time.Now()
 		c.machine.Self, c.machine.Upstream, c.machine.Seeds = c.Self, c.Upstream, c.Seeds
 		c.machine.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	})
@@ -119,6 +124,34 @@
 	}
 }
 
+// behindTime is how long news may take to arrive by itself before a peer that has
+// it is asked: some round trips between data centres.
+const behindTime = 60 * time.Millisecond
+
+// NoteRevision takes note of the revision of a peer's copy that a datagram tells.
+// If this one stays behind, it asks the peer. It is cheap for the usual datagram.
+func (c *Control) NoteRevision(ctx context.Context, now time.Time, from netip.Addr, h *jmhop.Header) {
+	s := c.snapshot.Load()
+	if s == nil {
+		return // the seeds and the platform are asked already
+	}
+	if !h.IsAhead(s.Revision) {
+		return
+	}
+	since, seen := c.behindSince.Load(), int64(now.Sub(c.begun))
+	switch {
+	case since == 0 || seen-since > int64(maxBehind):
+		c.behindSince.Store(seen)
+	case seen-since > int64(behindTime):
+		c.behindSince.Store(0)
+		c.do(func(now time.Time) { c.act(ctx, now, c.machine.CatchUp(now, from)) })
+	}
+}
+
+// maxBehind is the age from which it no longer counts that a peer was ahead: the
+// news has come since.
+const maxBehind = time.Second
+
 // Receive takes the body of a control datagram in.
 func (c *Control) Receive(ctx context.Context, from netip.Addr, body []byte) {
 	message := &jmdirectory.Message{}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -33,6 +33,9 @@
 	OnAnswer func(took time.Duration)
 
 	snapshot Snapshot
+	// ahead is the newest revision that a peer was seen to have, and aheadAt when.
+	ahead    jmhop.Header
+	aheadAt  time.Time
 	table    table
 	absent   map[jasminemoor.FlowKey]time.Time // flows that the upstream refused
 	tests    map[jasminemoor.FlowKey]test
@@ -70,6 +73,7 @@
 // HandlePeer decides on a caller's packet that a balancer or an agent sent.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
 	a.begin(now)
+	a.noteRevision(now, h)
 	switch {
 	case h.Kind == jmhop.KindAsk:
 		reason = a.handleAsk(now, from, h, p, packet)
@@ -156,7 +160,7 @@
 		return
 	}
 	header := *h
-	header.Kind, header.Hops = jmhop.KindForward, h.Hops+1
+	header.Kind, header.Hops, header.Revision = jmhop.KindForward, h.Hops+1, a.revision()
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
 }
 
@@ -274,7 +278,7 @@
 
 func (a *Agent) tellHolder(balancer netip.Addr, key jasminemoor.FlowKey) {
 	if balancer.IsValid() {
-		header := jmhop.Header{Kind: jmhop.KindHolder, Origin: a.Self}
+		header := jmhop.Header{Kind: jmhop.KindHolder, Origin: a.Self, Revision: a.revision()}
 		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: balancer, Header: header})
 	}
 }
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -130,7 +130,9 @@
 		Flow:      flow,
 		To:        to,
 		HasPacket: true,
-		Header:    jmhop.Header{Kind: jmhop.KindForward, Flags: flags, Origin: b.Self, DataCentre: b.code},
+		Header: jmhop.Header{
+			Kind: jmhop.KindForward, Flags: flags, Origin: b.Self, DataCentre: b.code, Revision: uint32(b.snapshot.Revision),
+		},
 	}
 }
 
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -141,7 +141,7 @@
 	case a.upstream.isDown || a.upstream.isSilent:
 		r.State = jmhop.ReportStopped
 	}
-	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport}, Report: r})
+	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport, Revision: a.revision()}, Report: r})
 }
 
 const perMille = 1000
--- a/internal/flow/jmpass/retry.go
+++ b/internal/flow/jmpass/retry.go
@@ -99,7 +99,7 @@
 	if !found {
 		return
 	}
-	header := jmhop.Header{Kind: jmhop.KindGone, Origin: a.Self, Age: age}
+	header := jmhop.Header{Kind: jmhop.KindGone, Origin: a.Self, Age: age, Revision: a.revision()}
 	told := 0
 	for i := range a.balancers {
 		b := &a.balancers[i]
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -97,7 +97,7 @@
 		return
 	}
 	s.asked, s.again = now, min(max(2*s.again, askInterval), searchTime)
-	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer)}
+	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Revision: a.revision()}
 	for _, agent := range s.left[:count] {
 		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
 	}
@@ -150,13 +150,13 @@
 }
 
 // endIfGone resets a flow if every agent that could hold it said that it does
-// not, and the list of those is recent.
+// not, the list of those is recent, and no peer has a newer one.
 func (a *Agent) endIfGone(now time.Time, key jasminemoor.FlowKey, s *search) bool {
 	if a.snapshot.View == nil || a.snapshot.Routes[key.Service()] == nil {
 		return false
 	}
 	a.list(key, s)
-	if len(s.left) > 0 || !a.snapshot.isFresh(now) || !a.isOwnAbsent(now, key) {
+	if len(s.left) > 0 || !a.snapshot.isFresh(now) || a.isBehind(now) || !a.isOwnAbsent(now, key) {
 		return false
 	}
 	delete(a.searches, key)
@@ -205,13 +205,14 @@
 }
 
 func (a *Agent) tellAbsent(asker netip.Addr, key jasminemoor.FlowKey) {
-	header := jmhop.Header{Kind: jmhop.KindAbsent, Origin: a.Self}
+	header := jmhop.Header{Kind: jmhop.KindAbsent, Origin: a.Self, Revision: a.revision()}
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: asker, Header: header})
 }
 
 // HandleAbsent takes an agent's word that it does not hold a flow.
-func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, key jasminemoor.FlowKey) []Message {
+func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []Message {
 	a.begin(now)
+	a.noteRevision(now, h)
 	s := a.searches[key]
 	if s == nil || s.absent[from] {
 		return a.out
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -23,7 +23,7 @@
 	require.Equal(t, ReasonSearched, reason)
 	require.Equal(t, []Kind{ToPeer}, kinds(out))
 	require.Equal(t, jmhop.KindAsk, out[0].Header.Kind)
-	out = a.HandleAbsent(begun, agentAddr(2), p.Key())
+	out = a.HandleAbsent(begun, agentAddr(2), absentHeader, p.Key())
 	require.NotContains(t, kinds(out), ToUpstream)
 }
 
@@ -39,15 +39,15 @@
 	}
 	t.Run("all others said so", func(t *testing.T) {
 		a := begin(snapshot(3))
-		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), key))
-		requireReset(t, a.HandleAbsent(begun, agentAddr(3), key))
+		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), absentHeader, key))
+		requireReset(t, a.HandleAbsent(begun, agentAddr(3), absentHeader, key))
 		out, reason := a.HandlePeer(begun, front, forwardHeader(0), data(callerSequence, 10), []byte("packet"))
 		require.Equal(t, ReasonAbsentEverywhere, reason, "the next packet needs no search")
 		requireReset(t, out)
 	})
 	t.Run("silence is no proof", func(t *testing.T) {
 		a := begin(snapshot(3))
-		a.HandleAbsent(begun, agentAddr(2), key)
+		a.HandleAbsent(begun, agentAddr(2), absentHeader, key)
 		for now := begun; now.Sub(begun) < 2*searchTime; now = now.Add(20 * time.Millisecond) {
 			out, _ := a.Tick(now)
 			require.NotContains(t, kinds(out), Reset)
@@ -55,23 +55,23 @@
 	})
 	t.Run("an upstream whose entry lapsed may live", func(t *testing.T) {
 		a := begin(snapshot(3, removed(3)))
-		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), key))
+		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), absentHeader, key))
 	})
 	t.Run("one that left has no flows", func(t *testing.T) {
 		a := begin(snapshot(3, leaving(3), removed(3)))
-		requireReset(t, a.HandleAbsent(begun, agentAddr(2), key))
+		requireReset(t, a.HandleAbsent(begun, agentAddr(2), absentHeader, key))
 	})
 	t.Run("an old view may lack upstreams", func(t *testing.T) {
 		a := begin(snapshot(3))
 		later := begun.Add(freshness)
-		a.HandleAbsent(later, agentAddr(2), key)
-		require.Empty(t, a.HandleAbsent(later, agentAddr(3), key))
+		a.HandleAbsent(later, agentAddr(2), absentHeader, key)
+		require.Empty(t, a.HandleAbsent(later, agentAddr(3), absentHeader, key))
 	})
 	t.Run("an agent that claims it ends the search", func(t *testing.T) {
 		a := begin(snapshot(3))
 		a.HandleHolder(begun, key)
-		a.HandleAbsent(begun, agentAddr(2), key)
-		require.Empty(t, a.HandleAbsent(begun, agentAddr(3), key))
+		a.HandleAbsent(begun, agentAddr(2), absentHeader, key)
+		require.Empty(t, a.HandleAbsent(begun, agentAddr(3), absentHeader, key))
 	})
 }
 
@@ -125,7 +125,7 @@
 		out, _ := a.HandlePeer(begun, front, forwardHeader(0), p, []byte("packet"))
 		require.Empty(t, out)
 		a.SetSnapshot(snapshot(2))
-		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), p.Key()))
+		require.Empty(t, a.HandleAbsent(begun, agentAddr(2), absentHeader, p.Key()))
 		out, _ = a.Tick(begun.Add(askInterval))
 		require.NotNil(t, find(out, ToUpstream))
 	})
@@ -165,7 +165,7 @@
 	require.Contains(t, asked, holder.To, "whatever the number of upstreams")
 	wide := 0
 	for _, agent := range asked {
-		wide += len(a.HandleAbsent(begun, agent, p.Key()))
+		wide += len(a.HandleAbsent(begun, agent, absentHeader, p.Key()))
 	}
 	require.Equal(t, 200-firstAsked, wide)
 }
@@ -203,6 +203,53 @@
 	require.Equal(t, jmhop.KindAbsent, out[0].Header.Kind)
 }
 
+// absentHeader is that of an agent whose copy of the directory is not newer.
+var absentHeader = &jmhop.Header{Kind: jmhop.KindAbsent}
+
+// TestPeerKnowsMore has an agent's list lack an upstream that holds flows already:
+// a peer whose copy is newer answers, or a balancer sends a packet. Nothing is
+// reset before the agent has caught up and has asked the new upstream as well.
+func TestPeerKnowsMore(t *testing.T) {
+	const older, newer = 4, 5
+	cases := map[string]struct{ packet, answer uint32 }{
+		"an agent has a newer copy":   {older, newer},
+		"a balancer has a newer copy": {newer, older},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			before, after := snapshot(2), snapshot(3)
+			before.Revision, after.Revision = older, newer
+			a := newAgent(true, before)
+			p := data(callerSequence+1, 10)
+			key := p.Key()
+			h := forwardHeader(0)
+			h.Revision = tc.packet
+			out, reason := a.HandlePeer(begun, front, h, p, []byte("packet"))
+			require.Equal(t, ReasonSearched, reason)
+			require.Len(t, out, 1, "the one other agent that it knows")
+			answer := &jmhop.Header{Kind: jmhop.KindAbsent, Revision: tc.answer}
+			require.Empty(t, a.HandleAbsent(begun, agentAddr(2), answer, key))
+			now := begun.Add(2 * askInterval)
+			out, _ = a.Tick(now)
+			require.Nil(t, find(out, Reset))
+			after.AsOf = now
+			a.SetSnapshot(after)
+			now = now.Add(2 * askInterval)
+			out, _ = a.Tick(now)
+			require.Equal(t, agentAddr(3), find(out, ToPeer).To)
+			requireReset(t, a.HandleAbsent(now, agentAddr(3), answer, key))
+		})
+	}
+}
+
+// TestFalseRevisionDoesNotStopResets has somebody claim a copy that nobody has.
+func TestFalseRevisionDoesNotStopResets(t *testing.T) {
+	a := newAgent(true, snapshot(2))
+	a.noteRevision(begun, &jmhop.Header{Revision: 1 << 30})
+	require.True(t, a.isBehind(begun))
+	require.False(t, a.isBehind(begun.Add(aheadMemory)))
+}
+
 // requireReset checks that the caller's flow is reset and its balancer told, and
 // nothing else.
 func requireReset(t *testing.T, out []Message) {
--- a/internal/measure/jmflows/naive.go
+++ b/internal/measure/jmflows/naive.go
@@ -102,7 +102,7 @@
 	return []jmpass.Message{{Kind: jmpass.ToCaller, Flow: key}}, jmpass.ReasonHeld
 }
 
-func (*naiveAgent) HandleAbsent(time.Time, netip.Addr, jasminemoor.FlowKey) []jmpass.Message {
+func (*naiveAgent) HandleAbsent(time.Time, netip.Addr, *jmhop.Header, jasminemoor.FlowKey) []jmpass.Message {
 	return nil
 }
 func (*naiveAgent) HandleHolder(time.Time, jasminemoor.FlowKey)             {}
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -34,7 +34,7 @@
 	SetSnapshot(s jmpass.Snapshot)
 	HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) ([]jmpass.Message, jmpass.Reason)
 	HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) ([]jmpass.Message, jmpass.Reason)
-	HandleAbsent(now time.Time, from netip.Addr, key jasminemoor.FlowKey) []jmpass.Message
+	HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []jmpass.Message
 	HandleHolder(now time.Time, key jasminemoor.FlowKey)
 	HandlePoll(now time.Time, from netip.Addr) []jmpass.Message
 	HandleProbe(now time.Time, result jmpass.Probe) []jmpass.Message
@@ -355,7 +355,7 @@
 	case jmhop.KindGone:
 		n.balancer.HandleGone(now, from, m.Flow, m.Header.Age)
 	case jmhop.KindAbsent:
-		n.send(n.agent.HandleAbsent(now, from, m.Flow), nil)
+		n.send(n.agent.HandleAbsent(now, from, &m.Header, m.Flow), nil)
 	case jmhop.KindPoll:
 		n.send(n.agent.HandlePoll(now, from), nil)
 	case jmhop.KindForward, jmhop.KindAsk:
--- a/internal/standin/jmprocess/passthrough_test.go
+++ b/internal/standin/jmprocess/passthrough_test.go
@@ -6,12 +6,14 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -523,12 +525,22 @@
 	return s
 }
 
-// TestSoak injures an installation at random. The seeds of failed runs are kept
-// in regressions below, each with its cause.
+// soakRegressions are the seeds that ever failed, each with its cause. Processes
+// race, so a seed repeats the faults and not each packet.
+var soakRegressions = map[uint64]string{
+	1032: "an agent had loaded its list before the last upstream registered, asked all others that it knew, and reset a flow",
+}
+
+// TestSoak injures an installation at random: with the seeds asked for, and with
+// those that ever failed.
 func TestSoak(t *testing.T) {
 	binary, err := jmprocess.Build(context.Background(), t.TempDir(), false)
 	require.NoError(t, err)
+	seeds := slices.Sorted(maps.Keys(soakRegressions))
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := newSoak(t, seed, binary, 10*time.Millisecond)
 			s.start()
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -18,8 +18,9 @@
 
 // Sizes in bytes.
 const (
-	HeaderSize = 21
-	addrStart  = 5
+	HeaderSize    = 25
+	addrStart     = 5
+	revisionStart = 21
 	// KeySize is the size of the body of Absent and Holder.
 	KeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a report.
@@ -73,14 +74,24 @@
 	DataCentre uint8
 	// Origin is the balancer that the packet came through.
 	Origin netip.Addr
+	// Revision is that of the sender's copy of the directory, its low 32 bits; 0
+	// says nothing.
+	Revision uint32
+}
+
+// IsAhead reports whether the sender's copy of the directory is newer than one of
+// a revision.
+func (h *Header) IsAhead(revision uint64) bool {
+	return h.Revision != 0 && int32(h.Revision-uint32(revision)) > 0
 }
 
 // Marshal writes the header into the first HeaderSize bytes of b.
 func (h *Header) Marshal(b []byte) {
 	b[0], b[1], b[2], b[4] = byte(h.Kind), h.Flags, h.Hops, h.DataCentre
 	b[3] = byte(min(max(h.Age/AgeUnit, 0), math.MaxUint8))
+	binary.BigEndian.PutUint32(b[revisionStart:], h.Revision)
 	if !h.Origin.IsValid() {
-		clear(b[addrStart:HeaderSize])
+		clear(b[addrStart:revisionStart])
 		return
 	}
 	raw := h.Origin.As16()
@@ -97,7 +108,8 @@
 	if h.Kind < KindForward || h.Kind > KindGone {
 		return ErrKind
 	}
-	raw := [16]byte(b[addrStart:HeaderSize])
+	h.Revision = binary.BigEndian.Uint32(b[revisionStart:])
+	raw := [16]byte(b[addrStart:revisionStart])
 	h.Origin = netip.Addr{}
 	if raw != [16]byte{} {
 		h.Origin = netip.AddrFrom16(raw).Unmap()
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -15,7 +15,7 @@
 		"forward":   {Kind: jmhop.KindForward, Flags: jmhop.FlagKnown, Hops: 2, Origin: netip.MustParseAddr("10.0.0.1")},
 		"IPv6":      {Kind: jmhop.KindAsk, Origin: netip.MustParseAddr("2001:db8::1")},
 		"retry":     {Kind: jmhop.KindGone, Age: 600 * time.Millisecond, DataCentre: 7},
-		"no origin": {Kind: jmhop.KindReport},
+		"no origin": {Kind: jmhop.KindReport, Revision: 1 << 31},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := make([]byte, jmhop.HeaderSize)
@@ -27,6 +27,27 @@
 	}
 }
 
+func TestIsAhead(t *testing.T) {
+	cases := map[string]struct {
+		theirs uint32
+		own    uint64
+		want   bool
+	}{
+		"newer":                       {8, 7, true},
+		"the same":                    {7, 7, false},
+		"older":                       {6, 7, false},
+		"none told":                   {0, 7, false},
+		"newer, the low bits wrapped": {2, 1<<32 - 1, true},
+		"older, the low bits wrapped": {1<<32 - 1, 1<<32 + 1, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := jmhop.Header{Revision: tc.theirs}
+			require.Equal(t, tc.want, h.IsAhead(tc.own))
+		})
+	}
+}
+
 // TestAgeIsBounded rounds ages down and bounds them.
 func TestAgeIsBounded(t *testing.T) {
 	for age, want := range map[time.Duration]time.Duration{
