--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -20,7 +20,7 @@
 
 // The kinds of message.
 const (
-	Dropped    Kind = iota // nothing is sent: a request's caller has given up
+	Dropped    Kind = iota // nothing is sent
 	ToUpstream             // a packet for the agent's own upstream
 	ToCaller               // a packet of the upstream, for its caller
 	ToPeer                 // a packet, a key or a body for another process
