--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -298,6 +298,7 @@
 		f.received += uint32(p.Length)
 		f.acked = p.Acknowledged
 		f.send(&jasminemoor.Packet{Flags: jasminemoor.FlagAck, Sequence: f.sequence, Acknowledged: f.received})
+		f.isEnded = p.Flags.Has(jasminemoor.FlagEnd)
 		if f.answered != nil {
 			f.answered(p.Length != refusalSize)
 		}
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -48,6 +48,8 @@
 		"roll-agents":    {goodWorth, true},
 		"roll-balancers": {goodWorth, false},
 		"roll-both":      {goodWorth, true},
+		"zone-off":       {harsh, true},
+		"replace":        {goodWorth, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -63,6 +63,8 @@
 	FaultBurst        FaultKind = "Burst"        // the load is multiplied by Factor
 	FaultPowerOff     FaultKind = "PowerOff"     // all processes and upstreams
 	FaultKillAll      FaultKind = "KillAll"      // all processes, upstreams go on
+	FaultZoneOff      FaultKind = "ZoneOff"      // power of one data centre, upstreams as well
+	FaultReplace      FaultKind = "Replace"      // each upstream leaves for a while and is replaced, with Gap between
 	FaultCrash        FaultKind = "Crash"        // a share of the upstreams
 	FaultSlow         FaultKind = "Slow"         // a share of the upstreams is slower by Factor
 	FaultBreak        FaultKind = "Break"        // a share of the upstreams breaks off Factor of its requests
@@ -104,6 +106,16 @@
 		for _, n := range w.nodes() {
 			n.restart(down+startTime, false)
 		}
+	case FaultZoneOff:
+		for _, n := range w.nodes() {
+			if n.dataCentre == w.dataCentre(0) {
+				n.restart(down+startTime, n.upstream != nil)
+			}
+		}
+	case FaultReplace:
+		for i, n := range w.agents {
+			w.after(time.Duration(i)*time.Duration(f.Gap), func() { n.replaceUpstream(down) })
+		}
 	case FaultCrash:
 		for _, n := range w.share(f) {
 			n.crashUpstream(down)
@@ -141,6 +153,19 @@
 	w.after(down, func() { n.start(false) })
 }
 
+// replaceUpstream has an upstream leave, ending each flow with its next answer,
+// and starts another in its place.
+func (n *node) replaceUpstream(leaving time.Duration) {
+	w, u := n.world, n.upstream
+	u.isLeaving = true
+	w.publish()
+	w.after(leaving, func() {
+		u.stop()
+		u.start(true)
+		w.publish()
+	})
+}
+
 // crashUpstream ends an upstream for a time. Its entry lapses if that is long.
 func (n *node) crashUpstream(down time.Duration) {
 	w, u := n.world, n.upstream
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -25,13 +25,15 @@
 	addr     netip.AddrPort
 	isUp     bool
 	isListed bool
-	starts   int
-	warmAt   time.Time
-	speed    float64
-	failing  float64 // share of the requests that it breaks off
-	flows    map[jasminemoor.FlowKey]*upstreamFlow
-	running  int
-	queue    []*job
+	// isLeaving has it end each flow with its next answer.
+	isLeaving bool
+	starts    int
+	warmAt    time.Time
+	speed     float64
+	failing   float64 // share of the requests that it breaks off
+	flows     map[jasminemoor.FlowKey]*upstreamFlow
+	running   int
+	queue     []*job
 }
 
 type upstreamFlow struct {
@@ -50,7 +52,7 @@
 
 func (u *upstream) start(isCold bool) {
 	u.starts++
-	u.isUp, u.isListed = true, true
+	u.isUp, u.isListed, u.isLeaving = true, true, false
 	u.flows = make(map[jasminemoor.FlowKey]*upstreamFlow)
 	u.running, u.queue = 0, nil
 	if isCold {
@@ -196,6 +198,10 @@
 		length = refusalSize
 	}
 	p := &jasminemoor.Packet{Flags: jasminemoor.FlagAck, Sequence: f.sequence, Acknowledged: f.received, Length: length}
+	if u.isLeaving {
+		p.Flags |= jasminemoor.FlagEnd
+		delete(u.flows, j.flow)
+	}
 	f.sequence += uint32(length)
 	f.answered = u.sendPacket(j.flow, p)
 }
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -286,6 +286,9 @@
 			},
 			WarmAt: n.upstream.warmAt,
 		}
+		if n.upstream.isLeaving {
+			u.State = jasminemoor.UpstreamLeaving
+		}
 		s.Upstreams = append(s.Upstreams, u)
 		v.Upstreams[u.Address] = u
 		v.Agents[n.addr] = u
