--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -50,6 +50,8 @@
 		"roll-both":      {goodWorth, true},
 		"zone-off":       {harsh, true},
 		"replace":        {goodWorth, false},
+		"shift":          {goodWorth, false},
+		"flap":           {goodWorth, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -65,6 +65,8 @@
 	FaultKillAll      FaultKind = "KillAll"      // all processes, upstreams go on
 	FaultZoneOff      FaultKind = "ZoneOff"      // power of one data centre, upstreams as well
 	FaultReplace      FaultKind = "Replace"      // each upstream leaves for a while and is replaced, with Gap between
+	FaultShift        FaultKind = "Shift"        // all callers move to one data centre
+	FaultFlap         FaultKind = "Flap"         // a share of the upstreams is down and up by turns, each for Gap
 	FaultCrash        FaultKind = "Crash"        // a share of the upstreams
 	FaultSlow         FaultKind = "Slow"         // a share of the upstreams is slower by Factor
 	FaultBreak        FaultKind = "Break"        // a share of the upstreams breaks off Factor of its requests
@@ -85,19 +87,42 @@
 // loadNow is the factor of the load.
 func (w *World) loadNow() float64 {
 	factor := 1.0
-	for _, f := range w.Faults {
-		since := w.now.Sub(w.begun) - time.Duration(f.At)
-		if f.Kind == FaultBurst && since >= 0 && since < time.Duration(f.For) {
+	for i := range w.Faults {
+		if f := &w.Faults[i]; f.Kind == FaultBurst && w.isUnderWay(f) {
 			factor *= f.Factor
 		}
 	}
 	return factor
 }
 
+func (w *World) isUnderWay(f *Fault) bool {
+	since := w.now.Sub(w.begun) - time.Duration(f.At)
+	return since >= 0 && since < time.Duration(f.For)
+}
+
+// zoneOf returns the number of the data centre where a caller is.
+func (w *World) zoneOf(c *caller) int {
+	for i := range w.Faults {
+		if f := &w.Faults[i]; f.Kind == FaultShift && w.isUnderWay(f) {
+			return 0
+		}
+	}
+	return c.zone
+}
+
 func (w *World) strike(f Fault) {
 	down := time.Duration(f.For)
 	switch f.Kind {
-	case FaultBurst:
+	case FaultBurst, FaultShift:
+	case FaultFlap:
+		gap := time.Duration(f.Gap)
+		for at := time.Duration(0); at < down; at += 2 * gap {
+			w.after(at, func() {
+				for _, n := range w.share(f) {
+					n.crashUpstream(gap)
+				}
+			})
+		}
 	case FaultPowerOff:
 		for _, n := range w.nodes() {
 			n.restart(down+startTime, n.upstream != nil)
@@ -191,7 +216,7 @@
 			continue
 		}
 		all = append(all, n)
-		if n.dataCentre == w.dataCentre(f.caller.zone) {
+		if n.dataCentre == w.dataCentre(w.zoneOf(f.caller)) {
 			zone = append(zone, n)
 		}
 	}
@@ -243,6 +268,11 @@
 	case len(s.Classes) == 0:
 		return eris.Errorf("scenario %q needs Classes", s.Name)
 	}
+	for _, f := range s.Faults {
+		if f.Kind == FaultFlap && f.Gap <= 0 {
+			return eris.Errorf("fault %q needs Gap", f.Kind)
+		}
+	}
 	for _, c := range s.Classes {
 		if c.PerSecond <= 0 || c.Deadline <= 0 || c.Target <= 0 || c.Work <= 0 || c.IsLong && c.Callers < 1 {
 			return eris.Errorf("class %q needs PerSecond, Work, Target, Deadline, and Callers if it IsLong", c.Name)
