--- a/internal/flow/jmpass/gate.go
+++ b/internal/flow/jmpass/gate.go
@@ -214,9 +214,8 @@
 		// caller repeats from now on goes to the upstream, which ends the flow.
 		a.gate.remove(key)
 		f.ended |= callerEnded
-		a.Counts[ReasonGivenUp]++
 		a.out = append(a.out, Message{Kind: Dropped, Flow: key, Packet: r.packets[0], Waited: now.Sub(r.arrived)})
-		return ReasonHeldBack
+		return ReasonGivenUp
 	case p.Length == 0:
 		a.deliver(now, key, f, p)
 		return ReasonHeld
--- a/internal/flow/jmpass/gate_test.go
+++ b/internal/flow/jmpass/gate_test.go
@@ -321,8 +321,10 @@
 				flowOf(a, begun, i)
 			}
 			require.Empty(t, flowOf(a, begun, 40))
-			out, _ := a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), packets[0], []byte("end"))
+			out, reason := a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), packets[0], []byte("end"))
 			require.Equal(t, []Kind{Dropped}, kinds(out))
+			require.Equal(t, ReasonGivenUp, reason)
+			require.Equal(t, uint64(1), a.Counts[ReasonGivenUp])
 			out, _ = a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), packets[1], []byte("both"))
 			require.Equal(t, []Kind{ToUpstream}, kinds(out), "the upstream is to end the flow")
 			_, waiting := a.Flows()
