--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -205,8 +205,6 @@
 	s.processes[name] = p
 }
 
-// rotation returns the balancers that are ready, as routers would use them.
-// routers asks for the rotation from time to time, and returns the newest.
 // crashesOf returns how often each upstream has crashed.
 func (s *soak) crashesOf() map[string]int {
 	s.mu.Lock()
@@ -218,10 +216,6 @@
 	return crashes
 }
 
-// feed keeps a flow open and sends a request on it again and again. The flow
-// may be reset only after its upstream has crashed.
-// book sends requests that must not run twice, on a flow each.
-// strike makes one fault at random and repairs it after a while.
 // play runs callers, and two or more series of faults that overlap.
 func (s *soak) play() {
 	ctx, cancel := context.WithTimeout(context.Background(), *soakTime)
--- a/internal/standin/jmprocess/soakcallers_test.go
+++ b/internal/standin/jmprocess/soakcallers_test.go
@@ -13,6 +13,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
 )
 
+// rotation returns the balancers that are ready, as routers would use them.
 func (s *soak) rotation() (ready []netip.AddrPort) {
 	client := http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	isReady := make([]bool, *soakBalancers)
@@ -36,6 +37,7 @@
 	return ready
 }
 
+// routers asks for the rotation from time to time, and returns the newest.
 func (s *soak) routers(ctx context.Context) {
 	var mu sync.Mutex
 	current := s.rotation()
@@ -68,6 +70,8 @@
 	}
 }
 
+// feed keeps a flow open and sends a request on it again and again. The flow
+// may be reset only after its upstream has crashed.
 func (s *soak) feed(ctx context.Context, number int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		f, err := s.open(ctx)
@@ -114,6 +118,7 @@
 	return s.caller.Open(ctx, soakShop)
 }
 
+// book sends requests that must not run twice, on a flow each.
 func (s *soak) book(ctx context.Context, number int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		f, err := s.open(ctx)
--- a/internal/standin/jmprocess/soakfaults_test.go
+++ b/internal/standin/jmprocess/soakfaults_test.go
@@ -13,6 +13,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmstore"
 )
 
+// strike makes one fault at random and repairs it after a while.
 func (s *soak) strike() {
 	s.mu.Lock()
 	kind, i := s.rng.IntN(11), 1+s.rng.IntN(*soakAgents)
