--- a/internal/flow/jmgateway/agent.go
+++ b/internal/flow/jmgateway/agent.go
@@ -228,7 +228,7 @@
 	for i := range out {
 		if out[i].Kind == jmpass.Reset {
 			a.decided.Notable("flow: reset, as no upstream holds it", logrus.Fields{
-				"Instance": a.Settings.Name, "Flow": out[i].Flow.String(), "Outcome": out[i].Kind.String(),
+				fieldInstance: a.Settings.Name, fieldFlow: out[i].Flow.String(), fieldOutcome: out[i].Kind.String(),
 			})
 		}
 	}
@@ -244,8 +244,8 @@
 		}
 		fields := func(reason jmpass.Reason) logrus.Fields {
 			return logrus.Fields{
-				"Instance": a.Settings.Name, "Flow": m.Flow.String(), "Request": a.Codec.RequestID(m.Packet),
-				"Reason": reason.String(), "WaitedMs": m.Waited.Milliseconds(), "Outcome": m.Kind.String(),
+				fieldInstance: a.Settings.Name, fieldFlow: m.Flow.String(), fieldRequest: a.Codec.RequestID(m.Packet),
+				fieldReason: reason.String(), "WaitedMs": m.Waited.Milliseconds(), fieldOutcome: m.Kind.String(),
 			}
 		}
 		if m.Kind == jmpass.Dropped {
--- a/internal/flow/jmgateway/process.go
+++ b/internal/flow/jmgateway/process.go
@@ -30,6 +30,15 @@
 	readBatch = 32
 )
 
+// Fields of the lines on flows, which package jmtrail reads.
+const (
+	fieldInstance = "Instance"
+	fieldFlow     = "Flow"
+	fieldRequest  = "Request"
+	fieldReason   = "Reason"
+	fieldOutcome  = "Outcome"
+)
+
 // process is what balancers and agents have in common.
 type process struct {
 	settings *jmlocal.Settings
@@ -184,12 +193,12 @@
 		flow = packet.ReverseKey()
 	}
 	fields := logrus.Fields{
-		"Instance": p.settings.Name,
-		"Reason":   reason.String(),
-		"Flow":     flow.String(),
+		fieldInstance: p.settings.Name,
+		fieldReason:   reason.String(),
+		fieldFlow:     flow.String(),
 	}
 	if id := p.codec.RequestID(datagram); id != "" {
-		fields["Request"] = id
+		fields[fieldRequest] = id
 	}
 	if packet.Flags.Has(jasminemoor.FlagOpen) {
 		fields["IsOpening"] = true
@@ -202,7 +211,7 @@
 		if m.Header.Age > 0 {
 			fields["RequestAgeMs"] = m.Header.Age.Milliseconds()
 		}
-		fields["Outcome"] = m.Kind.String()
+		fields[fieldOutcome] = m.Kind.String()
 		if m.To.IsValid() {
 			fields["To"] = m.To
 		}
--- a/internal/flow/jmpass/gate_test.go
+++ b/internal/flow/jmpass/gate_test.go
@@ -222,7 +222,6 @@
 		answerTime = 50 * time.Millisecond
 		slots      = 5
 	)
-	at := func(d time.Duration) time.Time { return begun.Add(d) }
 	cases := map[string]struct {
 		deadline, target time.Duration // of the late request, and of that in time
 		isLateFirst      bool
@@ -235,8 +234,8 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			late := &request{target: at(-time.Second), deadline: at(tc.deadline)}
-			inTime := &request{target: at(tc.target), deadline: at(3 * time.Second)}
+			late := &request{target: begun.Add(-time.Second), deadline: begun.Add(tc.deadline)}
+			inTime := &request{target: begun.Add(tc.target), deadline: begun.Add(3 * time.Second)}
 			g := &gate{held: []*request{inTime, late}}
 			require.Equal(t, tc.isLateFirst, g.next(begun, answerTime, slots) == late)
 			g = &gate{held: []*request{inTime, late}, turns: lastChanceTurn}
@@ -299,10 +298,13 @@
 	require.Equal(t, uint64(1), a.Counts[ReasonGivenUp])
 }
 
-// packetOf returns a packet of the i-th flow of flowOf.
-func packetOf(i, length int, flags jasminemoor.PacketFlags) *jasminemoor.Packet {
+// heldFlow is the number of the flow of flowOf whose request waits.
+const heldFlow = 40
+
+// packetOfHeld returns a packet of that flow.
+func packetOfHeld(length int, flags jasminemoor.PacketFlags) *jasminemoor.Packet {
 	p := data(callerSequence+1, length)
-	p.Source, p.Flags = netip.AddrPortFrom(callers.Addr(), uint16(2000+i)), flags
+	p.Source, p.Flags = netip.AddrPortFrom(callers.Addr(), 2000+heldFlow), flags
 	return p
 }
 
@@ -311,8 +313,8 @@
 func TestCallersThatLeftHoldNoPlace(t *testing.T) {
 	const ackEnd = jasminemoor.FlagAck | jasminemoor.FlagEnd
 	cases := map[string][]*jasminemoor.Packet{
-		"the end, and then both":   {packetOf(40, 0, ackEnd), packetOf(40, 10, ackEnd)},
-		"both, as the end is lost": {packetOf(40, 10, ackEnd), packetOf(40, 10, ackEnd)},
+		"the end, and then both":   {packetOfHeld(0, ackEnd), packetOfHeld(10, ackEnd)},
+		"both, as the end is lost": {packetOfHeld(10, ackEnd), packetOfHeld(10, ackEnd)},
 	}
 	for name, packets := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -320,7 +322,7 @@
 			for i := range 2 + spareRequests {
 				flowOf(a, begun, i)
 			}
-			require.Empty(t, flowOf(a, begun, 40))
+			require.Empty(t, flowOf(a, begun, heldFlow))
 			out, reason := a.HandlePeer(begun, front, forwardHeader(jmhop.FlagKnown), packets[0], []byte("end"))
 			require.Equal(t, []Kind{Dropped}, kinds(out))
 			require.Equal(t, ReasonGivenUp, reason)
@@ -343,21 +345,21 @@
 	for i := range 2 + spareRequests {
 		flowOf(a, begun, i)
 	}
-	require.Empty(t, flowOf(a, begun, 40))
+	require.Empty(t, flowOf(a, begun, heldFlow))
 	now := begun.Add(defaultTimeout)
 	out, _ := a.Tick(now)
 	require.NotNil(t, find(out, Dropped))
 	for i := range 2 + spareRequests {
 		require.NotEmpty(t, flowOf(a, now, 50+i))
 	}
-	out, _ = a.HandlePeer(now, front, forwardHeader(jmhop.FlagKnown), packetOf(40, 10, jasminemoor.FlagAck), []byte{40})
+	out, _ = a.HandlePeer(now, front, forwardHeader(jmhop.FlagKnown), packetOfHeld(10, jasminemoor.FlagAck), []byte{heldFlow})
 	require.Empty(t, out)
 	require.Empty(t, flowOf(a, now, 60))
 	now = now.Add(time.Millisecond)
 	out = answerTo(a, now, 50)
 	require.Equal(t, []byte{60}, find(out, ToUpstream).Packet, "the newer one can be in time")
 	out = answerTo(a, now, 51)
-	require.Equal(t, []byte{40}, find(out, ToUpstream).Packet)
+	require.Equal(t, []byte{heldFlow}, find(out, ToUpstream).Packet)
 }
 
 // TestEndWithoutAnswerFreesThePlace has the upstream end a flow whose request it
@@ -367,7 +369,7 @@
 	for i := range 2 + spareRequests {
 		flowOf(a, begun, i)
 	}
-	require.Empty(t, flowOf(a, begun, 40))
+	require.Empty(t, flowOf(a, begun, heldFlow))
 	end := fromUpstream(jasminemoor.FlagAck|jasminemoor.FlagEnd, 0)
 	end.Destination = netip.AddrPortFrom(callers.Addr(), 2000)
 	out, _ := a.HandleUpstream(begun, end, nil, false)
@@ -375,5 +377,5 @@
 	out, _ = a.Tick(begun.Add(endedLimit))
 	require.Nil(t, find(out, ToUpstream))
 	out, _ = a.Tick(begun.Add(endedLimit + time.Millisecond))
-	require.Equal(t, []byte{40}, find(out, ToUpstream).Packet)
+	require.Equal(t, []byte{heldFlow}, find(out, ToUpstream).Packet)
 }
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -115,14 +115,7 @@
 	switch f.Kind {
 	case FaultBurst, FaultShift:
 	case FaultFlap:
-		gap := time.Duration(f.Gap)
-		for at := time.Duration(0); at < down; at += 2 * gap {
-			w.after(at, func() {
-				for _, n := range w.share(f) {
-					n.crashUpstream(gap)
-				}
-			})
-		}
+		w.flap(f)
 	case FaultPowerOff:
 		for _, n := range w.nodes() {
 			n.restart(down+startTime, n.upstream != nil)
@@ -132,11 +125,25 @@
 			n.restart(down+startTime, false)
 		}
 	case FaultZoneOff:
-		for _, n := range w.nodes() {
-			if n.dataCentre == w.dataCentre(0) {
-				n.restart(down+startTime, n.upstream != nil)
-			}
+		for _, n := range w.zone(0) {
+			n.restart(down+startTime, n.upstream != nil)
+		}
+	case FaultRollAgents, FaultRollBalancer:
+		nodes := w.agents
+		if f.Kind == FaultRollBalancer {
+			nodes = w.balancers
 		}
+		for i, n := range nodes {
+			w.after(time.Duration(i)*time.Duration(f.Gap), func() { n.restart(down+startTime, false) })
+		}
+	default:
+		w.strikeUpstreams(f)
+	}
+}
+
+func (w *World) strikeUpstreams(f Fault) {
+	down := time.Duration(f.For)
+	switch f.Kind {
 	case FaultReplace:
 		for i, n := range w.agents {
 			w.after(time.Duration(i)*time.Duration(f.Gap), func() { n.replaceUpstream(down) })
@@ -155,15 +162,29 @@
 			n.upstream.failing = f.Factor
 			w.after(down, func() { n.upstream.failing = 0 })
 		}
-	case FaultRollAgents, FaultRollBalancer:
-		nodes := w.agents
-		if f.Kind == FaultRollBalancer {
-			nodes = w.balancers
-		}
-		for i, n := range nodes {
-			w.after(time.Duration(i)*time.Duration(f.Gap), func() { n.restart(down+startTime, false) })
+	}
+}
+
+// flap crashes upstreams for a while, again and again.
+func (w *World) flap(f Fault) {
+	gap := time.Duration(f.Gap)
+	for at := time.Duration(0); at < time.Duration(f.For); at += 2 * gap {
+		w.after(at, func() {
+			for _, n := range w.share(f) {
+				n.crashUpstream(gap)
+			}
+		})
+	}
+}
+
+// zone returns the processes of a data centre.
+func (w *World) zone(i int) (nodes []*node) {
+	for _, n := range w.nodes() {
+		if n.dataCentre == w.dataCentre(i) {
+			nodes = append(nodes, n)
 		}
 	}
+	return nodes
 }
 
 func (w *World) share(f Fault) []*node { return w.agents[:int(float64(len(w.agents))*f.Share+0.5)] }
@@ -273,6 +294,10 @@
 			return eris.Errorf("fault %q needs Gap", f.Kind)
 		}
 	}
+	return s.checkClasses()
+}
+
+func (s *Scenario) checkClasses() error {
 	for _, c := range s.Classes {
 		if c.PerSecond <= 0 || c.Deadline <= 0 || c.Target <= 0 || c.Work <= 0 || c.IsLong && c.Callers < 1 {
 			return eris.Errorf("class %q needs PerSecond, Work, Target, Deadline, and Callers if it IsLong", c.Name)
