jmpass: no reset by a holder that was only placed, nor by a forgotten handshake

(b) An agent forgot after 3 s a flow whose handshake had not ended, which its upstream keeps half-open; then all agents said that they don't hold it.

Change: a balancer resets only by a holder that confirmed the flow and whose upstream left in an orderly way; otherwise the first in rank is asked. The log names the holder and whether it was confirmed. A flow that the upstream has answered is kept for the idle timeout. An agent with a complete table answers for a half-open flow whose caller accepted another upstream's reply, so that the longer life doesn't delay proofs.

Other beliefs without ground: the age of flows and the life of a balancer's entries repeated figures of today's installations, and are now read from the settings (MaxFlowAge, idle timeout); a flow opened again with the ports of a closed one kept the closed one's state.

TestFlowOfUpstreamThatLeft now confirms the holder first: without that the reset it asked for was a false proof.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -28,6 +28,10 @@
 	// IsFirstStart is set if the upstreams start together with the agents, so that
 	// the agent sees every flow of its upstream from the beginning.
 	IsFirstStart bool
+	// MaxFlowAge is the age from which a flow may be lost. Once the agent has run for
+	// as long, a flow that its table lacks counts as not held. If it is not set,
+	// defaultMaxFlowAge is used.
+	MaxFlowAge time.Duration
 	// Counts counts decisions by their reason.
 	Counts [ReasonCount]uint64
 	// OnAnswer, if not nil, is called with the time to the first byte of each answer.
@@ -122,7 +126,9 @@
 	delete(a.refused, key)
 	delete(a.lostFlows, key)
 	f := a.table.get(key)
-	if f == nil {
+	if f == nil || f.ended == bothEnded {
+		// A closed flow's ports are used again.
+		a.drop(key)
 		f = &flow{opened: now.Add(-max(p.Age, h.Age))}
 		a.table.add(key, f)
 	}
@@ -284,13 +290,18 @@
 
 // isTableComplete reports whether the table has every flow of the upstream.
 func (a *Agent) isTableComplete(now time.Time) bool {
-	return a.IsFirstStart || a.sawUpstreamDown || now.Sub(a.started) > maxFlowAge
+	return a.IsFirstStart || a.sawUpstreamDown || now.Sub(a.started) > a.maxFlowAge()
 }
 
-// maxFlowAge is the age from which a flow may be lost. A flow from before the agent's
-// start has that age once the agent has run for as long. If the table still lacks it
-// then, it counts as not held.
-const maxFlowAge = time.Minute
+// defaultMaxFlowAge is used where MaxFlowAge is not set.
+const defaultMaxFlowAge = time.Minute
+
+func (a *Agent) maxFlowAge() time.Duration {
+	if a.MaxFlowAge > 0 {
+		return a.MaxFlowAge
+	}
+	return defaultMaxFlowAge
+}
 
 // sendToUpstream sends the packet at hand to the upstream.
 func (a *Agent) sendToUpstream(now time.Time, key jasminemoor.FlowKey) {
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// flowGeneration is the life of one generation of flows. A flow is kept for at
-	// least one generation after its last packet, and for at most two. The usual
-	// settings end idle flows after 15 s.
-	flowGeneration = 15 * time.Second
+	// defaultFlowGeneration is the life of one generation of flows where the settings
+	// have no idle timeout.
+	defaultFlowGeneration = 15 * time.Second
 	// maxFlows bounds the flows of one generation.
 	maxFlows = 1 << 18
 	// reportTimeout is how long an agent may take to send a report after a new flow
@@ -58,6 +57,9 @@
 type balancerFlow struct {
 	holder uint32 // index into agents
 	isOpen bool   // the caller has sent more than its opening packet
+	// isConfirmed is set if the agent has said that it holds the flow. If it is not,
+	// the flow was only placed there, and another agent may hold it.
+	isConfirmed bool
 }
 
 // agentState is a balancer's state of an agent.
@@ -111,7 +113,7 @@
 		return b.place(now, flow, p, route, known, found)
 	}
 	if found {
-		return b.forwardKnown(now, flow, p, known)
+		return b.forwardKnown(now, flow, p, route, known)
 	}
 	to, ok := b.firstInRank(now, flow, route)
 	if !ok {
@@ -142,26 +144,55 @@
 	}
 }
 
-// forwardKnown forwards a packet of a flow whose holder is known.
-func (b *Balancer) forwardKnown(now time.Time, flow jasminemoor.FlowKey, p *jasminemoor.Packet, known balancerFlow) (m Message, reason Reason) {
+// forwardKnown forwards a packet of a flow whose holder is known. If the holder has
+// left, the flow is reset, provided that the holder was confirmed. In any other case
+// where the holder may be gone, the first in rank is asked for the flow.
+func (b *Balancer) forwardKnown(now time.Time, flow jasminemoor.FlowKey, p *jasminemoor.Packet, route *jmdirectory.Route, known balancerFlow) (m Message, reason Reason) {
 	holder := &b.agents[known.holder]
-	if b.hasLeft(now, holder) {
-		return b.refuse(now, flow, p), ReasonUpstreamGone
+	switch state := b.holderState(now, holder); {
+	case state == holderLeft && known.isConfirmed:
+		m, reason = b.refuse(now, flow, p), ReasonUpstreamGone
+	case state != holderPresent:
+		to, ok := b.firstInRank(now, flow, route)
+		if !ok {
+			return m, ReasonNoUpstream
+		}
+		m, reason = b.forward(flow, to, 0), ReasonUnknown
+	default:
+		known.isOpen = true
+		b.put(flow, known)
+		return b.forward(flow, holder.addr, jmhop.FlagKnown), ReasonKnown
 	}
-	known.isOpen = true
-	b.put(flow, known)
-	return b.forward(flow, holder.addr, jmhop.FlagKnown), ReasonKnown
+	m.Holder, m.IsConfirmed = holder.addr, known.isConfirmed
+	return m, reason
 }
 
-// hasLeft reports whether an agent and its upstream have ended: the agent is silent,
-// and a recent view has no entry of the upstream, or one that was removed while the
-// upstream was leaving.
-func (b *Balancer) hasLeft(now time.Time, holder *agentState) bool {
+// holderState says whether the agent that a balancer has recorded for a flow still
+// runs.
+type holderState uint8
+
+const (
+	holderPresent holderState = iota
+	// holderUnlisted is a silent agent whose upstream the copy of the directory does
+	// not list. The copy may lack its entry after an outage of the platform's store.
+	holderUnlisted
+	// holderLeft is a silent agent whose upstream was removed while it was leaving.
+	holderLeft
+)
+
+// holderState returns the state of an agent, by its last message and a recent view.
+func (b *Balancer) holderState(now time.Time, holder *agentState) holderState {
 	if now.Sub(holder.lastSeen) < silenceTimeout || !b.snapshot.isFresh(now) {
-		return false
+		return holderPresent
 	}
 	u := b.snapshot.Agents[holder.addr]
-	return u == nil || u.IsRemoved && u.State == jasminemoor.UpstreamLeaving
+	switch {
+	case u == nil:
+		return holderUnlisted
+	case u.IsRemoved && u.State == jasminemoor.UpstreamLeaving:
+		return holderLeft
+	}
+	return holderPresent
 }
 
 // place decides on an opening packet, and chooses the upstream of a new flow. If the
@@ -172,7 +203,7 @@
 	reason = ReasonPlaced
 	avoid := netip.Addr{}
 	if found {
-		if known.isOpen {
+		if known.isOpen && b.holderState(now, &b.agents[known.holder]) == holderPresent {
 			return b.forward(flow, b.agents[known.holder].addr, jmhop.FlagKnown), ReasonKnown
 		}
 		avoid, reason = b.agents[known.holder].addr, ReasonRepeated
@@ -229,7 +260,7 @@
 	}
 	at := b.indexOf(from)
 	b.markSeen(now, at)
-	b.put(flow, balancerFlow{holder: at, isOpen: true})
+	b.put(flow, balancerFlow{holder: at, isOpen: true, isConfirmed: true})
 }
 
 // HandleReport handles an agent's report. It ignores a delayed report of an earlier
@@ -320,10 +351,15 @@
 	}
 }
 
-// rotate starts a new generation after flowGeneration, which evicts the flows that
-// had no packet during the last one.
+// rotate starts a new generation after the idle timeout of flows, which evicts the
+// flows that had no packet during the last one. A flow is thus kept for at least the
+// idle timeout after its last packet, and for at most twice that.
 func (b *Balancer) rotate(now time.Time) {
-	if now.Sub(b.rotated) < flowGeneration {
+	generation := b.snapshot.IdleTimeout
+	if generation <= 0 {
+		generation = defaultFlowGeneration
+	}
+	if now.Sub(b.rotated) < generation {
 		return
 	}
 	b.rotated = now
--- a/internal/flow/jmpass/balancer_test.go
+++ b/internal/flow/jmpass/balancer_test.go
@@ -99,6 +99,7 @@
 	b.SetSnapshot(snapshot(1))
 	b.Handle(startTime, openingPacket(shop))
 	b.HandleReport(startTime, agentAddr(1), &jmhop.Report{Incarnation: 1})
+	b.HandleHolder(startTime, agentAddr(1), dataPacket(callerSequence+1, 10).Key())
 	s := snapshot(2, leaving(1), removed(1))
 	b.SetSnapshot(s)
 	_, reason := b.Handle(startTime.Add(silenceTimeout/2), dataPacket(callerSequence+1, 10))
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -63,6 +63,11 @@
 	RequestAge time.Duration
 	// Sequence is the sequence number of a reset.
 	Sequence uint32
+	// Holder is the agent that the balancer had recorded for the flow, if the message
+	// does not go there because that agent may be gone. IsConfirmed is set if the agent
+	// itself had said that it holds the flow, and not if the flow was only placed there.
+	Holder      netip.Addr
+	IsConfirmed bool
 }
 
 // Snapshot is the view of the directory that a Balancer or an Agent decides by.
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -167,7 +167,7 @@
 		return false
 	}
 	a.updateRemaining(key, s)
-	if len(s.remaining) > 0 || !a.snapshot.isFresh(now) || a.isBehind(now) || !a.isNotHeld(now, key) {
+	if len(s.remaining) > 0 || !a.snapshot.isFresh(now) || a.isBehind(now) || !a.isNotHeld(now, key, s.ack) {
 		return false
 	}
 	delete(a.searches, key)
@@ -180,10 +180,19 @@
 	return true
 }
 
-// isNotHeld reports whether the own upstream is known not to hold a flow.
-func (a *Agent) isNotHeld(now time.Time, key jasminemoor.FlowKey) bool {
-	_, isRefused := a.refused[key]
-	return isRefused || a.upstream.isDown || a.isTableComplete(now) && a.table.get(key) == nil
+// isNotHeld reports whether the own upstream is known not to hold a flow, whose caller
+// has last acknowledged the sequence number ack.
+func (a *Agent) isNotHeld(now time.Time, key jasminemoor.FlowKey, ack uint32) bool {
+	if _, isRefused := a.refused[key]; isRefused || a.upstream.isDown {
+		return true
+	}
+	if !a.isTableComplete(now) {
+		return false
+	}
+	f := a.table.get(key)
+	// The caller has not acknowledged the reply of this upstream, but that of another one.
+	isHalfOpen := f != nil && !f.isOpen && f.hasOpenReply && ack != f.openReply+1
+	return f == nil || isHalfOpen
 }
 
 // handleAsk decides on a packet of a flow whose holder another agent searches for.
@@ -208,7 +217,7 @@
 		}
 		return ReasonProbed
 	}
-	if !a.isNotHeld(now, key) {
+	if !a.isNotHeld(now, key, p.Acknowledged) {
 		return ReasonUpstreamDown // not known, and a wrong answer could reset an open flow
 	}
 	a.sendAbsent(from, key)
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -9,9 +9,10 @@
 const (
 	// minLongLivedAge is the age from which a flow counts as long-lived.
 	minLongLivedAge = time.Second
-	// closedTTL is how long a flow that both ends have closed, or that was never
-	// opened, is kept after its last packet. Any other flow is kept for the idle
-	// timeout and closedTTL.
+	// closedTTL is how long a flow that both ends have closed, or whose opening packet
+	// the upstream has not answered, is kept after its last packet. Any other flow is
+	// kept for the idle timeout and closedTTL: the upstream keeps a flow that it has
+	// answered also while the caller's next packet is missing.
 	closedTTL = 3 * time.Second
 	// defaultIdleTimeout is the idle timeout of flows where the settings have none.
 	defaultIdleTimeout = 30 * time.Second
@@ -158,14 +159,15 @@
 	return lost
 }
 
-// evict removes the flows that are closed, idle for too long, or were never opened.
+// evict removes the flows that are closed, idle for too long, or were never answered.
 func (t *table) evict(now time.Time, idle time.Duration) {
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
 	for key, f := range t.flows {
 		silent := now.Sub(f.lastUsed)
-		if silent > idle+closedTTL || f.ended == bothEnded && silent > closedTTL || !f.isOpen && silent > closedTTL {
+		isShortLived := f.ended == bothEnded || !f.isOpen && !f.hasOpenReply
+		if silent > idle+closedTTL || isShortLived && silent > closedTTL {
 			t.remove(key)
 		}
 	}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -71,7 +71,7 @@
 	a.init()
 	s := a.Settings
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
-	a.machine.IsFirstStart = s.IsFirstStart
+	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
 	a.machine.OnAnswer = a.OnAnswer
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -220,6 +220,9 @@
 		if m.To.IsValid() {
 			fields["To"] = m.To
 		}
+		if m.Holder.IsValid() {
+			fields["Holder"], fields["IsConfirmed"] = m.Holder, m.IsConfirmed
+		}
 	}
 	return fields
 }
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -8,9 +8,12 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
+
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
 // Settings are the settings of one process.
@@ -27,6 +30,8 @@
 	Seeds []netip.AddrPort
 	// IsFirstStart is set when the whole system starts for the first time.
 	IsFirstStart bool
+	// MaxFlowAge is the age from which a flow may be lost, 0 if the platform gives none.
+	MaxFlowAge jmtree.Duration
 	// Packets is the address where a balancer receives callers' packets. Packets
 	// to callers are sent to the same port.
 	Packets netip.AddrPort
@@ -98,6 +103,8 @@
 		return missing("Ready")
 	case !isUsable(s.Platform.Address):
 		return missing("Platform.Address")
+	case s.MaxFlowAge < 0:
+		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
 	}
 	if role != RoleAgent {
 		return nil
@@ -134,5 +141,6 @@
 	appendIf("Ready", s.Ready != next.Ready)
 	appendIf("Upstream", s.Upstream != next.Upstream)
 	appendIf("Service", s.Service != next.Service)
+	appendIf("MaxFlowAge", s.MaxFlowAge != next.MaxFlowAge)
 	return fields
 }
--- a/internal/settings/jmlocal/settings_test.go
+++ b/internal/settings/jmlocal/settings_test.go
@@ -3,10 +3,12 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
 const agentText = `// An agent.
@@ -14,7 +16,7 @@
 	"Name": "side-1", "Address": "10.0.0.2", "DataCentre": "a", "FirstPort": 7720, "LastPort": 7735,
 	"Seeds": ["10.0.0.1:8166"], "Packets": "10.0.0.2:8172", "Outbound": "10.0.0.2:8162",
 	"Ready": "10.0.0.2:8167", "Upstream": "10.0.0.2:8165", "Service": "shop",
-	"Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
+	"MaxFlowAge": "45s", "Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
 }`
 
 func TestParse(t *testing.T) {
@@ -23,6 +25,7 @@
 	require.Equal(t, "side-1", s.Name)
 	require.Equal(t, "10.9.0.1:8169", s.Platform.Address.String())
 	require.Len(t, s.Seeds, 1)
+	require.Equal(t, jmtree.Duration(45*time.Second), s.MaxFlowAge)
 }
 
 func TestParseErrorNamesField(t *testing.T) {
@@ -36,6 +39,7 @@
 		"no upstream":     {`"Upstream": "10.0.0.2:8165", `, "", "Upstream"},
 		"no service":      {`"Service": "shop",`, "", "Service"},
 		"no platform":     {`"Address": "10.9.0.1:8169"`, "", "Platform.Address"},
+		"flow age":        {`"45s"`, `"-1s"`, "MaxFlowAge"},
 		"another type":    {`"DataCentre": "a"`, `"DataCentre": 5`, "DataCentre"},
 	}
 	for name, tc := range cases {
