Searches ask only the agents that can hold a flow

Change: an agent takes a flow only if its upstream is among the first 8 in rank by its own copy of the directory, and hands it on otherwise. The copy keeps, for each address, since when it is listed without a gap and after which time its upstream started. An upstream can't hold a flow if 8 others rank before it that have been listed since before it started, or for longer than flows live. So the possible holders of a flow are 8 where the list is quiet, and after a power failure whose former entries are still listed; upstreams of which nothing is known are asked as before.

Two more false proofs came up in the property test and are mended: the entry of an upstream that is leaving may have lapsed with a store outage, so its removal counts after 2 s; and the first list of an agent that was restarted may lack entries that lapsed, so that it resets by a search only 2 s later, unless all upstreams have just started.

TestResetIsAnnounced now has upstreams that have just started, since by any other first list the reset is no proof.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -137,7 +137,6 @@
 
 	replica     replica
 	isLoaded    bool
-	asOf        time.Time // the copy is complete as of this time
 	beaconCount uint64
 	isReading   bool
 	mustLoad    bool
@@ -175,11 +174,11 @@
 func (m *Machine) IsLoaded() bool { return m.isLoaded }
 
 // AsOf returns the latest time at which the copy is known to have been complete.
-func (m *Machine) AsOf() time.Time { return m.asOf }
+func (m *Machine) AsOf() time.Time { return m.replica.asOf }
 
 // HandleSuspension adds a suspension of the instance, which the monotonic clock has not
 // counted, to the age of the copy.
-func (m *Machine) HandleSuspension(d time.Duration) { m.asOf = m.asOf.Add(-d) }
+func (m *Machine) HandleSuspension(d time.Duration) { m.replica.asOf = m.replica.asOf.Add(-d) }
 
 // Tick expires removed upstreams and renews subscriptions. It is called several
 // times a second.
@@ -240,7 +239,7 @@
 	if !m.Upstream.IsValid() {
 		maxAge = StaleAfter + maxTakeoverRank*takeoverDelay
 	}
-	return now.Sub(m.asOf) >= maxAge
+	return now.Sub(m.replica.asOf) >= maxAge
 }
 
 // HandleRead handles the result of a call at the platform.
@@ -293,8 +292,8 @@
 }
 
 func (m *Machine) advanceAsOf(asOf time.Time) {
-	if asOf.After(m.asOf) {
-		m.asOf = asOf
+	if asOf.After(m.replica.asOf) {
+		m.replica.asOf = asOf
 	}
 }
 
@@ -404,7 +403,7 @@
 		return &PullReply{Age: -1}
 	}
 	items, isWhole := m.replica.delta(r.Since)
-	return &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.asOf)}
+	return &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf)}
 }
 
 // HandlePullReply handles a peer's reply, or nil if the exchange failed. Since
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -8,6 +8,7 @@
 package jmdirectory
 
 import (
+	"cmp"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -63,6 +64,10 @@
 	idleTimeout     time.Duration
 	routes          map[netip.AddrPort]*knownRoute
 	upstreams       map[string]*knownUpstream
+	histories       map[netip.AddrPort]*history
+	// asOf is the latest time at which the copy is known to have been complete, zero
+	// before the first copy.
+	asOf time.Time
 }
 
 type knownRoute struct {
@@ -84,6 +89,7 @@
 	if r.routes == nil {
 		r.routes = make(map[netip.AddrPort]*knownRoute)
 		r.upstreams = make(map[string]*knownUpstream)
+		r.histories = make(map[netip.AddrPort]*history)
 	}
 }
 
@@ -111,6 +117,9 @@
 		r.removalsSince = max(r.removalsSince, c.Revision)
 	}
 	r.revision = max(r.revision, c.Revision)
+	if r.asOf.IsZero() {
+		r.recordFirstCopy(now)
+	}
 	return changed
 }
 
@@ -211,6 +220,7 @@
 	if revision <= known.revision {
 		return false
 	}
+	r.recordHistory(now, item.Key, known.upstream, item.Upstream)
 	if known.upstream != nil {
 		known.last = known.upstream
 	}
@@ -250,6 +260,8 @@
 func (r *replica) merge(now time.Time, items []Item, revision uint64, isWhole bool) (isNew bool) {
 	r.init()
 	listed := make(map[string]bool)
+	// The histories of addresses depend on the order of the changes.
+	items = slices.SortedFunc(slices.Values(items), func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range items {
 		isNew = r.apply(now, &items[i]) || isNew
 		if items[i].Upstream != nil {
@@ -262,6 +274,9 @@
 		r.removalsSince = max(r.removalsSince, revision)
 	}
 	r.revision = max(r.revision, revision)
+	if r.asOf.IsZero() {
+		r.recordFirstCopy(now)
+	}
 	return isNew
 }
 
@@ -296,6 +311,7 @@
 			delete(r.upstreams, key)
 		}
 	}
+	r.expireHistories(now)
 	return hasChanged
 }
 
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -78,6 +78,12 @@
 	IsRemoved bool
 	// RemovedAt is when this process learnt of the removal.
 	RemovedAt time.Time
+	// ListedSince is a time since when every view has had an upstream at this address
+	// that is ready. It is zero if this one is not ready.
+	ListedSince time.Time
+	// StartedAfter is a time before which the upstream had not started, zero if none is
+	// known. Its flows were opened later.
+	StartedAfter time.Time
 }
 
 // IsReady reports whether new flows may go to the upstream.
@@ -101,6 +107,7 @@
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for _, known := range r.upstreams {
 		if u := known.view(now); u != nil {
+			r.addHistory(u)
 			v.add(u)
 		}
 	}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -6,6 +6,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -57,6 +58,7 @@
 	balancers    []balancerState
 	byAddr       map[netip.Addr]uint32
 	started      time.Time
+	firstView    time.Time // when the agent first had a view of the directory
 	// sawUpstreamDown is set if a probe has found, since the agent started, that
 	// the upstream's process had ended. The upstream then holds no flow from
 	// before the agent's start.
@@ -108,6 +110,9 @@
 		a.flowProbes = make(map[jasminemoor.FlowKey]flowProbe)
 		a.searches = make(map[jasminemoor.FlowKey]*search)
 	}
+	if a.firstView.IsZero() && a.snapshot.View != nil {
+		a.firstView = now
+	}
 }
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
@@ -157,6 +162,9 @@
 	if a.upstream.isDown || a.upstream.isSilent {
 		return ReasonUpstreamDown
 	}
+	if a.isOutOfRank(p.Key()) {
+		return ReasonHandedOn
+	}
 	return ReasonNone
 }
 
@@ -190,13 +198,34 @@
 	if service == nil {
 		return to, false
 	}
-	ranked := rankedAgents(key, service.Upstreams, func(u *jmdirectory.Upstream) bool {
-		return u.IsReady() && u.Address.Addr() != a.Self
-	})
-	if len(ranked) == 0 {
+	var others []netip.Addr
+	for _, r := range rankAll(key, service.Upstreams) {
+		if r.upstream.IsReady() && r.upstream.Address.Addr() != a.Self {
+			others = append(others, r.upstream.Address.Addr())
+		}
+	}
+	if len(others) == 0 {
 		return to, false
 	}
-	return ranked[skip%len(ranked)], true
+	return others[skip%len(others)], true
+}
+
+// isOutOfRank reports whether the own upstream is not among the first candidateCount
+// upstreams for a flow that are ready, by the own copy of the directory. It must not take
+// the flow then, as a search would not find it: see possibleHoldersOf.
+func (a *Agent) isOutOfRank(key jasminemoor.FlowKey) bool {
+	service := a.snapshot.Services[a.Service]
+	if service == nil {
+		return false
+	}
+	hash, before := key.Hash(), 0
+	own := jmplacer.Score(hash, a.Self)
+	for _, u := range service.Upstreams {
+		if u.IsReady() && jmplacer.Score(hash, u.Address.Addr()) > own {
+			before++
+		}
+	}
+	return before >= candidateCount
 }
 
 // handleForward decides on a packet of an open flow. The packet goes to the own
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -189,7 +189,7 @@
 	switch {
 	case u == nil:
 		return holderUnlisted
-	case u.IsRemoved && u.State == jasminemoor.UpstreamLeaving:
+	case hasLeft(now, u):
 		return holderLeft
 	}
 	return holderPresent
--- /dev/null
+++ b/internal/flow/jmpass/holders_test.go
@@ -0,0 +1,313 @@
+package jmpass
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+)
+
+var holderSeeds = flag.Int("holder-seeds", 10, "number of seeds of TestSearchIncludesHolder")
+
+// listing simulates the platform's list of upstreams, and the upstreams themselves.
+type listing struct {
+	rand     *rand.Rand
+	now      time.Time
+	revision uint64
+	entries  map[string]jasminemoor.Entry
+	history  []listingChange
+	lives    map[netip.Addr]*life
+	nextID   int
+	young    []*directoryCopy // of agents that have started lately
+}
+
+// listingChange is a change of an entry.
+type listingChange struct {
+	at    time.Time
+	entry jasminemoor.Entry
+}
+
+// life is one run of an upstream's process.
+type life struct {
+	key      string
+	upstream jasminemoor.ListedUpstream
+	isAlive  bool
+	copy     *directoryCopy // of its agent
+	flows    []jasminemoor.FlowKey
+}
+
+// directoryCopy is one process's copy of the list, which may lag.
+type directoryCopy struct {
+	machine jmdirectory.Machine
+	seen    int // changes of the history that are applied
+	lag     time.Duration
+	loaded  time.Time
+	view    *jmdirectory.View
+}
+
+// duration returns a random duration below a limit.
+func (l *listing) duration(limit time.Duration) time.Duration {
+	return time.Duration(l.rand.Int64N(int64(limit)))
+}
+
+func (l *listing) write(key string, u *jasminemoor.ListedUpstream) {
+	l.revision++
+	e := jasminemoor.Entry{Key: key, Revision: l.revision}
+	if u == nil {
+		delete(l.entries, key)
+	} else {
+		listed := *u
+		listed.Created = l.revision
+		if before, found := l.entries[key]; found {
+			listed.Created = before.Upstream.Created
+		}
+		e.Upstream = &listed
+		l.entries[key] = e
+	}
+	l.history = append(l.history, listingChange{l.now, e})
+}
+
+// routing is the route of the shop, which never changes.
+var routing = jasminemoor.Entry{Key: "config", Revision: 1, Routing: &jasminemoor.Routing{
+	Version: 1, Routes: []jasminemoor.Route{{Address: shop, Shares: []jasminemoor.Share{{Service: "shop", Weight: 1}}}},
+}}
+
+// load makes a copy as a process does that has just started.
+func (l *listing) load(upstream netip.AddrPort, lag time.Duration) *directoryCopy {
+	c := &directoryCopy{seen: len(l.history), lag: lag, loaded: l.now}
+	c.machine.Self, c.machine.Upstream, c.machine.Rand = upstream.Addr(), upstream, l.rand
+	changes := jasminemoor.DirectoryChanges{Revision: l.revision, Entries: slices.Collect(maps.Values(l.entries))}
+	changes.Entries = append(changes.Entries, routing)
+	_ = c.machine.HandleRead(l.now, jmdirectory.Read{IsLoad: true}, &changes, nil)
+	c.view = c.machine.View(l.now)
+	return c
+}
+
+// update applies the changes that are older than the copy's lag.
+func (l *listing) update(c *directoryCopy) {
+	changes := jasminemoor.DirectoryChanges{Revision: c.machine.Revision()}
+	for c.seen < len(l.history) && l.now.Sub(l.history[c.seen].at) >= c.lag {
+		changes.Entries = append(changes.Entries, l.history[c.seen].entry)
+		changes.Revision = l.history[c.seen].entry.Revision
+		c.seen++
+	}
+	out := c.machine.HandleRead(l.now, jmdirectory.Read{Since: c.machine.Revision()}, &changes, nil)
+	if out.HasNewView || c.machine.Tick(l.now).HasNewView {
+		c.view = c.machine.View(l.now)
+	}
+}
+
+func (l *listing) snapshot(c *directoryCopy) Snapshot {
+	return Snapshot{View: c.view, AsOf: l.now}
+}
+
+// startUpstream starts an upstream at an address. It registers at once.
+func (l *listing) startUpstream(addr netip.Addr) {
+	l.nextID++
+	x := &life{key: fmt.Sprint("u/", l.nextID), isAlive: true, upstream: jasminemoor.ListedUpstream{
+		ID: fmt.Sprint(l.nextID), Service: "shop", Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
+		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second,
+	}}
+	if old := l.lives[addr]; old != nil && l.rand.IntN(5) == 0 {
+		x.key, x.upstream.ID = old.key, old.upstream.ID // its entry takes the place of the former one's
+	}
+	x.copy = l.load(x.upstream.Address, l.duration(500*time.Millisecond))
+	l.lives[addr] = x
+	l.write(x.key, &x.upstream)
+}
+
+// crash ends an upstream, whose entry lapses after three heartbeats.
+func (l *listing) crash(x *life) { x.isAlive, x.upstream.WarmIn = false, 0 }
+
+func (l *listing) agent(x *life) *Agent {
+	a := &Agent{Self: x.upstream.Address.Addr(), Upstream: x.upstream.Address, Service: "shop"}
+	a.SetSnapshot(l.snapshot(x.copy))
+	return a
+}
+
+// TestSearchIncludesHolder runs random histories of a service: upstreams crash with or
+// without their agents and start again, all lose power, entries lapse and return,
+// others join and leave, and each agent's copy of the directory lags by up to half a
+// second. Agents take flows as the rule lets them. Then agents old and new must find
+// each flow's holder among the possible holders.
+func TestSearchIncludesHolder(t *testing.T) {
+	for seed := range uint64(*holderSeeds) {
+		l := &listing{
+			rand: rand.New(rand.NewPCG(seed, 1)), now: startTime,
+			entries: make(map[string]jasminemoor.Entry), lives: make(map[netip.Addr]*life),
+		}
+		l.run(t, seed)
+	}
+}
+
+const holderStep = 200 * time.Millisecond
+
+func (l *listing) run(t *testing.T, seed uint64) {
+	port, died, lapsed := uint16(0), make(map[*life]time.Time), make(map[*life]time.Time)
+	for i := range 20 + l.rand.IntN(40) {
+		l.startUpstream(agentAddr(i + 1))
+	}
+	for step := range 150 {
+		l.now = l.now.Add(holderStep)
+		addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
+		for _, addr := range addrs {
+			l.change(l.lives[addr], died, lapsed)
+		}
+		if l.rand.IntN(10) == 0 {
+			l.startUpstream(agentAddr(100 + step)) // joins
+		}
+		if step == 100 {
+			l.powerOff(died)
+		}
+		for _, addr := range addrs {
+			x := l.lives[addr]
+			l.update(x.copy)
+			a := l.agent(x)
+			for range 4 {
+				port++
+				p := openingPacket(shop)
+				p.Source = netip.AddrPortFrom(callerAddr.Addr(), port)
+				if x.isAlive && a.refusalReason(p) == ReasonNone {
+					x.flows = append(x.flows, p.Key())
+				}
+			}
+		}
+		l.checkHolders(t, seed)
+	}
+}
+
+// powerOff ends all upstreams and agents. They start again at once.
+func (l *listing) powerOff(died map[*life]time.Time) {
+	for _, addr := range slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare) {
+		if x := l.lives[addr]; x.isAlive {
+			l.crash(x)
+			died[x] = l.now
+		}
+	}
+	l.now = l.now.Add(l.duration(3 * time.Second))
+	for _, addr := range slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare) {
+		l.startUpstream(addr)
+	}
+}
+
+// change lets something happen to an upstream, with a low probability.
+func (l *listing) change(x *life, died, lapsed map[*life]time.Time) {
+	const heartbeats = 3600 * time.Millisecond
+	for old, at := range died {
+		if l.now.Sub(at) > heartbeats {
+			if e, found := l.entries[old.key]; found && e.Upstream.Born == old.upstream.Born {
+				l.write(old.key, nil)
+			}
+			delete(died, old)
+		}
+	}
+	switch at, isLapsed := lapsed[x]; {
+	case isLapsed && x.isAlive && l.now.Sub(at) > lapseGrace-holderStep:
+		x.upstream.WarmIn = 0
+		l.write(x.key, &x.upstream)
+		delete(lapsed, x)
+	case !x.isAlive && l.rand.IntN(10) == 0:
+		l.startUpstream(x.upstream.Address.Addr())
+	case !x.isAlive || isLapsed:
+	case l.rand.IntN(300) == 0:
+		l.crash(x)
+		died[x] = l.now
+	case l.rand.IntN(300) == 0 && l.now.Sub(time.UnixMilli(x.upstream.Born)) > 10*time.Second:
+		l.write(x.key, nil) // lapses
+		lapsed[x] = l.now
+	case l.rand.IntN(500) == 0:
+		x.upstream.State = jasminemoor.UpstreamLeaving
+		l.write(x.key, &x.upstream)
+	case l.rand.IntN(100) == 0:
+		x.copy = l.load(x.upstream.Address, x.copy.lag) // its agent was restarted
+	}
+}
+
+// checkHolders has the agent of some upstream, and agents of it that have started
+// lately, look for each flow.
+func (l *listing) checkHolders(t *testing.T, seed uint64) {
+	t.Helper()
+	addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
+	searcher := l.lives[addrs[l.rand.IntN(len(addrs))]]
+	if searcher.isAlive {
+		l.young = append(l.young, l.load(searcher.upstream.Address, 0))
+	}
+	l.young = slices.DeleteFunc(l.young, func(c *directoryCopy) bool { return l.now.Sub(c.loaded) > 5*time.Second })
+	for i, c := range append(slices.Clone(l.young), searcher.copy) {
+		l.update(c)
+		if c != searcher.copy && l.rand.IntN(8) != 0 {
+			continue
+		}
+		a := &Agent{Self: c.machine.Self, Upstream: c.machine.Upstream, Service: "shop", firstView: c.loaded}
+		a.SetSnapshot(l.snapshot(c))
+		if a.snapshot.Revision != l.revision {
+			continue // behind: it resets nothing
+		}
+		for _, addr := range addrs {
+			x := l.lives[addr]
+			if !x.isAlive || addr == a.Self {
+				continue
+			}
+			for range min(len(x.flows), 3) {
+				key := x.flows[l.rand.IntN(len(x.flows))]
+				if a.isListComplete(l.now, key) && !slices.Contains(a.possibleHolders(l.now, key), addr) {
+					require.Fail(t, "holder is missing", "seed %d, agent %d, %s after its start, after %s: %+v", seed, i, l.now.Sub(c.loaded), l.now.Sub(startTime), a.snapshot.Agents[addr])
+				}
+			}
+		}
+	}
+}
+
+// TestPossibleHoldersAreFew counts the agents that a search asks where the list has
+// been the same for as long as flows live, and after all power was off. Their number does
+// not depend on that of the upstreams.
+func TestPossibleHoldersAreFew(t *testing.T) {
+	const limit = 16 // the target
+	for _, count := range []int{10, 100, 1000, 5000} {
+		for name, change := range map[string]func(u *jmdirectory.Upstream){
+			"long listed": func(u *jmdirectory.Upstream) { u.ListedSince = startTime.Add(-time.Hour) },
+			"after a power failure": func(u *jmdirectory.Upstream) {
+				u.ListedSince, u.StartedAfter = startTime.Add(-20*time.Second), startTime.Add(-6*time.Second)
+			},
+		} {
+			t.Run(fmt.Sprint(count, " upstreams, ", name), func(t *testing.T) {
+				s := manyUpstreams(count)
+				for _, u := range s.Upstreams {
+					change(u)
+				}
+				a := newAgent(true, s)
+				asked := a.possibleHolders(startTime, dataPacket(0, 0).Key())
+				require.NotEmpty(t, asked)
+				require.LessOrEqual(t, len(asked), limit)
+			})
+		}
+	}
+}
+
+// TestFlowOutOfRankIsHandedOn has an agent get a flow for which others rank first. It
+// hands the flow on to one of them.
+func TestFlowOutOfRankIsHandedOn(t *testing.T) {
+	s := manyUpstreams(100)
+	key := openingPacket(shop).Key()
+	ranked := rankAll(key, s.Services["shop"].Upstreams)
+	for rank, r := range ranked {
+		a := &Agent{Self: r.upstream.Address.Addr(), Upstream: r.upstream.Address, Service: "shop"}
+		a.SetSnapshot(s)
+		out, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+		if rank < candidateCount {
+			require.Equal(t, ReasonHeld, reason, rank)
+			continue
+		}
+		require.Equal(t, ReasonHandedOn, reason, rank)
+		require.Equal(t, ranked[0].upstream.Address.Addr(), find(out[len(out)-1:], ToPeer).To, rank)
+	}
+}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -131,7 +131,7 @@
 	ReasonProbed:            {"tested", "upstream may hold the flow"},
 	ReasonRefusedByUpstream: {"refused_by_upstream", "upstream refused the packet"},
 	ReasonUpstreamDown:      {"upstream_down", "upstream does not run"},
-	ReasonHandedOn:          {"handed_on", "flow handed on"},
+	ReasonHandedOn:          {"handed_on", "upstream is not among the first in rank, flow handed on"},
 	ReasonSearched:          {"searched", "other agents asked for the holder"},
 	ReasonAbsentEverywhere:  {"absent_everywhere", "no agent holds the flow"},
 	ReasonLeaving:           {"leaving", "upstream is leaving"},
--- a/internal/flow/jmpass/pass_test.go
+++ b/internal/flow/jmpass/pass_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// justStarted has all upstreams start a moment before the agents.
+func justStarted(v *jmdirectory.View) {
+	for _, u := range v.Upstreams {
+		u.StartedAfter = startTime.Add(-entryLapse)
+	}
+}
+
+// entryLapse is how long the directory may list an upstream that has ended.
+const entryLapse = 6 * time.Second
+
 // newAgent returns the agent of the first upstream.
 func newAgent(isFirstStart bool, s Snapshot) *Agent {
 	a := &Agent{Self: agentAddr(1), Upstream: upstreamAddr(1), Service: "shop", IsFirstStart: isFirstStart}
--- a/internal/flow/jmpass/retry_test.go
+++ b/internal/flow/jmpass/retry_test.go
@@ -97,7 +97,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := newAgent(false, snapshot(1))
+			a := newAgent(false, snapshot(1, justStarted))
 			for addr, code := range map[netip.Addr]uint8{near: 1, remote: 2} {
 				syn := openingPacket(shop)
 				syn.Source = netip.AddrPortFrom(addr, 9)
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -61,6 +61,31 @@
 		a := begin(snapshot(3, leaving(3), removed(3)))
 		requireReset(t, a.HandleAbsent(startTime, agentAddr(2), absentHeader, key))
 	})
+	t.Run("an upstream whose entry lapsed while it was leaving may hold it", func(t *testing.T) {
+		a := begin(snapshot(3, leaving(3), removed(3), func(v *jmdirectory.View) { v.Upstreams[upstreamAddr(3)].RemovedAt = startTime }))
+		require.Empty(t, a.HandleAbsent(startTime, agentAddr(2), absentHeader, key))
+		s := a.snapshot
+		s.AsOf = startTime.Add(lapseGrace)
+		a.SetSnapshot(s)
+		a.searches = make(map[jasminemoor.FlowKey]*search) // it has timed out
+		_, _ = a.HandlePeer(s.AsOf, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
+		requireReset(t, a.HandleAbsent(s.AsOf, agentAddr(2), absentHeader, key))
+	})
+	t.Run("the first list of an agent that was restarted may lack upstreams", func(t *testing.T) {
+		a := newAgent(false, snapshot(1))
+		p := dataPacket(callerSequence, 10)
+		_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+		p.Flags |= jasminemoor.FlagReturned
+		out, reason := a.HandleUpstream(startTime, p, []byte("packet"), false)
+		require.Equal(t, ReasonSearched, reason)
+		require.NotContains(t, kinds(out), Reset)
+		s := a.snapshot
+		s.AsOf = startTime.Add(lapseGrace)
+		a.SetSnapshot(s)
+		a.searches = make(map[jasminemoor.FlowKey]*search) // it has timed out
+		out, _ = a.HandlePeer(s.AsOf, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
+		require.Contains(t, kinds(out), Reset)
+	})
 	t.Run("an old view may lack upstreams", func(t *testing.T) {
 		a := begin(snapshot(3))
 		later := startTime.Add(maxViewAge)
--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -100,6 +100,9 @@
 	if i.Removed {
 		delete(s.items, i.Key)
 	} else {
+		if i.Created = s.items[i.Key].Created; i.Created == 0 {
+			i.Created = s.rev
+		}
 		s.items[i.Key] = i
 	}
 	s.history = append(s.history, i)
--- a/passthrough.go
+++ b/passthrough.go
@@ -157,6 +157,9 @@
 	// Born is the start time of the upstream, by its own clock, in milliseconds
 	// since the Unix epoch.
 	Born int64
+	// Created is the platform's change counter when the entry was created. It differs
+	// from the one before if the entry was missing in between.
+	Created uint64
 }
 
 // Entry is one entry of the platform's directory. Upstream and Routing are both
