--- a/cmd/jasminemoor/measureflows.go
+++ b/cmd/jasminemoor/measureflows.go
@@ -17,6 +17,8 @@
 	flags := newFlagSet(t, "flows")
 	seed := flags.Uint64("seed", 1, "seed of the run")
 	plot := flags.String("plot", "", "SVG file to write, with a plot of the worth over time")
+	scale := flags.Float64("scale", 1, "factor by which the installations and their load are multiplied")
+	withNaive := flags.Bool("naive", true, "run the naive policy as well")
 	asJSON := flags.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "flows",
@@ -30,7 +32,7 @@
 			}
 			var results []*jmflows.Result
 			for _, path := range args {
-				pair, err := compareFlows(path, *seed)
+				pair, err := compareFlows(path, *seed, *scale, *withNaive)
 				if err != nil {
 					return err
 				}
@@ -49,9 +51,9 @@
 	}
 }
 
-// compareFlows runs one scenario with the load balancer's policy and with the naive
-// one.
-func compareFlows(path string, seed uint64) (results []*jmflows.Result, err error) {
+// compareFlows runs one scenario with the load balancer's policy and, if wanted, with the
+// naive one.
+func compareFlows(path string, seed uint64, scale float64, withNaive bool) (results []*jmflows.Result, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrapf(err, "scenario %s", path)
@@ -65,7 +67,14 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, policy := range []jmflows.Policy{jmflows.Product, jmflows.Naive} {
+	if s, err = s.Scaled(scale); err != nil {
+		return nil, err
+	}
+	policies := []jmflows.Policy{jmflows.Product}
+	if withNaive {
+		policies = append(policies, jmflows.Naive)
+	}
+	for _, policy := range policies {
 		r, err := jmflows.Run(s, policy, seed)
 		if err != nil {
 			return nil, eris.Wrapf(err, "policy %s, seed %d", policy.Name, seed)
@@ -90,10 +99,10 @@
 
 func printFlows(t *terminal, results []*jmflows.Result) error {
 	w := tabwriter.NewWriter(t.out, 0, 0, tablePadding, ' ', 0)
-	_, _ = fmt.Fprintln(w, "scenario\tpolicy\tworth\tworst windows\tasked\tin time\tlate\tfailed\tp50 ms\tp99 ms")
+	_, _ = fmt.Fprintln(w, "scenario\tpolicy\tworth\tworst windows\tasked\tin time\tlate\tfailed\tp50 ms\tp99 ms\tlost flows\tquestions\treset p90 ms")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%.0f\t%.0f\n", r.Scenario, r.Policy, r.Worth, r.Worst,
-			r.Asked, r.InTime, r.Late, r.Failed, r.P50, r.P99)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%d\t%d\t%.0f\n", r.Scenario, r.Policy, r.Worth, r.Worst,
+			r.Asked, r.InTime, r.Late, r.Failed, r.P50, r.P99, r.LostFlows, r.Questions, r.ResetP90)
 	}
 	return w.Flush()
 }
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -75,6 +75,36 @@
 	}
 }
 
+// TestSizeCostsNothing runs load patterns of a large installation, and the same at a tenth
+// of the size. The callers are served alike.
+func TestSizeCostsNothing(t *testing.T) {
+	const (
+		difference    = 0.02 // of worth and of the worst windows
+		maxQuestions  = 16   // for each lost flow
+		maxResetDelay = 300  // milliseconds, for nine of ten lost flows
+	)
+	for _, name := range []string{"power-off-large"} {
+		t.Run(name, func(t *testing.T) {
+			large := loadScenario(t, name)
+			small, err := large.Scaled(0.1)
+			require.NoError(t, err)
+			var results []*jmflows.Result
+			for _, s := range []*jmflows.Scenario{small, large} {
+				r, err := jmflows.Run(s, jmflows.Product, 1)
+				require.NoError(t, err)
+				t.Logf("%d upstreams: worth %.3f worst %.3f failed %d of %d, %d questions for %d lost flows, 0.9 of them reset in %.0f ms",
+					s.Upstreams, r.Worth, r.Worst, r.Failed, r.Asked, r.Questions, r.LostFlows, r.ResetP90)
+				require.NotZero(t, r.LostFlows)
+				require.LessOrEqual(t, r.Questions, maxQuestions*r.LostFlows)
+				require.LessOrEqual(t, r.ResetP90, float64(maxResetDelay))
+				results = append(results, r)
+			}
+			require.GreaterOrEqual(t, results[1].Worth, results[0].Worth-difference)
+			require.GreaterOrEqual(t, results[1].Worst, results[0].Worst-difference)
+		})
+	}
+}
+
 // TestSameSeedSameResult runs one seed twice.
 func TestSameSeedSameResult(t *testing.T) {
 	s := loadScenario(t, "calm")
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
@@ -28,8 +29,17 @@
 	// milliseconds.
 	P50, P99 float64
 	Crossing int // bytes between data centres
+	// Questions counts the packets with which agents asked others for a flow's holder,
+	// and LostFlows the flows that agents reset after they had asked or probed for them.
+	Questions, LostFlows int
+	// ResetP90 is the 0.9 quantile of the time from the first packet of such a flow at an
+	// agent until the reset, in milliseconds.
+	ResetP90 float64
 	Windows  []Window
 
+	searched   map[jasminemoor.FlowKey]time.Time // when an agent first got a packet of a flow that it did not know
+	resetTimes []time.Duration
+
 	opened    int
 	latencies []time.Duration
 	flows     map[jasminemoor.FlowKey]*callerFlow // all flows that callers opened
@@ -117,15 +127,35 @@
 		r.Worst = (worths[0] + worths[1]) / 2
 	}
 	sort.Slice(r.latencies, func(i, j int) bool { return r.latencies[i] < r.latencies[j] })
-	r.P50, r.P99 = r.quantile(0.5), r.quantile(0.99)
+	r.P50, r.P99 = quantile(r.latencies, 0.5), quantile(r.latencies, 0.99)
+	slices.Sort(r.resetTimes)
+	r.LostFlows, r.ResetP90 = len(r.resetTimes), quantile(r.resetTimes, 0.9)
 }
 
-// quantile returns a quantile of the sorted latencies in milliseconds.
-func (r *Result) quantile(q float64) float64 {
-	if len(r.latencies) == 0 {
+// quantile returns a quantile of sorted times in milliseconds, 0 if there are none.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
 		return 0
 	}
-	return r.latencies[int(q*float64(len(r.latencies)-1))].Seconds() * 1000
+	return sorted[int(q*float64(len(sorted)-1))].Seconds() * 1000
+}
+
+// countSearch records that an agent got a packet of a flow that it did not know.
+func (r *Result) countSearch(now time.Time, flow jasminemoor.FlowKey) {
+	if r.searched == nil {
+		r.searched = make(map[jasminemoor.FlowKey]time.Time)
+	}
+	if _, found := r.searched[flow]; !found {
+		r.searched[flow] = now
+	}
+}
+
+// countReset records the reset of a flow by an agent.
+func (r *Result) countReset(now time.Time, flow jasminemoor.FlowKey) {
+	if since, found := r.searched[flow]; found {
+		r.resetTimes = append(r.resetTimes, now.Sub(since))
+		delete(r.searched, flow)
+	}
 }
 
 // addFlow stores a caller's flow by its key.
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -274,7 +276,8 @@
 // routerScore returns a balancer's score for a flow in the routers' rendezvous
 // hashing.
 func routerScore(key jasminemoor.FlowKey, addr netip.Addr) uint64 {
-	x := key.Hash() ^ uint64(addr.As4()[3])*0x9E3779B97F4A7C15
+	raw := addr.As4()
+	x := key.Hash() ^ uint64(binary.BigEndian.Uint16(raw[2:]))*0x9E3779B97F4A7C15
 	x ^= x >> 31
 	return x * 0xBF58476D1CE4E5B9
 }
@@ -295,6 +298,21 @@
 	return s, s.check()
 }
 
+// Scaled returns the scenario with the installation and its load multiplied by a factor.
+func (s *Scenario) Scaled(factor float64) (scaled *Scenario, err error) {
+	multiply := func(n int) int { return max(int(math.Round(float64(n)*factor)), 1) }
+	c := *s
+	c.Balancers, c.Upstreams = multiply(s.Balancers), multiply(s.Upstreams)
+	c.Classes = slices.Clone(s.Classes)
+	for i := range c.Classes {
+		c.Classes[i].PerSecond *= factor
+		if c.Classes[i].IsLong {
+			c.Classes[i].Callers = multiply(c.Classes[i].Callers)
+		}
+	}
+	return &c, c.check()
+}
+
 // check returns an error if a setting is missing or out of range.
 func (s *Scenario) check() error {
 	switch {
@@ -325,7 +343,7 @@
 }
 
 // maxNodes is the largest number of balancers, and of upstreams.
-const maxNodes = 250
+const maxNodes = 5000
 
 // Run simulates a scenario with a policy and a seed. It fails as World.Run does.
 func Run(s *Scenario, p Policy, seed uint64) (r *Result, err error) {
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -26,14 +26,18 @@
 	isUp     bool
 	isListed bool
 	// isLeaving makes the upstream end each flow with its next answer.
-	isLeaving  bool
-	starts     int
-	warmAt     time.Time // when the warm-up ends
-	slowdown   float64   // factor on the time that a request takes
-	breakShare float64   // share of the requests that get a reset for an answer
-	flows      map[jasminemoor.FlowKey]*upstreamFlow
-	running    int // requests in slots
-	queue      []*job
+	isLeaving bool
+	starts    int
+	startedAt time.Time
+	// listedSince is since when the directory has listed the upstream or one before it
+	// without a gap.
+	listedSince time.Time
+	warmAt      time.Time // when the warm-up ends
+	slowdown    float64   // factor on the time that a request takes
+	breakShare  float64   // share of the requests that get a reset for an answer
+	flows       map[jasminemoor.FlowKey]*upstreamFlow
+	running     int // requests in slots
+	queue       []*job
 }
 
 // upstreamFlow is the upstream's end of a flow.
@@ -54,6 +58,10 @@
 
 func (u *upstream) start(isCold bool) {
 	u.starts++
+	u.startedAt = u.node.world.now
+	if !u.isListed || u.isLeaving {
+		u.listedSince = u.startedAt
+	}
 	u.isUp, u.isListed, u.isLeaving = true, true, false
 	u.flows = make(map[jasminemoor.FlowKey]*upstreamFlow)
 	u.running, u.queue = 0, nil
@@ -64,6 +72,25 @@
 
 func (u *upstream) stop() { u.isUp = false }
 
+// history returns what a process knows from the directory of the upstream's past; see
+// jmdirectory.Upstream. A process knows what it has seen, and from its first copy what
+// the entry of a former upstream tells that is still listed.
+func (u *upstream) history(processStart time.Time) (listedSince, startedAfter time.Time) {
+	isKnown := !processStart.After(u.startedAt)
+	sawFormer := u.listedSince.Before(u.startedAt) && processStart.Sub(u.startedAt) < evictionDelay
+	listedSince = u.listedSince
+	if processStart.After(listedSince) && !sawFormer {
+		listedSince = processStart
+	}
+	if isKnown || sawFormer {
+		startedAfter = u.startedAt.Add(-startUncertainty)
+	}
+	return listedSince, startedAfter
+}
+
+// startUncertainty is how exactly the directory tells when an upstream has started.
+const startUncertainty = 6 * time.Second
+
 // isLive reports whether the upstream is up and has not been restarted since starts
 // had the value run.
 func (u *upstream) isLive(run int) bool { return u.isUp && u.starts == run }
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -98,8 +98,11 @@
 	callers   []*caller
 	revision  uint64 // of the directory
 	version   uint64 // of the routes
-	result    Result
-	violation error // first violation of a guarantee
+	// isPublishing is set while the publication of a change is scheduled.
+	isPublishing bool
+	views        map[time.Time]*jmdirectory.View // of the present revision, by the time of the process's start
+	result       Result
+	violation    error // first violation of a guarantee
 }
 
 // node is the process of a balancer, or of an agent with its upstream. Its
@@ -109,6 +112,7 @@
 	addr       netip.Addr
 	dataCentre string
 	starts     int
+	startedAt  time.Time
 	isUp       bool
 	balancer   balancer
 	agent      agent
@@ -179,7 +183,7 @@
 	w.byAddr = make(map[netip.Addr]*node)
 	w.version = 1
 	for i := range w.Balancers {
-		n := &node{world: w, addr: netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), dataCentre: w.dataCentreName(i)}
+		n := &node{world: w, addr: netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i + 1)}), dataCentre: w.dataCentreName(i)}
 		w.balancers = append(w.balancers, n)
 		w.byAddr[n.addr] = n
 	}
@@ -209,6 +213,7 @@
 // start starts a process with empty state.
 func (n *node) start(isFirstStart bool) {
 	n.starts++
+	n.startedAt = n.world.now
 	n.isUp = true
 	run := n.starts
 	if n.upstream == nil {
@@ -254,13 +259,21 @@
 	n.send(n.agent.HandleProbe(n.world.now, result), nil)
 }
 
-// publish gives every process a snapshot of the directory at once. The replication
-// of the directory has its own tests.
+// publish gives every process a snapshot of the directory, once for all changes of the
+// same time. The replication of the directory has its own tests.
 func (w *World) publish() {
-	w.revision++
-	for _, n := range w.nodes() {
-		n.setSnapshot()
+	if w.isPublishing {
+		return
 	}
+	w.isPublishing = true
+	w.after(0, func() {
+		w.isPublishing = false
+		w.revision++
+		w.views = nil
+		for _, n := range w.nodes() {
+			n.setSnapshot()
+		}
+	})
 }
 
 // nodes returns all processes, always in the same order.
@@ -269,7 +282,7 @@
 // setSnapshot gives a process the directory as it is now, as a snapshot that stays
 // fresh for the whole run.
 func (n *node) setSnapshot() {
-	s := jmpass.Snapshot{View: n.world.view(), AsOf: n.world.now.Add(n.world.Length)}
+	s := jmpass.Snapshot{View: n.world.viewSince(n.startedAt), AsOf: n.world.now.Add(n.world.Length)}
 	switch {
 	case !n.isUp:
 	case n.balancer != nil:
@@ -279,8 +292,19 @@
 	}
 }
 
-// view returns the directory as it is now.
-func (w *World) view() *jmdirectory.View {
+// viewSince returns the directory as it is now, as seen by a process with the given start.
+// Processes that have started at the same time share a view.
+func (w *World) viewSince(processStart time.Time) *jmdirectory.View {
+	if w.views == nil {
+		w.views = make(map[time.Time]*jmdirectory.View)
+	}
+	if w.views[processStart] == nil {
+		w.views[processStart] = w.view(processStart)
+	}
+	return w.views[processStart]
+}
+
+func (w *World) view(processStart time.Time) *jmdirectory.View {
 	s := &jmdirectory.Service{Name: service}
 	v := &jmdirectory.View{
 		Revision:  w.revision,
@@ -308,8 +332,9 @@
 			},
 			WarmAt: n.upstream.warmAt,
 		}
+		u.ListedSince, u.StartedAfter = n.upstream.history(processStart)
 		if n.upstream.isLeaving {
-			u.State = jasminemoor.UpstreamLeaving
+			u.State, u.ListedSince = jasminemoor.UpstreamLeaving, time.Time{}
 		}
 		s.Upstreams = append(s.Upstreams, u)
 		v.Upstreams[u.Address] = u
@@ -335,6 +360,7 @@
 		case jmpass.ToCaller:
 			w.toCaller(m.Flow, clone(body), false)
 		case jmpass.Reset:
+			w.result.countReset(w.now, m.Flow)
 			w.toCaller(m.Flow, codec{}.AppendReset(nil, m.Flow, m.Sequence), true)
 		case jmpass.ToPeer:
 			if m.HasPacket {
@@ -358,6 +384,9 @@
 		delay = remoteDelay
 		w.result.Crossing += len(packet)
 	}
+	if m.Header.Kind == jmhop.KindAsk {
+		w.result.Questions++
+	}
 	message := *m
 	w.after(delay, func() { to.receive(from.addr, &message, packet) })
 }
@@ -391,7 +420,10 @@
 			n.world.reportViolation("packet can't be decoded: %v", err)
 			return
 		}
-		out, _ := n.agent.HandlePeer(now, from, &m.Header, &p, packet)
+		out, reason := n.agent.HandlePeer(now, from, &m.Header, &p, packet)
+		if m.Header.Kind == jmhop.KindForward && (reason == jmpass.ReasonProbed || reason == jmpass.ReasonSearched) {
+			n.world.result.countSearch(now, p.Key())
+		}
 		n.send(out, packet)
 	}
 }
