jmdirectory: calls to the platform that don't grow with the fleet

A fleet starts before its upstreams register, so that no copy listed an agent and each of 204 agents read as the reader; then all agents beyond rank 6, and all balancers, read as soon as their copies were 2.1 s old.

Change: while no agent is listed, the seeds read and all others subscribe to them. An agent reads by rank only if its upstream is listed. All others ask one peer at a time once their copy is stale, and read the platform themselves if two peers in turn don't answer, or now and then if peers are stale as well (about three processes a round, since the platform may serve only some). Agents whose entries lapsed stay in the order for 6 s.

The fake network of these tests now lets a dead process fail a pull; it had answered.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -23,7 +23,8 @@
 	// takeoverDelay is the additional delay per rank, so that agents do not all
 	// take over at once.
 	takeoverDelay = 100 * time.Millisecond
-	// maxTakeoverRank bounds the rank that counts for the delay.
+	// maxTakeoverRank is the last rank whose agents read in place of the reader without
+	// asking a peer first.
 	maxTakeoverRank = 6
 	// minReadInterval is the least time between the starts of two calls, so
 	// that changes in quick succession share a call.
@@ -46,6 +47,21 @@
 	subscribeInterval = time.Second
 	// subscriptionTime is how long a subscription lasts.
 	subscriptionTime = 2500 * time.Millisecond
+	// askPeerAfter is the age of the copy from which the other processes ask peers, one
+	// at a time.
+	askPeerAfter = 1800 * time.Millisecond
+	// Bounds of the delay between two peers, which doubles with each stale answer.
+	minAskInterval = 200 * time.Millisecond
+	maxAskInterval = 1600 * time.Millisecond
+	// peersBeforeRead is how many peers in turn must not have helped before a process
+	// reads the platform itself.
+	peersBeforeRead = 2
+	// readersInTurn is about how many of the processes whose peers have stale copies as
+	// well read the platform in one round. The platform may serve only some instances.
+	readersInTurn = 3
+	// seedlessDelay is how long processes wait in addition, drawn at random, before they
+	// read the platform while no agent is listed and no seed tells them anything.
+	seedlessDelay = 2 * time.Second
 	// expireInterval is how often removed upstreams are checked for expiry.
 	expireInterval = time.Second
 )
@@ -155,9 +171,20 @@
 	seedRequests    int
 	lastExpire      time.Time
 	agents          []netip.Addr // the other agents with an upstream in the copy
+	// isListed is set if the own upstream is in the copy.
+	isListed bool
 	// rank is the number of agents with a higher readerScore. The agent of rank 0
 	// is the reader.
 	rank int
+	// nextAsk is when a peer may be asked again, and askInterval the present delay.
+	nextAsk     time.Time
+	askInterval time.Duration
+	unanswered  int // peers in turn that did not answer
+	stale       int // peers in turn whose copy was stale as well
+	// mayRead is set if the process may make one call to the platform because peers did
+	// not help.
+	mayRead       bool
+	seedlessExtra time.Duration
 	// isDeputy is set while the agent reads in place of those ranked before it.
 	isDeputy bool
 }
@@ -185,9 +212,14 @@
 func (m *Machine) Tick(now time.Time) (out Output) {
 	if now.Sub(m.lastExpire) >= expireInterval {
 		m.lastExpire = now
-		out.HasNewView = m.replica.expire(now) && m.isLoaded
+		if out.HasNewView = m.replica.expire(now) && m.isLoaded; out.HasNewView {
+			m.updateAgents(now)
+		}
+	}
+	if peer, found := m.peerToAsk(now); found {
+		out.Pulls = append(out.Pulls, peer)
 	}
-	if !m.isLoaded && len(m.Seeds) > 0 && now.Sub(m.lastSeedRequest) >= seedInterval {
+	if !m.hasAgents() && len(m.Seeds) > 0 && now.Sub(m.lastSeedRequest) >= seedInterval {
 		m.lastSeedRequest = now
 		seed := m.Seeds[m.seedRequests%len(m.Seeds)]
 		m.seedRequests++
@@ -225,26 +257,77 @@
 // catches up, so the wait is the minimum.
 const catchUpWait = time.Millisecond
 
-// IsReader reports whether the agent watches the platform for the whole fleet, as
-// the agent of rank 0 or as a deputy.
+// IsReader reports whether the process watches the platform for the whole fleet. That is
+// the agent of rank 0 or a deputy, and while no agent is listed, each seed.
 func (m *Machine) IsReader() bool {
-	return m.isLoaded && m.Upstream.IsValid() && (m.rank == 0 || m.isDeputy)
+	if !m.isLoaded {
+		return false
+	}
+	if !m.hasAgents() {
+		return slices.Contains(m.Seeds, m.Self) || len(m.Seeds) == 0 && m.Upstream.IsValid()
+	}
+	return m.Upstream.IsValid() && (m.isListed && m.rank == 0 || m.isDeputy)
 }
 
+// hasAgents reports whether the copy lists any agent, this one included.
+func (m *Machine) hasAgents() bool { return m.isListed || len(m.agents) > 0 }
+
+// isDeputyInTurn reports whether the agent reads in place of the reader after a delay by
+// its rank, without asking a peer.
+func (m *Machine) isDeputyInTurn() bool { return m.isListed && m.rank <= maxTakeoverRank }
+
 func (m *Machine) shouldRead(now time.Time) bool {
 	if !m.isLoaded || m.IsReader() {
 		return true
 	}
-	maxAge := StaleAfter + time.Duration(min(m.rank, maxTakeoverRank))*takeoverDelay
-	if !m.Upstream.IsValid() {
-		maxAge = StaleAfter + maxTakeoverRank*takeoverDelay
+	age := now.Sub(m.replica.asOf)
+	switch {
+	case !m.hasAgents():
+		return age >= StaleAfter+m.seedlessExtra
+	case m.isDeputyInTurn():
+		return age >= StaleAfter+time.Duration(m.rank)*takeoverDelay
 	}
-	return now.Sub(m.replica.asOf) >= maxAge
+	return m.mayRead && age >= askPeerAfter
+}
+
+// peerToAsk returns the peer to ask now for a newer copy. If all processes read the
+// platform once their copies are stale, an outage of the platform costs as many calls
+// as there are processes.
+func (m *Machine) peerToAsk(now time.Time) (peer netip.Addr, found bool) {
+	isStale := m.isLoaded && now.Sub(m.replica.asOf) >= askPeerAfter
+	if !isStale || len(m.agents) == 0 || m.IsReader() || m.isDeputyInTurn() || m.mayRead {
+		return peer, false
+	}
+	if now.Before(m.nextAsk) || now.Sub(m.pullBegun) <= pullTimeout {
+		return peer, false
+	}
+	m.pullBegun, m.pendingBeacon = now, nil
+	m.askInterval = min(max(2*m.askInterval, minAskInterval), maxAskInterval)
+	m.nextAsk = now.Add(m.askInterval/2 + time.Duration(m.Rand.Int64N(int64(m.askInterval))))
+	return m.agents[m.Rand.IntN(len(m.agents))], true
+}
+
+// recordPeer counts the answer of a peer that was asked while the copy is stale, and
+// decides whether the process reads the platform itself.
+func (m *Machine) recordPeer(now time.Time, hasAnswered bool) {
+	switch {
+	case now.Sub(m.replica.asOf) < askPeerAfter:
+		m.unanswered, m.stale, m.askInterval, m.mayRead = 0, 0, 0, false
+		return
+	case hasAnswered:
+		m.unanswered = 0
+		m.stale++
+	default:
+		m.unanswered++
+	}
+	isInTurn := m.stale >= peersBeforeRead && m.Rand.IntN(len(m.agents)+1) < readersInTurn
+	m.mayRead = m.mayRead || m.unanswered >= peersBeforeRead || isInTurn
 }
 
 // HandleRead handles the result of a call at the platform.
 func (m *Machine) HandleRead(now time.Time, read Read, c *jasminemoor.DirectoryChanges, err error) (out Output) {
-	m.isReading = false
+	m.isReading, m.mayRead = false, false
+	m.seedlessExtra = time.Duration(m.Rand.Int64N(int64(seedlessDelay)))
 	if err != nil {
 		least, most := m.backoffBounds()
 		m.backoff = min(max(m.backoff*2, least), most)
@@ -276,7 +359,7 @@
 	out = m.sendBeacon(now, changes, since)
 	out.HasNewView = len(changes) > 0 || read.IsLoad
 	if out.HasNewView {
-		m.updateAgents()
+		m.updateAgents(now)
 	}
 	return out
 }
@@ -343,7 +426,7 @@
 	case canApply:
 		if m.replica.merge(now, b.News, b.Revision, false) {
 			out.HasNewView = true
-			m.updateAgents()
+			m.updateAgents(now)
 		}
 		m.advanceAsOf(now.Add(-b.Age))
 	case now.Sub(m.pullBegun) > pullTimeout:
@@ -412,6 +495,7 @@
 	m.pullBegun = time.Time{}
 	pending := m.pendingBeacon
 	m.pendingBeacon = nil
+	defer func() { m.recordPeer(now, reply != nil) }()
 	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
 		return out
 	}
@@ -420,7 +504,7 @@
 	m.advanceAsOf(now.Add(-reply.Age))
 	if isNew {
 		out.HasNewView = true
-		m.updateAgents()
+		m.updateAgents(now)
 	}
 	if pending != nil {
 		m.forward(&out, now, pending, m.pendingFrom)
@@ -431,15 +515,22 @@
 // Revision returns the revision up to which the copy is complete.
 func (m *Machine) Revision() uint64 { return m.replica.revision }
 
-// updateAgents recomputes the list of agents and this agent's rank.
-func (m *Machine) updateAgents() {
-	m.agents = m.agents[:0]
+// updateAgents recomputes the list of agents and this agent's rank. Agents whose entries
+// have lapsed stay in it for as long as in views, since all may lapse in an outage of
+// the platform's store.
+func (m *Machine) updateAgents(now time.Time) {
+	m.agents, m.isListed = m.agents[:0], false
+	seen := make(map[netip.Addr]bool, len(m.replica.upstreams))
 	for _, known := range m.replica.upstreams {
-		if known.upstream == nil {
+		u := known.view(now)
+		if u == nil || u.IsRemoved && u.State == jasminemoor.UpstreamLeaving {
 			continue
 		}
-		agent := known.upstream.Address.Addr()
-		if agent != m.Self && !slices.Contains(m.agents, agent) {
+		agent := u.Address.Addr()
+		if agent == m.Self {
+			m.isListed = true
+		} else if !seen[agent] {
+			seen[agent] = true
 			m.agents = append(m.agents, agent)
 		}
 	}
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -179,6 +181,10 @@
 	for _, peer := range out.Pulls {
 		m, other := f.machines[self], f.machines[peer]
 		since := m.Revision()
+		if f.isDead[peer] {
+			f.perform(self, m.HandlePullReply(f.now, since, nil))
+			continue
+		}
 		f.perform(self, m.HandlePullReply(f.now, since, other.HandlePullRequest(f.now, &PullRequest{Since: since})))
 	}
 }
@@ -489,3 +495,71 @@
 		})
 	}
 }
+
+// TestOutageCallsDontGrow checks that the calls of a fleet while the platform is down do
+// not grow with its size, nor do those while it serves only some of the processes, whose
+// copies stay recent then.
+func TestOutageCallsDontGrow(t *testing.T) {
+	const outage = 6 * time.Second
+	cases := map[string]func(f *fleet, self netip.Addr, i int) bool{
+		"down":                 func(*fleet, netip.Addr, int) bool { return true },
+		"serves one in twenty": func(_ *fleet, _ netip.Addr, i int) bool { return i%20 != 0 },
+	}
+	for name, isCut := range cases {
+		t.Run(name, func(t *testing.T) {
+			calls := make(map[int]int)
+			for _, agents := range []int{20, 60, 200, 400} {
+				f := newFleet(t, agents/3, agents)
+				f.run(3 * time.Second)
+				for i, self := range slices.SortedFunc(maps.Keys(f.machines), netip.Addr.Compare) {
+					f.isPartitioned[self] = isCut(f, self, i)
+				}
+				f.calls = 0
+				f.run(outage)
+				calls[agents] = f.calls
+				t.Logf("%d agents: %d calls in %s", agents, f.calls, outage)
+				clear(f.isPartitioned)
+				f.write(routingEntry(2, 0, 2))
+				require.Less(t, f.convergenceTime(10*time.Second), 3*time.Second)
+			}
+			require.LessOrEqual(t, calls[400], 2*calls[20])
+		})
+	}
+}
+
+// TestStartCallsDontGrow starts a whole fleet before its upstreams, which register one
+// after the other. Each process loads its copy once. Beyond that the calls do not grow
+// with the fleet.
+func TestStartCallsDontGrow(t *testing.T) {
+	const others = 100 // calls beyond the loads
+	for _, agents := range []int{20, 200} {
+		f := newFleet(t, agents/3, 0)
+		for i := range agents {
+			f.add(agentAddr(i+1), netip.AddrPortFrom(agentAddr(i+1), 8080))
+		}
+		for _, m := range f.machines {
+			m.Seeds = []netip.Addr{balancerAddr(1), balancerAddr(2), balancerAddr(3)}
+		}
+		f.run(time.Second)
+		for i := range agents {
+			f.write(upstreamEntry(i+1, 0))
+			if i%10 == 0 {
+				f.step()
+			}
+		}
+		require.Less(t, f.convergenceTime(10*time.Second), 3*time.Second)
+		f.run(3 * time.Second)
+		t.Logf("%d processes: %d calls", len(f.machines), f.calls)
+		require.LessOrEqual(t, f.calls, len(f.machines)+others)
+	}
+}
+
+// TestCutOffProcessReads cuts a balancer off from all peers. It reads the platform
+// itself.
+func TestCutOffProcessReads(t *testing.T) {
+	f := newFleet(t, 1, 60)
+	f.run(3 * time.Second)
+	f.eachAgent(func(a netip.Addr) { f.isDead[a] = true })
+	f.write(routingEntry(2, 0, 2))
+	require.Less(t, f.convergenceTime(10*time.Second), 3*time.Second)
+}
