jmpass: two agents share the choice of an upstream that would answer late

Change: an agent whose upstream would answer a new flow's request later than half of the route's target, or fails, hands the flow on once, with its expected answer time, to another candidate, of its own data centre if there is one. That agent keeps the flow or, if it is slower, gives it back. Packets that come before the balancer knows of it follow.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -48,6 +48,7 @@
 	flowProbes   map[jasminemoor.FlowKey]flowProbe
 	searches     map[jasminemoor.FlowKey]*search
 	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
+	handedOn     map[jasminemoor.FlowKey]handOn
 	// searchBudget limits the rate of packets that ask other agents for a flow's
 	// holder, and reportBudget that of reports to balancers that send no new flows.
 	// nextReport is the index of the balancer at which the round robin of these
@@ -107,6 +108,7 @@
 		a.started = now
 		a.refused = make(map[jasminemoor.FlowKey]time.Time)
 		a.lostFlows = make(map[jasminemoor.FlowKey]time.Time)
+		a.handedOn = make(map[jasminemoor.FlowKey]handOn)
 		a.flowProbes = make(map[jasminemoor.FlowKey]flowProbe)
 		a.searches = make(map[jasminemoor.FlowKey]*search)
 	}
@@ -128,9 +130,13 @@
 		a.forwardOpening(now, key, p, h, nil)
 		return reason
 	}
+	f := a.table.get(key)
+	if f == nil && a.handOnIfBusy(now, from, key, h) {
+		return ReasonBusy
+	}
+	delete(a.handedOn, key)
 	delete(a.refused, key)
 	delete(a.lostFlows, key)
-	f := a.table.get(key)
 	if f == nil || f.ended == bothEnded {
 		// A closed flow's ports are used again.
 		a.drop(key)
@@ -186,8 +192,8 @@
 		return
 	}
 	header := *h
-	header.Kind, header.Hops, header.Revision = jmhop.KindForward, h.Hops+1, a.revision()
-	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
+	header.Wait = 0
+	a.handOn(now, key, to, header, packet)
 }
 
 // nextAgent returns another agent for a flow, whose upstream is ready. It skips the
@@ -253,6 +259,10 @@
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		return ReasonAbsentEverywhere
 	}
+	if next, found := a.handedOn[key]; found && h.Hops < maxHops {
+		a.handOn(now, key, next.to, *h, nil)
+		return ReasonHandedOn
+	}
 	if a.mayHold(now, key) {
 		if _, isProbing := a.flowProbes[key]; !isProbing {
 			a.flowProbes[key] = flowProbe{at: now, balancer: h.Origin}
@@ -410,6 +420,11 @@
 			delete(a.lostFlows, key)
 		}
 	}
+	for key, next := range a.handedOn {
+		if now.Sub(next.at) > handOnTTL {
+			delete(a.handedOn, key)
+		}
+	}
 }
 
 // Flows returns the number of flows, and of requests in flight at the upstream.
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -110,6 +110,7 @@
 	ReasonHeldBack
 	ReasonGivenUp
 	ReasonUnknownSender
+	ReasonBusy
 	reasonCount
 )
 
@@ -138,6 +139,7 @@
 	ReasonOtherService:      {"other_service", "route is for another service"},
 	ReasonHeldBack:          {"held_back", "request waits for its upstream"},
 	ReasonGivenUp:           {"given_up", "caller gave up while its request waited"},
+	ReasonBusy:              {"busy", "upstream would answer late, another one is compared"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// initialAskCount is how many agents a search asks at first: those that rank
-	// first for the flow, since new flows are placed at one of the first
-	// candidateCount in rank. After that it asks all that may hold the flow.
+	// initialAskCount is how many agents a search asks at first. New flows are placed
+	// among the first candidateCount in rank, which other processes may list otherwise.
+	// After that it asks all that may hold the flow.
 	initialAskCount = 12
 	// askInterval is the delay after which a search first asks again the agents that
 	// have not answered. The delay doubles each time, since they may be down and
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -83,7 +83,16 @@
 		maxQuestions  = 16   // for each lost flow
 		maxResetDelay = 300  // milliseconds, for nine of ten lost flows
 	)
-	for _, name := range []string{"power-off-large"} {
+	cases := map[string]struct{ losesFlows bool }{
+		"power-off-large": {true},
+		"kill-all-large":  {},
+		"slow-large":      {},
+		"broken-large":    {},
+		"burst-large":     {},
+		"shift-large":     {},
+		"replace-large":   {},
+	}
+	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			large := loadScenario(t, name)
 			small, err := large.Scaled(0.1)
@@ -94,9 +103,11 @@
 				require.NoError(t, err)
 				t.Logf("%d upstreams: worth %.3f worst %.3f failed %d of %d, %d questions for %d lost flows, 0.9 of them reset in %.0f ms",
 					s.Upstreams, r.Worth, r.Worst, r.Failed, r.Asked, r.Questions, r.LostFlows, r.ResetP90)
-				require.NotZero(t, r.LostFlows)
-				require.LessOrEqual(t, r.Questions, maxQuestions*r.LostFlows)
-				require.LessOrEqual(t, r.ResetP90, float64(maxResetDelay))
+				if tc.losesFlows {
+					require.NotZero(t, r.LostFlows)
+					require.LessOrEqual(t, r.Questions, maxQuestions*r.LostFlows)
+					require.LessOrEqual(t, r.ResetP90, float64(maxResetDelay))
+				}
 				results = append(results, r)
 			}
 			require.GreaterOrEqual(t, results[1].Worth, results[0].Worth-difference)
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -299,6 +299,7 @@
 }
 
 // Scaled returns the scenario with the installation and its load multiplied by a factor.
+// Faults that go from one process to the next last as long as before.
 func (s *Scenario) Scaled(factor float64) (scaled *Scenario, err error) {
 	multiply := func(n int) int { return max(int(math.Round(float64(n)*factor)), 1) }
 	c := *s
@@ -310,6 +311,13 @@
 			c.Classes[i].Callers = multiply(c.Classes[i].Callers)
 		}
 	}
+	c.Faults = slices.Clone(s.Faults)
+	for i := range c.Faults {
+		switch f := &c.Faults[i]; f.Kind {
+		case FaultReplace, FaultRollAgents, FaultRollBalancer:
+			f.Gap = jmtree.Duration(float64(f.Gap) / factor)
+		}
+	}
 	return &c, c.check()
 }
 
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -55,6 +55,16 @@
 const (
 	// FlagKnown is set if the balancer has the receiver recorded as the flow's holder.
 	FlagKnown uint8 = 1 << iota
+
+	// flagBits is the number of bits for flags in their byte. The others hold Wait.
+	flagBits = 2
+	flagMask = 1<<flagBits - 1
+)
+
+// Header.Wait is in units of WaitUnit on the wire, and at most MaxWait.
+const (
+	WaitUnit = 20 * time.Millisecond
+	MaxWait  = (1<<(8-flagBits) - 1) * WaitUnit
 )
 
 // Errors of Unmarshal.
@@ -73,6 +83,10 @@
 	// retry on a new flow, as far as the sender knows; 0 if it is not known. On the
 	// wire it is in units of AgeUnit, rounded down, and at most 255 of them.
 	Age time.Duration
+	// Wait is how long the sender's upstream would take to answer a request on the new
+	// flow, which the sender hands on in search of a faster one; 0 if it has no such
+	// reason. On the wire it is rounded down to units of WaitUnit, and at least one.
+	Wait time.Duration
 	// DataCentre is the code of the data centre of the balancer that the packet
 	// came through.
 	DataCentre uint8
@@ -92,7 +106,10 @@
 
 // Marshal writes the header into the first HeaderSize bytes of b.
 func (h *Header) Marshal(b []byte) {
-	b[0], b[1], b[2], b[4] = byte(h.Kind), h.Flags, h.Hops, h.DataCentre
+	b[0], b[1], b[2], b[4] = byte(h.Kind), h.Flags&flagMask, h.Hops, h.DataCentre
+	if h.Wait > 0 {
+		b[1] |= byte(min(max(h.Wait, WaitUnit), MaxWait)/WaitUnit) << flagBits
+	}
 	b[3] = byte(min(max(h.Age/AgeUnit, 0), math.MaxUint8))
 	binary.BigEndian.PutUint32(b[revisionStart:], h.Revision)
 	if !h.Origin.IsValid() {
@@ -108,7 +125,8 @@
 	if len(b) < HeaderSize {
 		return ErrShort
 	}
-	h.Kind, h.Flags, h.Hops, h.DataCentre = Kind(b[0]), b[1], b[2], b[4]
+	h.Kind, h.Flags, h.Hops, h.DataCentre = Kind(b[0]), b[1]&flagMask, b[2], b[4]
+	h.Wait = time.Duration(b[1]>>flagBits) * WaitUnit
 	h.Age = time.Duration(b[3]) * AgeUnit
 	if h.Kind < KindForward || h.Kind > KindFlowReset {
 		return ErrKind
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -12,6 +12,7 @@
 
 func TestHeader(t *testing.T) {
 	for name, h := range map[string]jmhop.Header{
+		"handed on": {Kind: jmhop.KindForward, Flags: jmhop.FlagKnown, Hops: 1, Wait: 7 * jmhop.WaitUnit},
 		"forward":   {Kind: jmhop.KindForward, Flags: jmhop.FlagKnown, Hops: 2, Origin: netip.MustParseAddr("10.0.0.1")},
 		"IPv6":      {Kind: jmhop.KindAsk, Origin: netip.MustParseAddr("2001:db8::1")},
 		"retry":     {Kind: jmhop.KindFlowReset, Age: 600 * time.Millisecond, DataCentre: 7},
