--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -37,6 +37,9 @@
 	Counts [ReasonCount]uint64
 	// OnAnswer, if not nil, is called with the time to the first byte of each answer.
 	OnAnswer func(took time.Duration)
+	// OnSearchTimeout, if not nil, is called with the agents that may hold a flow and have
+	// not answered by the end of a search for it.
+	OnSearchTimeout func(flow jasminemoor.FlowKey, unanswered []netip.Addr)
 
 	snapshot Snapshot
 	// newestPeer is the header with the newest revision of the directory that a
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -365,6 +365,9 @@
 	for key, s := range a.searches {
 		if now.Sub(s.started) > searchTimeout {
 			delete(a.searches, key)
+			if a.OnSearchTimeout != nil {
+				a.OnSearchTimeout(key, s.remaining)
+			}
 			continue
 		}
 		if now.Sub(s.asked) >= s.backoff {
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -74,7 +74,7 @@
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
-	a.machine.OnAnswer = a.OnAnswer
+	a.machine.OnAnswer, a.machine.OnSearchTimeout = a.OnAnswer, a.logSearchTimeout
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
@@ -245,6 +245,17 @@
 	a.logDequeued(out)
 }
 
+// maxLoggedAgents bounds the agents in a log line.
+const maxLoggedAgents = 4
+
+// logSearchTimeout logs why a flow without a known holder was not reset.
+func (a *Agent) logSearchTimeout(flow jasminemoor.FlowKey, unanswered []netip.Addr) {
+	a.decisions.Notable("flow: holder was not found in time, and agents that may hold the flow did not answer", logrus.Fields{
+		fieldInstance: a.Settings.Name, fieldFlow: flow.String(), "Unanswered": len(unanswered),
+		"Agents": unanswered[:min(len(unanswered), maxLoggedAgents)],
+	})
+}
+
 // logDequeued logs the requests that were queued at the agent and are now sent to
 // the upstream or dropped.
 func (a *Agent) logDequeued(out []jmpass.Message) {
