--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -196,6 +196,9 @@
 	next := &jmpass.Snapshot{AsOf: c.machine.AsOf()}
 	if old == nil || hasNewView {
 		next.View = c.machine.View(now)
+		if old == nil {
+			c.logFirstView(now, next)
+		}
 		c.logView(old, next)
 	} else {
 		next.View = old.View
@@ -204,6 +207,22 @@
 	c.OnSnapshot(*next)
 }
 
+// logFirstView logs what the first copy tells of the past of the upstreams, which decides
+// how many agents a search asks.
+func (c *Control) logFirstView(now time.Time, first *jmpass.Snapshot) {
+	listedBefore, startKnown := 0, 0
+	for _, u := range first.Upstreams {
+		if !u.ListedSince.IsZero() && u.ListedSince.Before(now) {
+			listedBefore++
+		}
+		if !u.StartedAfter.IsZero() {
+			startKnown++
+		}
+	}
+	c.Log.WithFields(logrus.Fields{"Upstreams": len(first.Upstreams), "ListedBefore": listedBefore, "StartKnown": startKnown}).
+		Info("directory: first copy")
+}
+
 func (c *Control) logView(old, next *jmpass.Snapshot) {
 	if old != nil && old.Version == next.Version {
 		return
