jmpass: a search asks in parts when its budget is short

An agent asked all that remained at once or none, and a burst of 200 never has room for 242: such a flow could not be proven lost at all, at any load. At 5,000 upstreams that is every flow that isn't found among the first 12.

Change: the agents of a round are asked 50 at a time, as the budget allows.

Test: TestSearchAmongMany (1,000 agents), red before.

--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -26,6 +26,8 @@
 	// upstream four datagrams, and after a power failure every agent asks.
 	askRate  = 1000
 	askBurst = 200
+	// askChunk is how many agents of a search are asked at a time if the budget is short.
+	askChunk = 50
 	// searchTimeout is how long a search lasts. The caller retransmits its packet
 	// after 1.6 s at the latest, which starts another search.
 	searchTimeout = 1700 * time.Millisecond
@@ -49,10 +51,12 @@
 	ack      uint32
 	hasData  bool // whether the packet has data
 	started  time.Time
-	asked    time.Time
-	backoff  time.Duration // delay until the agents that have not answered are asked again
+	next     time.Time     // when the next step is due
+	backoff  time.Duration // delay between two rounds, in which agents that have not answered are asked again
 	hasAsked bool          // whether any other agent was asked
 	asksAll  bool          // whether all agents are asked, not only the first in rank
+	// round are the agents that are still to be asked until the next backoff.
+	round []netip.Addr
 	// initialAnswers counts the answers until asksAll is set.
 	initialAnswers int
 	// remaining are the agents that may hold the flow and have not answered that they
@@ -87,7 +91,7 @@
 // answered are asked, within searchBudget.
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
 	if a.mayHold(now, key) {
-		s.asked, s.backoff = now, askInterval
+		s.next = now.Add(askInterval)
 		a.probeFlow(now, key, s)
 		return
 	}
@@ -95,22 +99,35 @@
 	if a.resetIfLost(now, key, s) {
 		return
 	}
-	s.asksAll = s.asksAll || s.hasAsked
-	count := len(s.remaining)
-	if !s.asksAll {
-		count = min(count, initialAskCount)
-	}
-	if !a.searchBudget.allow(now, count, askRate, askBurst) {
-		// The budget is used up by other searches. Try again soon.
-		s.asked, s.backoff = now, askInterval/4
-		return
+	if len(s.round) == 0 {
+		s.asksAll = s.asksAll || s.hasAsked
+		s.round = append(s.round, s.remaining...)
+		if !s.asksAll {
+			s.round = s.round[:min(len(s.round), initialAskCount)]
+		}
 	}
-	s.asked, s.backoff = now, min(max(2*s.backoff, askInterval), searchTimeout)
+	a.askRound(now, key, s)
+}
+
+// askRound asks the agents of a search's round, as many as searchBudget has room for.
+func (a *Agent) askRound(now time.Time, key jasminemoor.FlowKey, s *search) {
+	s.round = slices.DeleteFunc(s.round, func(agent netip.Addr) bool { return s.notHolders[agent] })
 	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Revision: a.revision()}
-	for _, agent := range s.remaining[:count] {
-		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
+	for len(s.round) > 0 {
+		count := min(len(s.round), askChunk)
+		if !a.searchBudget.allow(now, count, askRate, askBurst) {
+			// The budget is used up. Go on soon.
+			s.next = now.Add(askInterval / 4)
+			return
+		}
+		for _, agent := range s.round[:count] {
+			a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
+		}
+		s.round = s.round[count:]
+		s.hasAsked = true
 	}
-	s.hasAsked = true
+	s.backoff = min(max(2*s.backoff, askInterval), searchTimeout)
+	s.next = now.Add(s.backoff)
 }
 
 // updateRemaining computes the agents that remain to be asked, if the view has
@@ -329,7 +346,8 @@
 	}
 	if s.initialAnswers++; s.initialAnswers >= initialAskCount {
 		s.asksAll = true
-		a.ask(now, key, s)
+		s.round = append(s.round[:0], s.remaining...)
+		a.askRound(now, key, s)
 	}
 	return a.out
 }
@@ -359,8 +377,8 @@
 	}
 }
 
-// advanceSearches ends the searches that have timed out, and asks again in those
-// whose backoff has elapsed.
+// advanceSearches ends the searches that have timed out, and takes the next step of those
+// for which it is due.
 func (a *Agent) advanceSearches(now time.Time) {
 	for key, s := range a.searches {
 		if now.Sub(s.started) > searchTimeout {
@@ -370,7 +388,7 @@
 			}
 			continue
 		}
-		if now.Sub(s.asked) >= s.backoff {
+		if !now.Before(s.next) {
 			a.ask(now, key, s)
 		}
 	}
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -215,6 +215,30 @@
 	require.LessOrEqual(t, sent, askBurst+seconds*askRate+reports)
 }
 
+// TestSearchAmongMany searches for a flow that none of 1,000 agents holds, of which nothing
+// is known but that they are listed. The agents that are asked answer, and the flow is
+// reset by the end of the search although the budget is short.
+func TestSearchAmongMany(t *testing.T) {
+	a := newAgent(true, manyUpstreams(1000))
+	p := dataPacket(callerSequence, 10)
+	out, _ := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	for now := startTime; now.Sub(startTime) < searchTimeout; now = now.Add(25 * time.Millisecond) {
+		var asked []netip.Addr
+		for i := range out {
+			if out[i].Header.Kind == jmhop.KindAsk {
+				asked = append(asked, out[i].To)
+			}
+		}
+		for _, agent := range asked {
+			if find(a.HandleAbsent(now, agent, absentHeader, p.Key()), Reset) != nil {
+				return
+			}
+		}
+		out, _ = a.Tick(now)
+	}
+	require.Fail(t, "flow was not reset")
+}
+
 // TestUpstreamSeenDown checks that a restarted agent answers for its upstream without
 // probing it for the flow, once a probe of its port has found that the upstream's
 // process had ended as well.
