--- a/internal/flow/jmpass/handon.go
+++ b/internal/flow/jmpass/handon.go
@@ -16,7 +16,7 @@
 
 // handOnShare is the share of a request's target from which on its expected answer time
 // lets the flow be handed on.
-const handOnShare = 0.5
+const handOnShare = 0.75
 
 // handOnIfBusy hands a new flow on to another agent, or back to the one that it came
 // from, if that is expected to answer earlier. It reports whether it did.
