--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -6,7 +6,6 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -51,7 +50,7 @@
 	flowProbes   map[jasminemoor.FlowKey]flowProbe
 	searches     map[jasminemoor.FlowKey]*search
 	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
-	handedOn     map[jasminemoor.FlowKey]handOn
+	handedOn     map[jasminemoor.FlowKey]nextHop
 	// searchBudget limits the rate of packets that ask other agents for a flow's
 	// holder, and reportBudget that of reports to balancers that send no new flows.
 	// nextReport is the index of the balancer at which the round robin of these
@@ -111,7 +110,7 @@
 		a.started = now
 		a.refused = make(map[jasminemoor.FlowKey]time.Time)
 		a.lostFlows = make(map[jasminemoor.FlowKey]time.Time)
-		a.handedOn = make(map[jasminemoor.FlowKey]handOn)
+		a.handedOn = make(map[jasminemoor.FlowKey]nextHop)
 		a.flowProbes = make(map[jasminemoor.FlowKey]flowProbe)
 		a.searches = make(map[jasminemoor.FlowKey]*search)
 	}
@@ -172,7 +171,7 @@
 		return ReasonUpstreamDown
 	}
 	if a.isOutOfRank(p.Key()) {
-		return ReasonHandedOn
+		return ReasonOutOfRank
 	}
 	return ReasonNone
 }
@@ -219,24 +218,6 @@
 	return others[skip%len(others)], true
 }
 
-// isOutOfRank reports whether the own upstream is not among the first candidateCount
-// upstreams for a flow that are ready, by the own copy of the directory. It must not take
-// the flow then, as a search would not find it: see possibleHoldersOf.
-func (a *Agent) isOutOfRank(key jasminemoor.FlowKey) bool {
-	service := a.snapshot.Services[a.Service]
-	if service == nil {
-		return false
-	}
-	hash, before := key.Hash(), 0
-	own := jmplacer.Score(hash, a.Self)
-	for _, u := range service.Upstreams {
-		if u.IsReady() && jmplacer.Score(hash, u.Address.Addr()) > own {
-			before++
-		}
-	}
-	return before >= candidateCount
-}
-
 // handleForward decides on a packet of an open flow. The packet goes to the own
 // upstream if that holds the flow, or may hold it although the table lacks it. A flow
 // whose upstream is down, or that was found to have no holder, is reset. For any other
--- a/internal/flow/jmpass/handon.go
+++ b/internal/flow/jmpass/handon.go
@@ -46,9 +46,9 @@
 	return true
 }
 
-// handOn is an agent that a new flow was handed on to. The flow's next packets may come
+// nextHop is the agent that a new flow was handed on to. The flow's next packets may come
 // before the balancer knows of it, and follow.
-type handOn struct {
+type nextHop struct {
 	to netip.Addr
 	at time.Time
 }
@@ -60,7 +60,7 @@
 // handOn hands a packet of a new flow on to another agent. The packet is the one at hand
 // if it is nil.
 func (a *Agent) handOn(now time.Time, key jasminemoor.FlowKey, to netip.Addr, header jmhop.Header, packet []byte) {
-	a.handedOn[key] = handOn{to: to, at: now}
+	a.handedOn[key] = nextHop{to: to, at: now}
 	header.Kind, header.Flags, header.Hops, header.Revision = jmhop.KindForward, 0, header.Hops+1, a.revision()
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
 }
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -307,7 +307,7 @@
 			require.Equal(t, ReasonHeld, reason, rank)
 			continue
 		}
-		require.Equal(t, ReasonHandedOn, reason, rank)
+		require.Equal(t, ReasonOutOfRank, reason, rank)
 		require.Equal(t, ranked[0].upstream.Address.Addr(), find(out[len(out)-1:], ToPeer).To, rank)
 	}
 }
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -111,6 +111,7 @@
 	ReasonGivenUp
 	ReasonUnknownSender
 	ReasonBusy
+	ReasonOutOfRank
 	reasonCount
 )
 
@@ -132,7 +133,7 @@
 	ReasonProbed:            {"tested", "upstream may hold the flow"},
 	ReasonRefusedByUpstream: {"refused_by_upstream", "upstream refused the packet"},
 	ReasonUpstreamDown:      {"upstream_down", "upstream does not run"},
-	ReasonHandedOn:          {"handed_on", "upstream is not among the first in rank, flow handed on"},
+	ReasonHandedOn:          {"handed_on", "flow was handed on, packet follows"},
 	ReasonSearched:          {"searched", "other agents asked for the holder"},
 	ReasonAbsentEverywhere:  {"absent_everywhere", "no agent holds the flow"},
 	ReasonLeaving:           {"leaving", "upstream is leaving"},
@@ -140,6 +141,7 @@
 	ReasonHeldBack:          {"held_back", "request waits for its upstream"},
 	ReasonGivenUp:           {"given_up", "caller gave up while its request waited"},
 	ReasonBusy:              {"busy", "upstream would answer late, another one is compared"},
+	ReasonOutOfRank:         {"out_of_rank", "upstream is not among the first in rank, flow handed on"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
@@ -162,7 +164,7 @@
 // IsNotable reports whether a decision is unusual and worth a log line.
 func (r Reason) IsNotable() bool {
 	switch r {
-	case ReasonNone, ReasonPlaced, ReasonKnown, ReasonHeld, ReasonProbed, ReasonNotHeld:
+	case ReasonNone, ReasonPlaced, ReasonKnown, ReasonHeld, ReasonProbed, ReasonNotHeld, ReasonHandedOn, ReasonBusy:
 		return false
 	}
 	return true
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -1,14 +1,11 @@
 package jmpass
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
-	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -151,77 +148,6 @@
 	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
 }
 
-// possibleHolders returns the other agents that may hold a flow, service by service,
-// and those of a service in the order of their rank.
-func (a *Agent) possibleHolders(now time.Time, key jasminemoor.FlowKey) (agents []netip.Addr) {
-	if a.snapshot.View == nil {
-		return nil
-	}
-	route := a.snapshot.Routes[key.Service()]
-	if route == nil {
-		return nil
-	}
-	for _, name := range holderServices(route) {
-		if service := a.snapshot.Services[name]; service != nil {
-			agents = append(agents, a.possibleHoldersOf(now, key, service)...)
-		}
-	}
-	return agents
-}
-
-// possibleHoldersOf returns the other agents of a service that may hold a flow, in the
-// order of their rank.
-//
-// An agent takes a flow only if its upstream is among the first candidateCount in rank
-// by its own copy of the directory (see isOutOfRank). That copy has every upstream that
-// was listed at the time. So an upstream can't hold the flow if candidateCount others
-// rank before it that have been listed since before it started, or since before any
-// flow of today was opened.
-func (a *Agent) possibleHoldersOf(now time.Time, key jasminemoor.FlowKey, service *jmdirectory.Service) (agents []netip.Addr) {
-	oldestFlow := now.Add(-a.maxFlowAge() - maxCopyLag)
-	// listed has the least times of ListedSince among those before, in order.
-	var listed [candidateCount]time.Time
-	count := 0
-	for _, r := range rankAll(key, service.Upstreams) {
-		u := r.upstream
-		flowsSince := u.StartedAfter
-		if flowsSince.Before(oldestFlow) {
-			flowsSince = oldestFlow
-		}
-		isExcluded := count == len(listed) && !listed[count-1].After(flowsSince)
-		if !isExcluded && a.mayHoldFlows(now, u) {
-			agents = append(agents, u.Address.Addr())
-		}
-		if u.ListedSince.IsZero() {
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(listed[:count], u.ListedSince, time.Time.Compare)
-		if at == len(listed) {
-			continue
-		}
-		count = min(count+1, len(listed))
-		copy(listed[at+1:count], listed[at:])
-		listed[at] = u.ListedSince
-	}
-	return agents
-}
-
-// maxCopyLag is how far the copy of the directory by which an agent takes a flow may be
-// behind. A copy that peers or the platform reach is behind by less than a second.
-const maxCopyLag = 3 * time.Second
-
-// mayHoldFlows reports whether another agent's upstream may hold flows.
-func (a *Agent) mayHoldFlows(now time.Time, u *jmdirectory.Upstream) bool {
-	return u.Address.Addr() != a.Self && !hasLeft(now, u)
-}
-
-// hasLeft reports whether an upstream has ended in an orderly way: its entry was removed
-// while it was leaving, and has not returned since. The entry of one that still runs may
-// have lapsed during an outage of the platform's store.
-func hasLeft(now time.Time, u *jmdirectory.Upstream) bool {
-	return u.IsRemoved && u.State == jasminemoor.UpstreamLeaving && now.Sub(u.RemovedAt) >= lapseGrace
-}
-
 // resetIfLost resets a flow, which ends the search, if every agent that could hold it
 // has answered that it does not, the view from which these agents are listed is
 // recent and lacks none, and the own upstream does not hold the flow. It reports whether
@@ -244,43 +170,6 @@
 	return true
 }
 
-// isListComplete reports whether the view lists all upstreams that may hold a flow. The
-// first view may lack entries that lapsed during an outage of the platform's store. Such
-// upstreams return within lapseGrace. They hold no flows if all upstreams have just
-// started, as after a power failure.
-func (a *Agent) isListComplete(now time.Time, key jasminemoor.FlowKey) bool {
-	if a.IsFirstStart || now.Sub(a.firstView) >= lapseGrace {
-		return true
-	}
-	own := a.snapshot.Upstreams[a.Upstream]
-	if own == nil || !a.hasJustStarted(own) {
-		return false
-	}
-	started, listed := 0, 0
-	for _, name := range holderServices(a.snapshot.Routes[key.Service()]) {
-		service := a.snapshot.Services[name]
-		if service == nil {
-			return false
-		}
-		for _, u := range service.Upstreams {
-			listed++
-			if a.hasJustStarted(u) {
-				started++
-			}
-		}
-	}
-	return 2*started > listed
-}
-
-// hasJustStarted reports whether an upstream started a short time before the agent.
-func (a *Agent) hasJustStarted(u *jmdirectory.Upstream) bool {
-	return u.StartedAfter.After(a.firstView.Add(-recentStart))
-}
-
-// recentStart is how long before the agent an upstream may have started to count as one
-// that has just started. It is more than the uncertainty of Upstream.StartedAfter.
-const recentStart = 15 * time.Second
-
 // isNotHeld reports whether the own upstream is known not to hold a flow, whose caller
 // has last acknowledged the sequence number ack.
 func (a *Agent) isNotHeld(now time.Time, key jasminemoor.FlowKey, ack uint32) bool {
@@ -393,15 +282,3 @@
 		}
 	}
 }
-
-// rankAll returns the upstreams in the order of their rank for a flow. The order is the
-// same in every process.
-func rankAll(key jasminemoor.FlowKey, upstreams []*jmdirectory.Upstream) []rankedUpstream {
-	hash := key.Hash()
-	ranked := make([]rankedUpstream, len(upstreams))
-	for i, u := range upstreams {
-		ranked[i] = rankedUpstream{upstream: u, score: jmplacer.Score(hash, u.Address.Addr())}
-	}
-	slices.SortFunc(ranked, func(x, y rankedUpstream) int { return cmp.Compare(y.score, x.score) })
-	return ranked
-}
