--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -57,6 +57,9 @@
 	Fanout = 6
 	// subscribeCount is how many agents a balancer subscribes to at a time.
 	subscribeCount = 3
+	// maxServed bounds the subscribers that a beacon is sent to. Each may pull the changes.
+	// At the start of a fleet all processes subscribe to the seeds, until they know agents.
+	maxServed = 64
 	// maxBeaconItems bounds the items in a beacon. A peer that lacks more pulls them.
 	maxBeaconItems = 12
 	// maxSeenBeacons bounds the beacons remembered for deduplication.
@@ -308,8 +311,8 @@
 	}
 }
 
-// forward sends a beacon to Fanout random agents and to all subscribers, but not
-// back to the peer that it came from.
+// forward sends a beacon to Fanout random agents and to at most maxServed subscribers,
+// but not back to the peer that it came from.
 func (m *Machine) forward(out *Output, now time.Time, b *Beacon, from netip.Addr) {
 	message := &Message{Beacon: b}
 	for _, agent := range m.pickAgents(Fanout) {
@@ -317,11 +320,13 @@
 			out.Sends = append(out.Sends, Send{To: agent, Message: message})
 		}
 	}
-	for sub, at := range m.subscribers {
+	served := 0
+	for sub, at := range m.subscribers { // in random order
 		switch {
 		case now.Sub(at) > subscriptionTime:
 			delete(m.subscribers, sub)
-		case sub != from:
+		case sub != from && served < maxServed:
+			served++
 			out.Sends = append(out.Sends, Send{To: sub, Message: message})
 		}
 	}
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -132,6 +132,7 @@
 	revision      uint64
 	calls         int
 	sends         int
+	pulled        map[netip.Addr]int // pulls that each process has answered
 	queue         []Send
 	from          []netip.Addr
 	calling       map[netip.Addr]Read
@@ -146,7 +147,7 @@
 func newFleet(t *testing.T, balancers, agents int) *fleet {
 	f := &fleet{
 		t: t, now: startTime, machines: make(map[netip.Addr]*Machine), isPartitioned: make(map[netip.Addr]bool),
-		isDead: make(map[netip.Addr]bool), calling: make(map[netip.Addr]Read), answerAt: make(map[netip.Addr]time.Time),
+		isDead: make(map[netip.Addr]bool), calling: make(map[netip.Addr]Read), answerAt: make(map[netip.Addr]time.Time), pulled: make(map[netip.Addr]int),
 	}
 	f.write(routingEntry(1, 0, 1, 2, 3))
 	for i := range agents {
@@ -185,6 +186,7 @@
 			f.perform(self, m.HandlePullReply(f.now, since, nil))
 			continue
 		}
+		f.pulled[peer]++
 		f.perform(self, m.HandlePullReply(f.now, since, other.HandlePullRequest(f.now, &PullRequest{Since: since})))
 	}
 }
@@ -554,6 +556,33 @@
 	}
 }
 
+// TestSeedsServeFew starts a large fleet before its upstreams. The pulls that a process
+// answers in a step are bounded by those that it serves: each seed sends the beacons of
+// the three seeds.
+func TestSeedsServeFew(t *testing.T) {
+	const agents, seeds = 600, 3
+	const bound = seeds * (maxServed + Fanout)
+	f := newFleet(t, agents/3, 0)
+	for i := range agents {
+		f.add(agentAddr(i+1), netip.AddrPortFrom(agentAddr(i+1), 8080))
+	}
+	for _, m := range f.machines {
+		m.Seeds = []netip.Addr{balancerAddr(1), balancerAddr(2), balancerAddr(3)}
+	}
+	f.run(time.Second)
+	for i := range agents {
+		f.write(upstreamEntry(i+1, 0))
+	}
+	for range 100 {
+		clear(f.pulled)
+		f.step()
+		for _, count := range f.pulled {
+			require.LessOrEqual(t, count, bound)
+		}
+	}
+	require.Less(t, f.convergenceTime(10*time.Second), 3*time.Second)
+}
+
 // TestCutOffProcessReads cuts a balancer off from all peers. It reads the platform
 // itself.
 func TestCutOffProcessReads(t *testing.T) {
