--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -61,29 +61,23 @@
 // live.
 func (a *Agent) possibleHoldersOf(now time.Time, key jasminemoor.FlowKey, service *jmdirectory.Service) (agents []netip.Addr) {
 	oldestFlow := now.Add(-a.maxFlowAge() - maxCopyLag)
-	// listed has the least times of ListedSince among those before, in order.
-	var listed [candidateCount]time.Time
-	count := 0
+	var listed []time.Time // ListedSince of the candidateCount listed for longest of those before
 	for _, r := range rankAll(key, service.Upstreams) {
 		u := r.upstream
 		flowsSince := u.StartedAfter
 		if flowsSince.Before(oldestFlow) {
 			flowsSince = oldestFlow
 		}
-		isExcluded := count == len(listed) && !listed[count-1].After(flowsSince)
+		isExcluded := len(listed) == candidateCount && !slices.MaxFunc(listed, time.Time.Compare).After(flowsSince)
 		if !isExcluded && a.mayHoldFlows(now, u) {
 			agents = append(agents, u.Address.Addr())
 		}
 		if u.ListedSince.IsZero() {
 			continue
 		}
-		at, _ := slices.BinarySearchFunc(listed[:count], u.ListedSince, time.Time.Compare)
-		if at == len(listed) {
-			continue
-		}
-		count = min(count+1, len(listed))
-		copy(listed[at+1:count], listed[at:])
-		listed[at] = u.ListedSince
+		at, _ := slices.BinarySearchFunc(listed, u.ListedSince, time.Time.Compare)
+		listed = slices.Insert(listed, at, u.ListedSince)
+		listed = listed[:min(len(listed), candidateCount)]
 	}
 	return agents
 }
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -158,6 +158,7 @@
 	}
 	for step := range 150 {
 		l.now = l.now.Add(holderStep)
+		l.removeDead(died)
 		addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
 		for _, addr := range addrs {
 			l.change(l.lives[addr], died, lapsed)
@@ -199,22 +200,30 @@
 	}
 }
 
-// change lets something happen to an upstream, with a low probability.
-func (l *listing) change(x *life, died, lapsed map[*life]time.Time) {
+// removeDead removes the entries of upstreams that have been dead for three heartbeats.
+func (l *listing) removeDead(died map[*life]time.Time) {
 	const heartbeats = 3600 * time.Millisecond
-	for old, at := range died {
-		if l.now.Sub(at) > heartbeats {
-			if e, found := l.entries[old.key]; found && e.Upstream.Born == old.upstream.Born {
-				l.write(old.key, nil)
-			}
-			delete(died, old)
+	for x, at := range died {
+		if l.now.Sub(at) <= heartbeats {
+			continue
+		}
+		if e, found := l.entries[x.key]; found && e.Upstream.Born == x.upstream.Born {
+			l.write(x.key, nil)
 		}
+		delete(died, x)
 	}
-	switch at, isLapsed := lapsed[x]; {
-	case isLapsed && x.isAlive && l.now.Sub(at) > lapseGrace-holderStep:
+}
+
+// change lets something happen to an upstream, with a low probability.
+func (l *listing) change(x *life, died, lapsed map[*life]time.Time) {
+	at, isLapsed := lapsed[x]
+	if isLapsed && x.isAlive && l.now.Sub(at) > lapseGrace-holderStep {
 		x.upstream.WarmIn = 0
 		l.write(x.key, &x.upstream)
 		delete(lapsed, x)
+		return
+	}
+	switch {
 	case !x.isAlive && l.rand.IntN(10) == 0:
 		l.startUpstream(x.upstream.Address.Addr())
 	case !x.isAlive || isLapsed:
