jmdirectory: subscribers are served in turn; removals of a whole copy come first

TestWholeFleetStarts/few_served failed once at 5.1 s (bound 5 s), and 3 of 6 times when repeated: since a beacon goes to a bounded number of subscribers, some were passed over by chance.

Found while reading the history of addresses again: another whole copy, after the platform's history was lost, replaced a removed upstream by its successor before it removed it, so that the address counted as listed without a gap. TestHistory has the case, red before.

--- a/internal/fleet/jmdirectory/history_test.go
+++ b/internal/fleet/jmdirectory/history_test.go
@@ -75,6 +75,10 @@
 			[]change{load(entry("a", 1, long)), {30 * time.Second, false, []jasminemoor.Entry{removal("a", 2), entry("b", 3, recent)}}},
 			at(30 * time.Second), at(30*time.Second - unconfirmed - entryLapse),
 		},
+		"replaced in another whole copy": {
+			[]change{load(entry("a", 1, long)), {30 * time.Second, true, []jasminemoor.Entry{entry("b", 3, recent)}}},
+			at(30 * time.Second), at(30*time.Second - unconfirmed - entryLapse),
+		},
 		"lapsed and returned": {
 			[]change{
 				load(entry("a", 1, long)),
--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -59,7 +59,7 @@
 	subscribeCount = 3
 	// maxServed bounds the subscribers that a beacon is sent to. Each may pull the changes.
 	// At the start of a fleet all processes subscribe to the seeds, until they know agents.
-	maxServed = 64
+	maxServed = 128
 	// maxBeaconItems bounds the items in a beacon. A peer that lacks more pulls them.
 	maxBeaconItems = 12
 	// maxSeenBeacons bounds the beacons remembered for deduplication.
@@ -153,7 +153,7 @@
 	pendingFrom     netip.Addr
 	seen            map[seenBeacon]bool
 	seenOrder       []seenBeacon
-	subscribers     map[netip.Addr]time.Time
+	subscribers     map[netip.Addr]*subscription
 	lastSubscribe   time.Time
 	lastSeedRequest time.Time
 	seedRequests    int
@@ -248,10 +248,7 @@
 // Handle handles a message of a peer.
 func (m *Machine) Handle(now time.Time, from netip.Addr, message *Message) (out Output) {
 	if message.IsSubscribe {
-		if m.subscribers == nil {
-			m.subscribers = make(map[netip.Addr]time.Time)
-		}
-		m.subscribers[from] = now
+		m.renewSubscription(now, from)
 	}
 	if message.Beacon != nil {
 		m.handleBeacon(&out, now, from, message.Beacon)
@@ -320,13 +317,8 @@
 			out.Sends = append(out.Sends, Send{To: agent, Message: message})
 		}
 	}
-	served := 0
-	for sub, at := range m.subscribers { // in random order
-		switch {
-		case now.Sub(at) > subscriptionTime:
-			delete(m.subscribers, sub)
-		case sub != from && served < maxServed:
-			served++
+	for _, sub := range m.subscribersToServe(now) {
+		if sub != from {
 			out.Sends = append(out.Sends, Send{To: sub, Message: message})
 		}
 	}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -97,7 +97,15 @@
 // If isWhole is set, the answer lists all entries.
 func (r *replica) applyEntries(now time.Time, c *jasminemoor.DirectoryChanges, isWhole bool) (changed []Item) {
 	r.init()
-	listed := make(map[string]bool)
+	if isWhole {
+		// Removals come first: the address of a removed upstream was not listed until that
+		// of an added one, as far as a listing tells.
+		listed := make(map[string]bool)
+		for i := range c.Entries {
+			listed[c.Entries[i].Key] = true
+		}
+		changed = r.removeOthers(now, c.Revision, listed)
+	}
 	for i := range c.Entries {
 		e := &c.Entries[i]
 		if e.Routing != nil {
@@ -105,13 +113,11 @@
 			continue
 		}
 		item := Item{Revision: e.Revision, Upstream: &UpstreamItem{Key: e.Key, Upstream: e.Upstream}}
-		listed[e.Key] = true
 		if r.apply(now, &item) {
 			changed = append(changed, item)
 		}
 	}
 	if isWhole {
-		changed = append(changed, r.removeOthers(now, c.Revision, listed)...)
 		// The listing omits entries that were added and removed since the last
 		// revision, so their removals are unknown here.
 		r.removalsSince = max(r.removalsSince, c.Revision)
@@ -259,17 +265,21 @@
 // that changed after a revision up to which this copy is complete.
 func (r *replica) merge(now time.Time, items []Item, revision uint64, isWhole bool) (isNew bool) {
 	r.init()
-	listed := make(map[string]bool)
+	if isWhole && revision > r.revision {
+		listed := make(map[string]bool)
+		for i := range items {
+			if items[i].Upstream != nil {
+				listed[items[i].Upstream.Key] = true
+			}
+		}
+		isNew = len(r.removeOthers(now, revision, listed)) > 0
+	}
 	// The histories of addresses depend on the order of the changes.
 	items = slices.SortedFunc(slices.Values(items), func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range items {
 		isNew = r.apply(now, &items[i]) || isNew
-		if items[i].Upstream != nil {
-			listed[items[i].Upstream.Key] = true
-		}
 	}
 	if isWhole && revision > r.revision {
-		isNew = len(r.removeOthers(now, revision, listed)) > 0 || isNew
 		isNew = r.removeOtherRoutes(items, revision) || isNew
 		r.removalsSince = max(r.removalsSince, revision)
 	}
--- /dev/null
+++ b/internal/fleet/jmdirectory/subscription.go
@@ -0,0 +1,44 @@
+package jmdirectory
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// subscription is a peer's request to be sent beacons.
+type subscription struct {
+	renewed time.Time
+	served  time.Time // when the peer was last sent a beacon
+}
+
+// renewSubscription records that a peer asks for beacons for subscriptionTime.
+func (m *Machine) renewSubscription(now time.Time, peer netip.Addr) {
+	if m.subscribers == nil {
+		m.subscribers = make(map[netip.Addr]*subscription)
+	}
+	if m.subscribers[peer] == nil {
+		m.subscribers[peer] = &subscription{}
+	}
+	m.subscribers[peer].renewed = now
+}
+
+// subscribersToServe returns the subscribers to send a beacon to, at most maxServed. It
+// takes those first that have waited for longest, and drops subscriptions that have ended.
+func (m *Machine) subscribersToServe(now time.Time) []netip.Addr {
+	maps.DeleteFunc(m.subscribers, func(_ netip.Addr, s *subscription) bool {
+		return now.Sub(s.renewed) > subscriptionTime
+	})
+	peers := slices.Collect(maps.Keys(m.subscribers))
+	if len(peers) > maxServed {
+		slices.SortFunc(peers, func(x, y netip.Addr) int {
+			return m.subscribers[x].served.Compare(m.subscribers[y].served)
+		})
+		peers = peers[:maxServed]
+	}
+	for _, peer := range peers {
+		m.subscribers[peer].served = now
+	}
+	return peers
+}
