--- a/cmd/jasminemoor/measureflows.go
+++ b/cmd/jasminemoor/measureflows.go
@@ -54,22 +54,10 @@
 // compareFlows runs one scenario with the load balancer's policy and, if wanted, with the
 // naive one.
 func compareFlows(path string, seed uint64, scale float64, withNaive bool) (results []*jmflows.Result, err error) {
-	defer func() {
-		if err != nil {
-			err = eris.Wrapf(err, "scenario %s", path)
-		}
-	}()
-	text, err := os.ReadFile(path) //nolint:gosec // the operator chooses the file
+	s, err := readScenario(path, scale)
 	if err != nil {
 		return nil, err
 	}
-	s, err := jmflows.Parse(text)
-	if err != nil {
-		return nil, err
-	}
-	if s, err = s.Scaled(scale); err != nil {
-		return nil, err
-	}
 	policies := []jmflows.Policy{jmflows.Product}
 	if withNaive {
 		policies = append(policies, jmflows.Naive)
@@ -77,7 +65,7 @@
 	for _, policy := range policies {
 		r, err := jmflows.Run(s, policy, seed)
 		if err != nil {
-			return nil, eris.Wrapf(err, "policy %s, seed %d", policy.Name, seed)
+			return nil, eris.Wrapf(err, "scenario %s: policy %s, seed %d", path, policy.Name, seed)
 		}
 		results = append(results, r)
 	}
--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -105,6 +105,7 @@
 // not ended before.
 func (w *World) newRequest(c *Class) *request {
 	r := &request{class: c, sentAt: w.now}
+	w.result.requests = append(w.result.requests, r)
 	w.result.countRequest(w, r)
 	w.after(time.Duration(c.Deadline), func() { w.result.endRequest(w, r, false) })
 	return r
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -40,6 +40,7 @@
 	searched   map[jasminemoor.FlowKey]time.Time // when an agent first got a packet of a flow that it did not know
 	resetTimes []time.Duration
 
+	requests  []*request // all that callers sent
 	opened    int
 	latencies []time.Duration
 	flows     map[jasminemoor.FlowKey]*callerFlow // all flows that callers opened
