--- a/cmd/jasminemoor/passthrough_test.go
+++ b/cmd/jasminemoor/passthrough_test.go
@@ -76,6 +76,12 @@
 	require.Equal(t, exitOK, code, errOut)
 	require.Contains(t, out, "calm")
 	require.FileExists(t, plot)
+	out, errOut, code = runCommand(t, "", "measure", "bound", "-scale", "0.5", scenario)
+	require.Equal(t, exitOK, code, errOut)
+	require.Contains(t, out, "alone")
+	require.Contains(t, out, "central")
+	_, _, code = runCommand(t, "", "measure", "bound")
+	require.Equal(t, exitUsage, code)
 	_, _, code = runCommand(t, "", "measure", "flows")
 	require.Equal(t, exitUsage, code)
 }
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -47,11 +47,17 @@
 	})
 	t.Run("a silent agent may hold it", func(t *testing.T) {
 		a := begin(snapshot(3))
+		var silent []netip.Addr
+		a.OnSearchTimeout = func(flow jasminemoor.FlowKey, unanswered []netip.Addr) {
+			require.Equal(t, key, flow)
+			silent = append(silent, unanswered...)
+		}
 		a.HandleAbsent(startTime, agentAddr(2), absentHeader, key)
 		for now := startTime; now.Sub(startTime) < 2*searchTimeout; now = now.Add(20 * time.Millisecond) {
 			out, _ := a.Tick(now)
 			require.NotContains(t, kinds(out), Reset)
 		}
+		require.Equal(t, []netip.Addr{agentAddr(3)}, silent)
 	})
 	t.Run("an upstream whose entry lapsed may hold it", func(t *testing.T) {
 		a := begin(snapshot(3, removed(3)))
