jmpass: a search that waits for its budget does not rank the upstreams again

Cause, from a stack of the model at 5,000 upstreams that did not end: each step of a search, also one that only waits for the budget, computed the possible holders anew: a hash for each upstream and a sort, 40 times a second for each search.

Change: they are computed at the beginning of a round. Test: TestWaitingSearchIsCheap, red before (208 allocations a tick for 100 searches).

--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -92,7 +92,9 @@
 		a.probeFlow(now, key, s)
 		return
 	}
-	s.isInitialized = s.isInitialized && !s.hasAsked // upstreams may have left since
+	if s.hasAsked && len(s.round) == 0 {
+		s.isInitialized = false // upstreams may have left since the last round
+	}
 	if a.resetIfLost(now, key, s) {
 		return
 	}
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -318,3 +318,21 @@
 	require.Equal(t, jmhop.KindFlowReset, out[0].Header.Kind)
 	require.Equal(t, balancerAddr, out[0].To)
 }
+
+// TestWaitingSearchIsCheap runs many searches whose budget is used up. Their ticks must not
+// rank the upstreams again, which costs as much as there are upstreams.
+func TestWaitingSearchIsCheap(t *testing.T) {
+	a := newAgent(true, manyUpstreams(1000))
+	for port := range uint16(100) {
+		p := dataPacket(callerSequence, 10)
+		p.Source = netip.AddrPortFrom(callerAddr.Addr(), port)
+		_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	}
+	now := startTime.Add(askInterval)
+	_, _ = a.Tick(now)
+	perTick := testing.AllocsPerRun(1, func() {
+		now = now.Add(askInterval / 4)
+		_, _ = a.Tick(now)
+	})
+	require.Less(t, perTick, 100.0, "less than one allocation a search")
+}
