--- a/internal/flow/jmpass/queue_test.go
+++ b/internal/flow/jmpass/queue_test.go
@@ -385,3 +385,24 @@
 	out, _ = a.Tick(startTime.Add(answerAfterEnd + time.Millisecond))
 	require.Equal(t, []byte{queuedFlow}, find(out, ToUpstream).Packet)
 }
+
+// TestRepeatedAnswer has the upstream repeat the answer to a flow's first request while the
+// second one is in flight: the caller had retransmitted the first. The second request still
+// holds its place.
+func TestRepeatedAnswer(t *testing.T) {
+	a := newAgent(true, snapshot(1))
+	openFlow(t, a)
+	first, second := dataPacket(callerSequence+1, 10), dataPacket(callerSequence+11, 10)
+	send := func(p *jasminemoor.Packet) {
+		_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(jmhop.FlagKnown), p, []byte("packet"))
+	}
+	answer := upstreamPacket(jasminemoor.FlagAck, 100)
+	answer.Sequence++
+	send(first)
+	_, _ = a.HandleUpstream(startTime, answer, nil, false)
+	send(first)
+	send(second)
+	_, _ = a.HandleUpstream(startTime, answer, nil, false)
+	_, inFlight := a.Flows()
+	require.Equal(t, 1, inFlight)
+}
