--- a/areas_test.go
+++ b/areas_test.go
@@ -15,7 +15,7 @@
 // below internal: an area may import only itself and the areas before it in the
 // order.
 func TestAreas(t *testing.T) {
-	order := []string{"wire", "settings", "fleet", "request", "flow", "operate", "measure", "standin"}
+	order := []string{"wire", "settings", "fleet", "load", "request", "flow", "operate", "measure", "standin"}
 	place := make(map[string]int, len(order))
 	for i, area := range order {
 		place[area] = i
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -26,7 +26,10 @@
 	// KindFlowReset, which is the key of the flow.
 	FlowKeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a datagram of KindReport.
-	ReportSize = 23
+	ReportSize = 27
+	// oldReportSize is the size of the body as earlier versions send it, without Wait and
+	// Room.
+	oldReportSize = 23
 )
 
 // Kind is the type of a datagram.
@@ -153,8 +156,18 @@
 	State    ReportState
 	// Revision is the revision of the agent's copy of the directory.
 	Revision uint64
+	// Wait is how long a request that arrives now would wait until its answer begins,
+	// 0 if it is not known. On the wire it is in milliseconds, rounded up, and at most
+	// 65,535 of them.
+	Wait time.Duration
+	// Room is how many new flows the upstream can take within the next second while it
+	// warms up, NoLimit if that is not limited.
+	Room uint16
 }
 
+// NoLimit is the value of Report.Room without a limit.
+const NoLimit = math.MaxUint16
+
 // ReportState is the state of an agent, which decides whether balancers send it new
 // flows.
 type ReportState uint8
@@ -173,12 +186,16 @@
 	b = binary.BigEndian.AppendUint16(b, r.Flows)
 	b = binary.BigEndian.AppendUint16(b, r.Failures)
 	b = append(b, byte(r.State))
-	return binary.BigEndian.AppendUint64(b, r.Revision)
+	b = binary.BigEndian.AppendUint64(b, r.Revision)
+	wait := (max(r.Wait, 0) + time.Millisecond - 1) / time.Millisecond
+	b = binary.BigEndian.AppendUint16(b, uint16(min(wait, math.MaxUint16)))
+	return binary.BigEndian.AppendUint16(b, r.Room)
 }
 
-// Unmarshal reads a report from the body of a datagram.
+// Unmarshal reads a report from the body of a datagram. Earlier versions send none of
+// Wait and Room.
 func (r *Report) Unmarshal(b []byte) error {
-	if len(b) < ReportSize {
+	if len(b) < ReportSize && len(b) != oldReportSize {
 		return ErrShort
 	}
 	r.Incarnation = jasminemoor.Incarnation(binary.BigEndian.Uint64(b))
@@ -187,5 +204,10 @@
 	r.Failures = binary.BigEndian.Uint16(b[12:])
 	r.State = ReportState(b[14])
 	r.Revision = binary.BigEndian.Uint64(b[15:])
+	r.Wait, r.Room = 0, NoLimit
+	if len(b) >= ReportSize {
+		r.Wait = time.Duration(binary.BigEndian.Uint16(b[23:])) * time.Millisecond
+		r.Room = binary.BigEndian.Uint16(b[25:])
+	}
 	return nil
 }
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -76,12 +76,20 @@
 }
 
 func TestReport(t *testing.T) {
-	r := jmhop.Report{Incarnation: 1 << 50, Waiting: 7, Flows: 300, Failures: 1000, State: jmhop.ReportLeaving, Revision: 99}
+	r := jmhop.Report{
+		Incarnation: 1 << 50, Waiting: 7, Flows: 300, Failures: 1000, State: jmhop.ReportLeaving, Revision: 99,
+		Wait: 120 * time.Millisecond, Room: 12,
+	}
 	b := r.Append(nil)
 	require.Len(t, b, jmhop.ReportSize)
 	var got jmhop.Report
 	require.NoError(t, got.Unmarshal(b))
 	require.Equal(t, r, got)
+
+	// A report of an earlier version sets no limit.
+	r.Wait, r.Room = 0, jmhop.NoLimit
+	require.NoError(t, got.Unmarshal(b[:23]))
+	require.Equal(t, r, got)
 }
 
 func FuzzUnmarshal(f *testing.F) {
--- a/passthrough.go
+++ b/passthrough.go
@@ -162,24 +162,40 @@
 	Created uint64
 }
 
-// Entry is one entry of the platform's directory. Upstream and Routing are both
-// nil if the entry was removed or can't be decoded.
+// Entry is one entry of the platform's directory. Upstream, Routing and Evacuation are
+// all nil if the entry was removed or can't be decoded.
 type Entry struct {
 	Key string
 	// Revision is the platform's change counter at the entry's last change.
-	Revision uint64
-	Upstream *ListedUpstream
-	Routing  *Routing
+	Revision   uint64
+	Upstream   *ListedUpstream
+	Routing    *Routing
+	Evacuation *Evacuation
+}
+
+// Evacuation is an operator's request that the upstreams of a data centre get no new
+// flows. It holds until its entry is removed.
+type Evacuation struct {
+	DataCentre string
 }
 
 // Routing is the configuration of all routes.
 type Routing struct {
-	Version uint64
-	Routes  []Route
+	Version  uint64
+	Routes   []Route
+	Services []ServiceLimits
 	// IdleTimeout is how long a flow may be idle before its state is removed.
 	IdleTimeout time.Duration
 }
 
+// ServiceLimits are the limits that an operator sets for each upstream of a service.
+type ServiceLimits struct {
+	Service string
+	// ColdRate is how many new flows a second an upstream bears while it warms up,
+	// 0 if there is no limit.
+	ColdRate float64
+}
+
 // DirectoryChanges holds the entries that have changed up to a revision.
 type DirectoryChanges struct {
 	Revision uint64
