jmshares: the work of an upstream is divided fairly among routes and client accounts

Change: start-time fair queueing by work, by route and then by client account or address, inside each priority, where the setting Shares is there; weights, and a limit of waiting requests beyond which an account's new flows are refused. Read again without a restart. The model gets a burst of one class, FairShares, and outcomes by class. Ruled out: counts instead of work; one level; token buckets (docs/design/shares.md).

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -73,6 +73,7 @@
 	log.WithField("Role", name).Info("process: started")
 	decisions := &jmdecision.Log{Log: log.Logger}
 	var r role
+	onReload := func(next *jmlocal.Settings) { store.SetAddress(next.Platform.Address.String()) }
 	operator := &jmoperator.Server{Address: s.Operator.String()}
 	if name == jmlocal.RoleBalancer {
 		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
@@ -80,9 +81,14 @@
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
+		setAddress := onReload
+		onReload = func(next *jmlocal.Settings) {
+			setAddress(next)
+			a.SetShares(next.Shares)
+		}
 	}
 	tasks := []func(context.Context) error{func(ctx context.Context) error {
-		reloadSettings(ctx, path, name, s, store, log)
+		reloadSettings(ctx, path, name, s, onReload, log)
 		return nil
 	}}
 	if s.Operator.IsValid() {
@@ -98,9 +104,9 @@
 const settingsInterval = 3 * time.Second
 
 // reloadSettings reads the settings file again after a SIGHUP and at each
-// settingsInterval. Only a new address of the platform takes effect. A file with
-// faults is logged and otherwise ignored.
-func reloadSettings(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, store *jmadapter.Store, log logrus.FieldLogger) {
+// settingsInterval, and calls onReload with those that have changed. A file with faults is
+// logged and otherwise ignored.
+func reloadSettings(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, onReload func(next *jmlocal.Settings), log logrus.FieldLogger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -125,7 +131,7 @@
 		if changed := s.FieldsNeedingRestart(next); len(changed) > 0 {
 			log.WithField("Fields", changed).Warn("settings: these fields take effect only after a restart")
 		}
-		store.SetAddress(next.Platform.Address.String())
+		onReload(next)
 		s = next
 	}
 }
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -133,6 +133,9 @@
 		return reason
 	}
 	f := a.table.get(key)
+	if f == nil && a.refuseOverLimit(key, h, p) {
+		return ReasonOverLimit
+	}
 	if f == nil && a.handOnIfBusy(now, from, key, h) {
 		return ReasonBusy
 	}
--- a/internal/flow/jmpass/queue.go
+++ b/internal/flow/jmpass/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmshares"
 )
 
 const (
@@ -34,6 +35,7 @@
 	target   time.Time // when it should be answered
 	deadline time.Time // when its caller gives up
 	priority int       // lower numbers go first
+	claim    jmshares.Claim
 }
 
 // requestQueue queues requests while the upstream is busy, and chooses the next one
@@ -47,8 +49,13 @@
 // the late requests would starve until their callers give up. Shortly before its
 // deadline a late request is therefore admitted if the requests in time have slack,
 // and otherwise with every lastChanceEvery-th admission.
+//
+// Where shares is set, requests of one priority go by the share of their route and of
+// their client account before they go by time, so that a burst of one route or caller
+// does not cost the others.
 type requestQueue struct {
 	requests []*request
+	shares   *jmshares.Shares
 	// sinceLastChance counts the admissions since the last one of a late request
 	// shortly before its deadline.
 	sinceLastChance int
@@ -73,6 +80,27 @@
 	}
 }
 
+// push appends a request.
+func (q *requestQueue) push(r *request) {
+	r.claim = q.join(r)
+	q.requests = append(q.requests, r)
+}
+
+// join returns the claim of a request that begins to wait.
+func (q *requestQueue) join(r *request) (claim jmshares.Claim) {
+	if q.shares == nil {
+		return claim
+	}
+	return q.shares.Join(jmshares.Competitor{Priority: r.priority, Route: r.flow.Service(), Caller: r.flow.Caller().Addr()})
+}
+
+// leave gives up the share of a request that has not been admitted.
+func (q *requestQueue) leave(r *request) {
+	if q.shares != nil {
+		q.shares.Leave(r.claim)
+	}
+}
+
 // expire removes and returns the requests whose deadline has passed.
 func (q *requestQueue) expire(now time.Time) (expired []*request) {
 	kept := q.requests[:0]
@@ -81,6 +109,7 @@
 			kept = append(kept, r)
 		} else {
 			expired = append(expired, r)
+			q.leave(r)
 		}
 	}
 	clear(q.requests[len(kept):])
@@ -112,6 +141,9 @@
 	}
 	chosen = q.requests[at]
 	q.requests = append(q.requests[:at], q.requests[at+1:]...)
+	if q.shares != nil {
+		q.shares.Serve(chosen.claim, answerTime)
+	}
 	return chosen
 }
 
@@ -164,6 +196,8 @@
 		return isInTime
 	case r.priority != other.priority:
 		return r.priority < other.priority
+	case r.claim.Compare(&other.claim) != 0:
+		return r.claim.Compare(&other.claim) < 0
 	case isInTime:
 		return r.target.Before(other.target)
 	}
@@ -173,6 +207,7 @@
 func (q *requestQueue) remove(flow jasminemoor.FlowKey) {
 	for i, r := range q.requests {
 		if r.flow == flow {
+			q.leave(r)
 			q.requests = append(q.requests[:i], q.requests[i+1:]...)
 			return
 		}
@@ -208,7 +243,7 @@
 		r.deadline = earliest
 	}
 	r.add(p, packet)
-	a.queue.requests = append(a.queue.requests, r)
+	a.queue.push(r)
 	f.lastUsed, f.isOpen = now, true
 	return ReasonHeldBack
 }
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -73,6 +73,7 @@
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
+	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
 	a.machine.OnAnswer, a.machine.OnSearchTimeout = a.OnAnswer, a.logSearchTimeout
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
@@ -109,6 +110,18 @@
 	return nil
 }
 
+// SetShares replaces the division of the upstream's work, nil for none. It may be called
+// at any time.
+func (a *Agent) SetShares(s *jmlocal.Shares) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s == nil {
+		a.machine.SetShares(false, nil)
+	} else {
+		a.machine.SetShares(true, s.Accounts)
+	}
+}
+
 // Count returns how many decisions were made for a reason.
 func (a *Agent) Count(reason jmpass.Reason) uint64 {
 	a.mu.Lock()
--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -92,7 +92,7 @@
 // after it the following ones. The arrivals are a Poisson process, whose rate is
 // higher during bursts.
 func (w *World) scheduleArrival(c *Class) {
-	gap := w.Rand.ExpFloat64() / (c.PerSecond * w.loadFactor())
+	gap := w.Rand.ExpFloat64() / (c.PerSecond * w.loadFactor(c))
 	w.after(time.Duration(gap*float64(time.Second)), func() {
 		sender := w.newCaller()
 		r := w.newRequest(c)
@@ -113,7 +113,7 @@
 
 // thinkTime draws the pause between two requests of a long flow.
 func (c *Class) thinkTime(w *World) time.Duration {
-	mean := float64(c.Callers) / (c.PerSecond * w.loadFactor())
+	mean := float64(c.Callers) / (c.PerSecond * w.loadFactor(c))
 	return time.Duration(mean * (1 - thinkJitter + 2*thinkJitter*w.Rand.Float64()) * float64(time.Second))
 }
 
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -162,3 +162,26 @@
 	require.Contains(t, b.String(), "<polyline")
 	require.Contains(t, b.String(), "</svg>")
 }
+
+// TestBurstOfOneRoute multiplies the load of one route until the upstreams can't answer it.
+// The other route, which asks for less than its share, is served as on a quiet day if work
+// is divided fairly.
+func TestBurstOfOneRoute(t *testing.T) {
+	const quietTarget = 0.95 // the users' target for quiet days
+	s := loadScenario(t, "burst-one-route")
+	for _, scale := range []float64{1, 4} {
+		scaled, err := s.Scaled(scale)
+		require.NoError(t, err)
+		for _, isFair := range []bool{false, true} {
+			scaled.FairShares = isFair
+			r, err := jmflows.Run(scaled, jmflows.Product, 1)
+			require.NoError(t, err)
+			other := r.ByClass["warning"]
+			worth := other.Earned / other.Owed
+			t.Logf("%d upstreams, fair %v: worth %.3f, of the other route %.3f", scaled.Upstreams, isFair, r.Worth, worth)
+			if isFair {
+				require.GreaterOrEqual(t, worth, quietTarget)
+			}
+		}
+	}
+}
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -36,6 +36,8 @@
 	// agent until the reset, in milliseconds.
 	ResetP90 float64
 	Windows  []Window
+	// ByClass has the outcomes of each class, by its name.
+	ByClass map[string]*Window
 
 	searched   map[jasminemoor.FlowKey]time.Time // when an agent first got a packet of a flow that it did not know
 	resetTimes []time.Duration
@@ -56,6 +58,23 @@
 	Earned, Owed                float64
 }
 
+// countOutcome adds the outcome of a request, and the worth that it had, to the window of
+// its sending time and to its class.
+func (r *Result) countOutcome(w *World, q *request, count func(window *Window), worth float64) {
+	if r.ByClass == nil {
+		r.ByClass = make(map[string]*Window)
+	}
+	c := r.ByClass[q.class.Name]
+	if c == nil {
+		c = &Window{}
+		r.ByClass[q.class.Name] = c
+	}
+	for _, each := range []*Window{r.window(w, q.sentAt), c} {
+		count(each)
+		each.Earned += worth
+	}
+}
+
 // window returns the window that a time belongs to.
 func (r *Result) window(w *World, at time.Time) *Window {
 	index := int(at.Sub(w.startedAt) / windowLength)
@@ -72,11 +91,12 @@
 		return
 	}
 	q.isCounted = true
-	window := r.window(w, q.sentAt)
 	r.Asked++
-	window.Asked++
 	r.owed += q.class.Worth
-	window.Owed += q.class.Worth
+	r.countOutcome(w, q, func(window *Window) {
+		window.Asked++
+		window.Owed += q.class.Worth
+	}, 0)
 }
 
 // endRequest counts the outcome of a request, the first time it is called for it.
@@ -88,27 +108,25 @@
 	if !q.isCounted {
 		return
 	}
-	window := r.window(w, q.sentAt)
 	took := w.now.Sub(q.sentAt)
 	worth := 0.0
 	switch {
 	case !isAnswered:
 		r.Failed++
-		window.Failed++
+		r.countOutcome(w, q, func(window *Window) { window.Failed++ }, 0)
 	case took <= time.Duration(q.class.Target):
 		r.InTime++
-		window.InTime++
 		worth = q.class.Worth
+		r.countOutcome(w, q, func(window *Window) { window.InTime++ }, worth)
 	default:
 		r.Late++
-		window.Late++
 		worth = q.class.Late
+		r.countOutcome(w, q, func(window *Window) { window.Late++ }, worth)
 	}
 	if isAnswered {
 		r.latencies = append(r.latencies, took)
 	}
 	r.earned += worth
-	window.Earned += worth
 }
 
 // summarise computes the fields of the result that cover the whole run.
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -29,7 +29,9 @@
 	Upstreams   int
 	DataCentres int
 	Slots       int
-	Length      time.Duration `json:"-"`
+	// FairShares is set if agents divide their upstream's work fairly among routes.
+	FairShares bool
+	Length     time.Duration `json:"-"`
 	// Lasts is Length as the file has it.
 	Lasts   jmtree.Duration
 	Classes []Class
@@ -65,7 +67,7 @@
 
 // The kinds of fault.
 const (
-	FaultBurst        FaultKind = "Burst"        // the load is multiplied by Factor
+	FaultBurst        FaultKind = "Burst"        // the load of Class, or all of it, is multiplied by Factor
 	FaultPowerOff     FaultKind = "PowerOff"     // all instances lose power: processes and upstreams stop
 	FaultKillAll      FaultKind = "KillAll"      // all processes are killed, upstreams keep running
 	FaultZoneOff      FaultKind = "ZoneOff"      // the instances of one data centre lose power
@@ -87,13 +89,14 @@
 	Share  float64 // of the upstreams
 	Factor float64
 	Gap    jmtree.Duration
+	Class  string // of a burst; all classes if it is not set
 }
 
-// loadFactor returns the factor by which the active bursts raise the load.
-func (w *World) loadFactor() float64 {
+// loadFactor returns the factor by which the active bursts raise the load of a class.
+func (w *World) loadFactor(c *Class) float64 {
 	factor := 1.0
 	for i := range w.Faults {
-		if f := &w.Faults[i]; f.Kind == FaultBurst && w.isActive(f) {
+		if f := &w.Faults[i]; f.Kind == FaultBurst && w.isActive(f) && (f.Class == "" || f.Class == c.Name) {
 			factor *= f.Factor
 		}
 	}
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -57,10 +57,12 @@
 		return &jmpass.Balancer{Self: self, DataCentre: dataCentre}
 	},
 	newAgent: func(n *node, isFirstStart bool) agent {
-		return &jmpass.Agent{
+		a := &jmpass.Agent{
 			Self: n.addr, Upstream: n.upstream.addr, Service: service, IsFirstStart: isFirstStart,
 			Incarnation: jasminemoor.Incarnation(n.starts),
 		}
+		a.SetShares(n.world.FairShares, nil)
+		return a
 	},
 }
 
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
 
+	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
 
@@ -45,6 +47,42 @@
 	// Operator is the address to serve metrics at. If it is not set, none are served.
 	Operator netip.AddrPort
 	Platform Platform
+	// Shares divides an upstream's work fairly while requests wait. If it is not set,
+	// only priorities and times count.
+	Shares *Shares
+}
+
+// Shares are the settings of the division of an upstream's work among routes and client
+// accounts. A caller whose address is in no account's networks is an account of its own.
+type Shares struct {
+	Accounts []jasminemoor.ClientAccount
+}
+
+// maxAccounts bounds the client accounts, which are compared with each new flow's caller.
+const maxAccounts = 256
+
+func (s *Shares) check() error {
+	if len(s.Accounts) > maxAccounts {
+		return eris.Errorf("Shares.Accounts has %d accounts, at most %d are allowed", len(s.Accounts), maxAccounts)
+	}
+	names := make(map[string]bool)
+	for i := range s.Accounts {
+		a := &s.Accounts[i]
+		switch field := fmt.Sprintf("Shares.Accounts[%d]", i); {
+		case a.Name == "":
+			return missing(field + ".Name")
+		case names[a.Name]:
+			return eris.Errorf("%s.Name %q is used twice", field, a.Name)
+		case len(a.Networks) == 0:
+			return missing(field + ".Networks")
+		case a.Weight < 0:
+			return eris.Errorf("%s.Weight %v is negative", field, a.Weight)
+		case a.MaxWaiting < 0:
+			return eris.Errorf("%s.MaxWaiting %d is negative", field, a.MaxWaiting)
+		}
+		names[a.Name] = true
+	}
+	return nil
 }
 
 // Platform holds the address of the platform's store.
@@ -106,6 +144,11 @@
 	case s.MaxFlowAge < 0:
 		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
 	}
+	if s.Shares != nil {
+		if err := s.Shares.check(); err != nil {
+			return err
+		}
+	}
 	if role != RoleAgent {
 		return nil
 	}
--- a/internal/settings/jmlocal/settings_test.go
+++ b/internal/settings/jmlocal/settings_test.go
@@ -1,12 +1,14 @@
 package jmlocal_test
 
 import (
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 )
@@ -17,6 +19,7 @@
 	"Seeds": ["10.0.0.1:8166"], "Packets": "10.0.0.2:8172", "Outbound": "10.0.0.2:8162",
 	"Ready": "10.0.0.2:8167", "Upstream": "10.0.0.2:8165", "Service": "shop",
 	"MaxFlowAge": "45s", "Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
+	"Shares": {"Accounts": [{"Name": "gold", "Networks": ["100.64.0.0/24"], "Weight": 3, "MaxWaiting": 20}, {"Name": "silver", "Networks": ["100.64.1.0/24"]}]},
 }`
 
 func TestParse(t *testing.T) {
@@ -26,6 +29,10 @@
 	require.Equal(t, "10.9.0.1:8169", s.Platform.Address.String())
 	require.Len(t, s.Seeds, 1)
 	require.Equal(t, jmtree.Duration(45*time.Second), s.MaxFlowAge)
+	require.Equal(t, []jasminemoor.ClientAccount{
+		{Name: "gold", Networks: []netip.Prefix{netip.MustParsePrefix("100.64.0.0/24")}, Weight: 3, MaxWaiting: 20},
+		{Name: "silver", Networks: []netip.Prefix{netip.MustParsePrefix("100.64.1.0/24")}},
+	}, s.Shares.Accounts)
 }
 
 func TestParseErrorNamesField(t *testing.T) {
@@ -40,6 +47,11 @@
 		"no service":      {`"Service": "shop",`, "", "Service"},
 		"no platform":     {`"Address": "10.9.0.1:8169"`, "", "Platform.Address"},
 		"flow age":        {`"45s"`, `"-1s"`, "MaxFlowAge"},
+		"account's name":  {`"gold"`, `""`, "Shares.Accounts[0].Name"},
+		"a name twice":    {`"gold"`, `"silver"`, "Shares.Accounts[1].Name"},
+		"no networks":     {`, "Networks": ["100.64.1.0/24"]`, "", "Shares.Accounts[1].Networks"},
+		"weight":          {`"Weight": 3`, `"Weight": -1`, "Shares.Accounts[0].Weight"},
+		"max waiting":     {`"MaxWaiting": 20`, `"MaxWaiting": -1`, "Shares.Accounts[0].MaxWaiting"},
 		"another type":    {`"DataCentre": "a"`, `"DataCentre": 5`, "DataCentre"},
 	}
 	for name, tc := range cases {
