--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -6,6 +6,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmoverload"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -39,6 +40,9 @@
 	// OnSearchTimeout, if not nil, is called with the agents that may hold a flow and have
 	// not answered by the end of a search for it.
 	OnSearchTimeout func(flow jasminemoor.FlowKey, unanswered []netip.Addr)
+	// OnOverload, if not nil, is called with nil when an overload of the upstream begins,
+	// and with what became of its requests when it ends.
+	OnOverload func(episode *jmoverload.Episode)
 
 	snapshot Snapshot
 	// newestPeer is the header with the newest revision of the directory that a
@@ -70,6 +74,7 @@
 	isLeaving       bool
 	upstream        upstreamState
 	queue           requestQueue
+	overload        jmoverload.Detector
 	failureRate     failureRate
 	out             []Message
 }
@@ -381,6 +386,7 @@
 		a.failOverdueRequests(now)
 		a.admitQueued(now)
 	}
+	a.updateOverload(now)
 	if now.Sub(a.swept) >= sweepInterval {
 		a.sweep(now)
 	}
--- a/internal/flow/jmpass/queue.go
+++ b/internal/flow/jmpass/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmoverload"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmshares"
 )
 
@@ -261,6 +262,7 @@
 		// the caller retransmits from now on go to the upstream, which ends the flow.
 		a.queue.remove(key)
 		f.ended |= callerEnded
+		a.overload.Record(a.partyOf(key), jmoverload.GivenUp)
 		a.out = append(a.out, Message{Kind: Dropped, Flow: key, Packet: r.packets[0], RequestAge: now.Sub(r.arrived)})
 		return ReasonGivenUp
 	case p.Length == 0:
@@ -324,6 +326,7 @@
 func (a *Agent) dropExpired(now time.Time) {
 	for _, r := range a.queue.expire(now) {
 		a.Counts[ReasonGivenUp]++
+		a.overload.Record(a.partyOf(r.flow), jmoverload.GivenUp)
 		a.out = append(a.out, Message{Kind: Dropped, Flow: r.flow, Packet: r.packets[0], RequestAge: now.Sub(r.arrived)})
 	}
 }
@@ -333,10 +336,12 @@
 func (a *Agent) admitQueued(now time.Time) {
 	a.dropExpired(now)
 	for len(a.queue.requests) > 0 && a.table.inFlight < a.maxInFlight() {
-		r := a.queue.next(now, max(a.table.answerTime, minAnswerTime), a.slots())
+		answerTime := max(a.table.answerTime, minAnswerTime)
+		r := a.queue.next(now, answerTime, a.slots())
 		if r == nil {
 			return
 		}
+		a.recordAdmitted(now, r, answerTime)
 		f := a.table.get(r.flow)
 		if f == nil {
 			continue
--- a/internal/flow/jmpass/shares.go
+++ b/internal/flow/jmpass/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmoverload"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmshares"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
@@ -35,6 +36,7 @@
 	}
 	if p.Age < time.Millisecond && h.Hops == 0 {
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
+		a.overload.Record(a.partyOf(key), jmoverload.Refused)
 	}
 	return true
 }
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -75,7 +75,7 @@
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
-	a.machine.OnAnswer, a.machine.OnSearchTimeout = a.OnAnswer, a.logSearchTimeout
+	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
