jmopening: new flows that no upstream could answer in time are refused at the opening

Change: a balancer marks a new flow if recent reports of all candidates say that they would answer after the route's timeout; the agent refuses it if its own queue says so too, and it is the first copy. Ruled out: docs/design/refusal.md.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -141,6 +141,9 @@
 	if f == nil && a.refuseOverLimit(key, h, p) {
 		return ReasonOverLimit
 	}
+	if f == nil && a.refuseInVain(now, key, h, p) {
+		return ReasonInVain
+	}
 	if f == nil && a.handOnIfBusy(now, from, key, h) {
 		return ReasonBusy
 	}
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmopening"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -48,6 +49,7 @@
 	agents         []agentState
 	byAddr         map[netip.Addr]uint32
 	scratch        []rankedUpstream
+	reports        []jmopening.Report // scratch space of isFull
 	retries        retries
 	dataCentreCode uint8 // code of DataCentre
 }
@@ -209,7 +211,7 @@
 		avoid, reason = b.agents[known.holder].addr, ReasonRepeated
 	}
 	service := b.snapshot.Services[route.Pick(flow)]
-	at, ok := b.choose(now, flow, service, avoid)
+	at, ok, isFull := b.choose(now, flow, route, service, avoid)
 	if !ok {
 		if now.Sub(b.firstDecision) < lapseGrace {
 			// The list may not be complete yet. The caller retransmits its packet soon.
@@ -224,6 +226,9 @@
 	}
 	b.put(flow, balancerFlow{holder: at})
 	m = b.forward(flow, chosen.addr, 0)
+	if isFull {
+		m.Header.Flags = jmhop.FlagFull
+	}
 	if !found {
 		m.Header.Age = b.retries.claim(now, flow.Caller().Addr())
 	}
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -43,13 +43,14 @@
 
 // choose returns the agent, as an index into b.agents, of the candidate upstream
 // with the least cost for a new flow. The agent to avoid gets suspectPenalty. ok is
-// false if there is no candidate.
-func (b *Balancer) choose(now time.Time, flow jasminemoor.FlowKey, service *jmdirectory.Service, avoid netip.Addr) (at uint32, ok bool) {
+// false if there is no candidate, and isFull is set if none could answer in time.
+func (b *Balancer) choose(now time.Time, flow jasminemoor.FlowKey, route *jmdirectory.Route, service *jmdirectory.Service, avoid netip.Addr) (at uint32, ok, isFull bool) {
 	if service == nil {
-		return 0, false
+		return 0, false, false
 	}
 	best := 0.0
-	for _, c := range b.placementCandidates(now, flow, service) {
+	candidates := b.placementCandidates(now, flow, service)
+	for _, c := range candidates {
 		agent := c.upstream.Address.Addr()
 		index := b.indexOf(agent)
 		cost := b.cost(now, c.upstream, &b.agents[index]) + tieBreak*c.score
@@ -60,7 +61,7 @@
 			best, at, ok = cost, index, true
 		}
 	}
-	return at, ok
+	return at, ok, b.isFull(now, route, candidates)
 }
 
 // rankedUpstream is an upstream with its rendezvous score for a flow.
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -113,6 +113,7 @@
 	ReasonBusy
 	ReasonOutOfRank
 	ReasonOverLimit
+	ReasonInVain
 	reasonCount
 )
 
@@ -144,6 +145,7 @@
 	ReasonBusy:              {"busy", "upstream would answer late, another one is compared"},
 	ReasonOutOfRank:         {"out_of_rank", "upstream is not among the first in rank, flow handed on"},
 	ReasonOverLimit:         {"over_limit", "client account has as many requests waiting as it may"},
+	ReasonInVain:            {"in_vain", "no upstream could answer before the caller gives up"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -58,6 +58,9 @@
 const (
 	// FlagKnown is set if the balancer has the receiver recorded as the flow's holder.
 	FlagKnown uint8 = 1 << iota
+	// FlagFull is set on the packet of a new flow if recent reports of all upstreams that
+	// may get it say that they would answer after its caller has given up.
+	FlagFull
 
 	// flagBits is the number of bits for flags in their byte. The others hold Wait.
 	flagBits = 2
