Directory, jmpass: agents announce that their upstream has ended

Cause: after a power failure during a release, the agent of an upstream that did not start again found the port refusing connections, answered "not held" for two seconds and left as planned.

Change: what a refused connection proves is announced to all processes, by address, ID and Born of the entry, 1 s after the first refusal or at once when the agent leaves. Processes forward it once, repeat it to a random agent twice a second for those that start later, and send it with pulled copies. A search no longer waits for such an upstream, balancers rank its agent last for unknown flows, and reset the flows of a confirmed holder once the agent is silent. The agent itself, whose upstream has not just started but has ended, may take its first list as whole like the others.

Ruled out: announcing at the first refusal (after a power failure every agent would, and nearly all upstreams are back within a second); naming an entry that started less than 10 s before the refusal, which may not listen yet; a further field in Message or Beacon (arrays of a fixed length: earlier releases drop the datagram).

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -89,6 +89,8 @@
 	// IsSubscribe asks the receiver to send its beacons to the sender for
 	// subscriptionTime.
 	IsSubscribe bool
+	// Endings are sent in messages of their own.
+	Endings []Ending `msgpack:"-"`
 }
 
 // PullRequest asks a peer for all changes since a revision.
@@ -102,7 +104,8 @@
 	IsWhole  bool
 	Items    []Item
 	// Age is the age of the peer's copy, negative if it has none.
-	Age time.Duration
+	Age     time.Duration
+	Endings []Ending
 }
 
 // Send is a message to send to a peer.
@@ -221,6 +224,7 @@
 			out.Sends = append(out.Sends, Send{To: agent, Message: &Message{IsSubscribe: true}})
 		}
 	}
+	m.tickEndings(&out, now)
 	return out
 }
 
@@ -253,6 +257,7 @@
 	if message.Beacon != nil {
 		m.handleBeacon(&out, now, from, message.Beacon)
 	}
+	m.handleEndings(&out, now, message.Endings)
 	return out
 }
 
@@ -330,7 +335,9 @@
 		return &PullReply{Age: -1}
 	}
 	items, isWhole := m.replica.delta(r.Since)
-	return &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf)}
+	reply = &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf)}
+	reply.Endings = m.replica.endings.list(now, maxEndings)
+	return reply
 }
 
 // HandlePullReply handles a peer's reply, or nil if the exchange failed. Since
@@ -340,6 +347,9 @@
 	pending := m.pendingBeacon
 	m.pendingBeacon = nil
 	defer func() { m.recordPeer(now, reply != nil) }()
+	if reply != nil {
+		m.handleEndings(&out, now, reply.Endings)
+	}
 	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
 		return out
 	}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -65,6 +65,7 @@
 	routes          map[netip.AddrPort]*knownRoute
 	upstreams       map[string]*knownUpstream
 	histories       map[netip.AddrPort]*history
+	endings         endings
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -21,6 +21,8 @@
 	Upstreams map[netip.AddrPort]*Upstream
 	// Agents holds the newest entry of each agent's address.
 	Agents map[netip.Addr]*Upstream
+	// EndingCount grows with each upstream that was found to have ended.
+	EndingCount uint64
 }
 
 // Route is a route and the services that may hold its flows.
@@ -84,6 +86,9 @@
 	// StartedAfter is a time before which the upstream had not started, zero if none is
 	// known. Its flows were opened later.
 	StartedAfter time.Time
+	// HasEnded is set if an agent has found the upstream's process to have ended, so that
+	// it holds no flows.
+	HasEnded bool
 }
 
 // IsReady reports whether new flows may go to the upstream.
@@ -98,6 +103,7 @@
 		Routes:      make(map[netip.AddrPort]*Route, len(r.routes)),
 		Services:    make(map[string]*Service),
 		Upstreams:   make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
+		EndingCount: r.endings.count,
 	}
 	for addr, known := range r.routes {
 		if known.route != nil {
@@ -108,6 +114,7 @@
 	for _, known := range r.upstreams {
 		if u := known.view(now); u != nil {
 			r.addHistory(u)
+			u.HasEnded = r.endings.has(&u.ListedUpstream)
 			v.add(u)
 		}
 	}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -83,7 +83,13 @@
 }
 
 // SetSnapshot replaces the agent's view of the directory.
-func (a *Agent) SetSnapshot(s Snapshot) { a.snapshot = s }
+func (a *Agent) SetSnapshot(s Snapshot) {
+	before := a.snapshot.View
+	a.snapshot = s
+	if before != nil && s.View != nil && s.EndingCount != before.EndingCount {
+		a.applyEndings()
+	}
+}
 
 // HandlePeer decides on a caller's packet that a balancer or another agent
 // forwarded.
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -176,7 +176,8 @@
 	// holderUnlisted is a silent agent whose upstream the copy of the directory does
 	// not list. The copy may lack its entry after an outage of the platform's store.
 	holderUnlisted
-	// holderLeft is a silent agent whose upstream was removed while it was leaving.
+	// holderLeft is a silent agent whose upstream was removed while it was leaving, or was
+	// found to have ended.
 	holderLeft
 )
 
@@ -189,7 +190,7 @@
 	switch {
 	case u == nil:
 		return holderUnlisted
-	case hasLeft(now, u):
+	case u.HasEnded || hasLeft(now, u):
 		return holderLeft
 	}
 	return holderPresent
@@ -231,7 +232,8 @@
 }
 
 // firstInRank returns the agent that ranks first for a flow that this balancer does
-// not know. Suspect agents and those whose entry was removed rank after all others.
+// not know. Suspect agents and those whose upstream has ended or whose entry was removed
+// rank after all others.
 func (b *Balancer) firstInRank(now time.Time, flow jasminemoor.FlowKey, route *jmdirectory.Route) (to netip.Addr, ok bool) {
 	best, hash := math.Inf(-1), flow.Hash()
 	for _, name := range holderServices(route) {
@@ -241,7 +243,7 @@
 		}
 		for _, u := range service.Upstreams {
 			score := jmplacer.Score(hash, u.Address.Addr())
-			if u.IsRemoved || b.agents[b.indexOf(u.Address.Addr())].isSuspect(now) {
+			if u.IsRemoved || u.HasEnded || b.agents[b.indexOf(u.Address.Addr())].isSuspect(now) {
 				score -= 1 // after all others, as scores are from 0 to 1
 			}
 			if score > best {
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -88,7 +88,7 @@
 
 // mayHoldFlows reports whether another agent's upstream may hold flows.
 func (a *Agent) mayHoldFlows(now time.Time, u *jmdirectory.Upstream) bool {
-	return u.Address.Addr() != a.Self && !hasLeft(now, u)
+	return u.Address.Addr() != a.Self && !u.HasEnded && !hasLeft(now, u)
 }
 
 // hasLeft reports whether an upstream has ended in an orderly way: its entry was removed
@@ -101,13 +101,13 @@
 // isListComplete reports whether the view lists all upstreams that may hold a flow. The
 // first view may lack entries that lapsed during an outage of the platform's store. Such
 // upstreams return within lapseGrace. They hold no flows if all upstreams have just
-// started, as after a power failure.
+// started, as after a power failure. The own one may have ended instead.
 func (a *Agent) isListComplete(now time.Time, key jasminemoor.FlowKey) bool {
 	if a.IsFirstStart || now.Sub(a.firstView) >= lapseGrace {
 		return true
 	}
 	own := a.snapshot.Upstreams[a.Upstream]
-	if own == nil || !a.hasJustStarted(own) {
+	if !a.sawUpstreamDown && (own == nil || !a.hasJustStarted(own)) {
 		return false
 	}
 	started, listed := 0, 0
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -210,6 +210,7 @@
 		case <-ctx.Done():
 			return
 		case <-a.leaving:
+			a.announceEnding(ctx)
 			a.mu.Lock()
 			s.send(a.machine.Leave(time.Now()), nil)
 			a.mu.Unlock()
@@ -290,6 +291,7 @@
 		_ = conn.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		result = jmpass.ProbeRefused
+		a.control.RecordRefusal()
 	case errors.Is(err, context.Canceled):
 		return
 	case isTimeout(err):
--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -204,6 +204,9 @@
 // expire ends the attempt at the deadline of the request.
 func (t *attempt) expire() {
 	if !t.isOver {
+		if t.flow.isOpen && !t.flow.caller.world.isHeld(t.flow) {
+			t.flow.caller.world.result.Abandoned++
+		}
 		t.flow.close()
 		t.finish(false)
 	}
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -27,6 +27,7 @@
 	isListed bool
 	// isLeaving makes the upstream end each flow with its next answer.
 	isLeaving bool
+	hasEnded  bool // it has ended, and all processes know
 	starts    int
 	startedAt time.Time
 	// listedSince is since when the directory has listed the upstream or one before it
@@ -62,7 +63,7 @@
 	if !u.isListed || u.isLeaving {
 		u.listedSince = u.startedAt
 	}
-	u.isUp, u.isListed, u.isLeaving = true, true, false
+	u.isUp, u.isListed, u.isLeaving, u.hasEnded = true, true, false, false
 	u.flows = make(map[jasminemoor.FlowKey]*upstreamFlow)
 	u.running, u.queue = 0, nil
 	if isCold {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -97,6 +97,7 @@
 	byAddr    map[netip.Addr]*node
 	callers   []*caller
 	revision  uint64 // of the directory
+	endings   uint64 // upstreams that are known to have ended
 	version   uint64 // of the routes
 	// isPublishing is set while the publication of a change is scheduled.
 	isPublishing bool
@@ -117,6 +118,8 @@
 	balancer   balancer
 	agent      agent
 	upstream   *upstream
+	// sawUpstreamDown is set if a probe of the agent has found that the upstream had ended.
+	sawUpstreamDown bool
 }
 
 // event is a function to run at a virtual time.
@@ -256,6 +259,7 @@
 	if n.upstream.isUp {
 		result = jmpass.ProbeAccepted
 	}
+	n.sawUpstreamDown = !n.upstream.isUp
 	n.send(n.agent.HandleProbe(n.world.now, result), nil)
 }
 
@@ -313,6 +317,8 @@
 		Services:  map[string]*jmdirectory.Service{service: s},
 		Upstreams: make(map[netip.AddrPort]*jmdirectory.Upstream),
 		Agents:    make(map[netip.Addr]*jmdirectory.Upstream),
+
+		EndingCount: w.endings,
 	}
 	for i := range w.Classes {
 		c := &w.Classes[i]
@@ -330,7 +336,8 @@
 			ListedUpstream: jasminemoor.ListedUpstream{
 				ID: n.addr.String(), Service: service, Address: n.upstream.addr, DataCentre: n.dataCentre, Slots: w.Slots,
 			},
-			WarmAt: n.upstream.warmAt,
+			WarmAt:   n.upstream.warmAt,
+			HasEnded: n.upstream.hasEnded,
 		}
 		u.ListedSince, u.StartedAfter = n.upstream.history(processStart)
 		if n.upstream.isLeaving {
