--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -54,6 +54,7 @@
 	lastProbeResult atomic.Int32 // a jmpass.ProbeResult
 	mu              sync.Mutex   // guards machine
 	machine         jmpass.Agent
+	silent          silentAgents
 	outbound        *net.UDPConn // receives the upstream's packets
 }
 
@@ -223,6 +224,7 @@
 			out, shouldProbe := a.machine.Tick(now)
 			s.send(out, nil)
 			a.logOutcomes(out)
+			a.logSilentAgents(now)
 			a.mu.Unlock()
 			s.writer.flush()
 			if shouldProbe {
@@ -251,6 +253,7 @@
 
 // logSearchTimeout logs why a flow without a known holder was not reset.
 func (a *Agent) logSearchTimeout(flow jasminemoor.FlowKey, unanswered []netip.Addr) {
+	a.silent.add(unanswered)
 	a.decisions.Notable("flow: holder was not found in time, and agents that may hold the flow did not answer", logrus.Fields{
 		fieldInstance: a.Settings.Name, fieldFlow: flow.String(), "Unanswered": len(unanswered),
 		"Agents": unanswered[:min(len(unanswered), maxLoggedAgents)],
