jmpass: no new flows to an address whose listed upstream has ended

Cause: the next upstream at the address may take flows before it is listed, and a search would not ask its agent, as the listed one is known to have ended. Change: agent and balancers keep new flows away until the next one is listed. Red: TestEndedUpstreamGetsNoFlows took the flow before.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -170,10 +170,11 @@
 	if route == nil || !route.Allows(a.Service) {
 		return ReasonOtherService
 	}
-	if own := a.snapshot.Upstreams[a.Upstream]; own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
+	own := a.snapshot.Upstreams[a.Upstream]
+	if own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
 		return ReasonLeaving
 	}
-	if a.upstream.isDown || a.upstream.isSilent {
+	if a.upstream.isDown || a.upstream.isSilent || own != nil && own.HasEnded {
 		return ReasonUpstreamDown
 	}
 	if a.isOutOfRank(p.Key()) {
@@ -214,7 +215,7 @@
 	}
 	var others []netip.Addr
 	for _, r := range rankAll(key, service.Upstreams) {
-		if r.upstream.IsReady() && r.upstream.Address.Addr() != a.Self {
+		if r.upstream.IsReady() && !r.upstream.HasEnded && r.upstream.Address.Addr() != a.Self {
 			others = append(others, r.upstream.Address.Addr())
 		}
 	}
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -132,6 +132,8 @@
 	failures := float64(a.report.Failures) / perMille * math.Exp2(-now.Sub(a.lastSeen).Seconds()/failureHalfLife.Seconds())
 	cost += failureWeight * failures * failures
 	switch {
+	case u.HasEnded:
+		cost += stoppedPenalty
 	case a.report.State != jmhop.ReportOpen && now.Sub(a.lastSeen) < stoppedTTL:
 		cost += stoppedPenalty
 	case a.isSuspect(now):
--- a/internal/flow/jmpass/endings_test.go
+++ b/internal/flow/jmpass/endings_test.go
@@ -119,3 +119,28 @@
 	require.Equal(t, Reset, m.Kind)
 	require.Equal(t, ReasonUpstreamGone, reason)
 }
+
+// TestEndedUpstreamGetsNoFlows keeps new flows from an address whose listed upstream has
+// ended until the next one is listed there. Before that, a search by another agent would
+// not find them.
+func TestEndedUpstreamGetsNoFlows(t *testing.T) {
+	a := newAgent(false, snapshot(3, ended(1)))
+	_ = a.HandleProbe(startTime, ProbeAccepted) // the next one runs
+	out, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+	require.Equal(t, ReasonUpstreamDown, reason)
+	require.NotContains(t, kinds(out), ToUpstream)
+	a.SetSnapshot(snapshot(3))
+	_, reason = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+	require.Equal(t, ReasonHeld, reason, "the next one is listed")
+
+	for i := 1; i <= 2; i++ {
+		b := &Balancer{Self: balancerAddr, DataCentre: "a"}
+		b.SetSnapshot(snapshot(2, ended(i)))
+		m, _ := b.Handle(startTime, openingPacket(shop))
+		require.Equal(t, agentAddr(3-i), m.To)
+	}
+	c := newAgent(true, snapshot(3, leaving(1), ended(2)))
+	out, reason = c.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+	require.Equal(t, ReasonLeaving, reason)
+	require.Equal(t, agentAddr(3), out[len(out)-1].To, "handed on")
+}
