--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -88,7 +88,13 @@
 }
 
 // SetSnapshot replaces the agent's view of the directory.
-func (a *Agent) SetSnapshot(s Snapshot) { a.snapshot = s }
+func (a *Agent) SetSnapshot(s Snapshot) {
+	before := a.snapshot.View
+	a.snapshot = s
+	if before != nil && s.View != nil && s.EndingCount != before.EndingCount {
+		a.applyEndings()
+	}
+}
 
 // HandlePeer decides on a caller's packet that a balancer or another agent
 // forwarded.
@@ -175,10 +181,11 @@
 	if route == nil || !route.Allows(a.Service) {
 		return ReasonOtherService
 	}
-	if own := a.snapshot.Upstreams[a.Upstream]; own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
+	own := a.snapshot.Upstreams[a.Upstream]
+	if own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
 		return ReasonLeaving
 	}
-	if a.upstream.isDown || a.upstream.isSilent {
+	if a.upstream.isDown || a.upstream.isSilent || own != nil && own.HasEnded {
 		return ReasonUpstreamDown
 	}
 	if a.isOutOfRank(p.Key()) {
@@ -219,7 +226,7 @@
 	}
 	var others []netip.Addr
 	for _, r := range rankAll(key, service.Upstreams) {
-		if r.upstream.IsReady() && r.upstream.Address.Addr() != a.Self {
+		if r.upstream.IsReady() && !r.upstream.HasEnded && r.upstream.Address.Addr() != a.Self {
 			others = append(others, r.upstream.Address.Addr())
 		}
 	}
