--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -51,6 +51,8 @@
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Version     uint64
 	IdleTimeout time.Duration
+	// Services is missing in items of earlier versions.
+	Services []jasminemoor.ServiceLimits
 }
 
 // replica is the copy of the directory.
@@ -62,6 +64,7 @@
 	version         uint64
 	versionRevision uint64 // revision of the configuration in force
 	idleTimeout     time.Duration
+	services        []jasminemoor.ServiceLimits
 	routes          map[netip.AddrPort]*knownRoute
 	upstreams       map[string]*knownUpstream
 	histories       map[netip.AddrPort]*history
@@ -151,7 +154,7 @@
 	if c.Version <= r.version || e.Revision <= r.versionRevision {
 		return nil
 	}
-	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout}}}
+	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout, Services: c.Services}}}
 	listed := make(map[netip.AddrPort]bool, len(c.Routes))
 	for i := range c.Routes {
 		route := &c.Routes[i]
@@ -180,11 +183,7 @@
 	r.init()
 	switch {
 	case item.Common != nil:
-		if item.Revision <= r.versionRevision || item.Common.Version < r.version {
-			return false
-		}
-		r.versionRevision, r.version, r.idleTimeout = item.Revision, item.Common.Version, item.Common.IdleTimeout
-		return true
+		return r.applyCommon(item.Revision, item.Common)
 	case item.Route != nil:
 		return r.applyRoute(item.Revision, item.Route)
 	case item.Upstream != nil:
@@ -193,6 +192,21 @@
 	return false
 }
 
+// applyCommon applies the common part of a configuration. A process of an earlier version
+// passes it on without Services, which are then taken from a later item of the same
+// revision.
+func (r *replica) applyCommon(revision uint64, item *CommonItem) (isNew bool) {
+	if revision == r.versionRevision && len(r.services) == 0 && len(item.Services) > 0 {
+		r.services = item.Services
+		return true
+	}
+	if revision <= r.versionRevision || item.Version < r.version {
+		return false
+	}
+	r.versionRevision, r.version, r.idleTimeout, r.services = revision, item.Version, item.IdleTimeout, item.Services
+	return true
+}
+
 func (r *replica) applyRoute(revision uint64, item *RouteItem) (isNew bool) {
 	known := r.routes[item.Address]
 	if known == nil {
@@ -245,7 +259,8 @@
 		since = 0
 	}
 	if r.versionRevision > since {
-		items = append(items, Item{Revision: r.versionRevision, Common: &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout}})
+		common := &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout, Services: r.services}
+		items = append(items, Item{Revision: r.versionRevision, Common: common})
 	}
 	for addr, known := range r.routes {
 		if known.revision > since {
