--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -51,8 +51,6 @@
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Version     uint64
 	IdleTimeout time.Duration
-	// Services is missing in items of earlier versions.
-	Services []jasminemoor.ServiceLimits
 }
 
 // replica is the copy of the directory.
@@ -64,7 +62,6 @@
 	version         uint64
 	versionRevision uint64 // revision of the configuration in force
 	idleTimeout     time.Duration
-	services        []jasminemoor.ServiceLimits
 	routes          map[netip.AddrPort]*knownRoute
 	upstreams       map[string]*knownUpstream
 	histories       map[netip.AddrPort]*history
@@ -154,10 +151,10 @@
 	if c.Version <= r.version || e.Revision <= r.versionRevision {
 		return nil
 	}
-	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout, Services: c.Services}}}
+	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout}}}
 	listed := make(map[netip.AddrPort]bool, len(c.Routes))
 	for i := range c.Routes {
-		route := &c.Routes[i]
+		route := withLimits(&c.Routes[i], c.Services)
 		listed[route.Address] = true
 		known := r.routes[route.Address]
 		if known != nil && known.route != nil && reflect.DeepEqual(known.route, route) {
@@ -183,7 +180,11 @@
 	r.init()
 	switch {
 	case item.Common != nil:
-		return r.applyCommon(item.Revision, item.Common)
+		if item.Revision <= r.versionRevision || item.Common.Version < r.version {
+			return false
+		}
+		r.versionRevision, r.version, r.idleTimeout = item.Revision, item.Common.Version, item.Common.IdleTimeout
+		return true
 	case item.Route != nil:
 		return r.applyRoute(item.Revision, item.Route)
 	case item.Upstream != nil:
@@ -192,27 +193,17 @@
 	return false
 }
 
-// applyCommon applies the common part of a configuration. A process of an earlier version
-// passes it on without Services, which are then taken from a later item of the same
-// revision.
-func (r *replica) applyCommon(revision uint64, item *CommonItem) (isNew bool) {
-	if revision == r.versionRevision && len(r.services) == 0 && len(item.Services) > 0 {
-		r.services = item.Services
-		return true
-	}
-	if revision <= r.versionRevision || item.Version < r.version {
-		return false
-	}
-	r.versionRevision, r.version, r.idleTimeout, r.services = revision, item.Version, item.IdleTimeout, item.Services
-	return true
-}
-
 func (r *replica) applyRoute(revision uint64, item *RouteItem) (isNew bool) {
 	known := r.routes[item.Address]
 	if known == nil {
 		known = &knownRoute{}
 		r.routes[item.Address] = known
 	}
+	if revision == known.revision && hasLimits(item.Route) && !hasLimits(known.route) {
+		// A process of an earlier version has passed the route on without its limits.
+		known.route = item.Route
+		return true
+	}
 	if revision <= known.revision {
 		return false
 	}
@@ -259,8 +250,7 @@
 		since = 0
 	}
 	if r.versionRevision > since {
-		common := &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout, Services: r.services}
-		items = append(items, Item{Revision: r.versionRevision, Common: common})
+		items = append(items, Item{Revision: r.versionRevision, Common: &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout}})
 	}
 	for addr, known := range r.routes {
 		if known.revision > since {
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -114,11 +114,7 @@
 			v.add(u)
 		}
 	}
-	for _, limits := range r.services {
-		if limits.ColdRate > 0 {
-			v.Services[limits.Service] = &Service{Name: limits.Service, ColdRate: limits.ColdRate}
-		}
-	}
+	v.addLimits()
 	for _, u := range v.Upstreams {
 		s := v.Services[u.Service]
 		if s == nil {
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -141,8 +141,8 @@
 	if f == nil && a.handOnIfBusy(now, from, key, h) {
 		return ReasonBusy
 	}
-	if !a.allowOpening(now) {
-		return a.refuseCold(now, from, key, p, h)
+	if reason, isRefused := a.handleColdOpening(now, from, key, p, h); isRefused {
+		return reason
 	}
 	delete(a.handedOn, key)
 	delete(a.refused, key)
@@ -379,7 +379,7 @@
 // result passed to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
 	a.begin(now)
-	a.cold.window.Advance(now)
+	a.advanceCold(now)
 	a.sendDueReports(now)
 	a.advanceFlowProbes(now)
 	a.advanceSearches(now)
--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -1,6 +1,7 @@
 package jmpass
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -11,15 +12,19 @@
 )
 
 // An upstream that warms up bears a limited rate of new flows, if its service has a
-// ColdRate. Its agent sees every opening packet and counts them in a sliding window. It
-// gives the upstream as many as it bears, which is less than the limit: the rest of the
-// limit is for what a former run of the agent may have given it within the last second.
-// See docs/design/cold-upstreams.md.
+// ColdRate. Its agent sees every opening packet. It hands new flows on beyond that rate if
+// there are warm upstreams, and in any case beyond the hard limit, which has some
+// tolerance. See docs/design/cold-upstreams.md.
 
 const (
-	// coldSpan is the span in which an upstream gets at most its rate of one second. It is
-	// longer than a second, since a packet may be sent some time after the decision.
-	coldSpan = 1100 * time.Millisecond
+	// sendDelay is how long after the decision a packet may be sent.
+	sendDelay = 100 * time.Millisecond
+	// burstShare is the share of the hard limit that an upstream may get at once. The rest
+	// is the rate at which it gets more.
+	burstShare = 0.125
+	// almostOne is what the sum of two numbers may have beyond an integer, to which it is
+	// rounded down.
+	almostOne = 0.9
 	// entryLag is how long after a restart of its upstream an agent's copy of the
 	// directory may show the former one.
 	entryLag = 4 * time.Second
@@ -28,7 +33,9 @@
 // coldState is an agent's knowledge of whether its upstream warms up, and of the new flows
 // that it has got.
 type coldState struct {
-	window jmadmission.Window
+	// planned counts the new flows of the last second, and hard keeps the hard limit.
+	planned jmadmission.Window
+	hard    jmadmission.Pace
 	// restartedAt is when the agent last saw a sign that the upstream has started again,
 	// and formerRun the run that the directory listed then.
 	restartedAt time.Time
@@ -118,46 +125,46 @@
 	return !c.wasWarm
 }
 
-// coldLimits returns how many new flows the upstream gets in a span from this run of the
-// agent, and how many of them in the first one, which may add to those from a former run.
-func (a *Agent) coldLimits(rate float64) (planned, first int) {
+// setColdLimits sets the limits for a service's rate.
+func (a *Agent) setColdLimits(rate float64) {
 	overrun := a.ColdOverrun
 	if overrun == 0 {
 		overrun = 1
 	}
-	most := int(rate*overrun + a.ColdSlack)
-	planned = min(max(int(rate), 1), most)
-	return planned, most - planned
+	most := math.Floor(rate*overrun + a.ColdSlack)
+	c := &a.cold
+	c.planned.Limit = max(int(rate), 1)
+	// Any second has at most Burst and what Rate adds in that second and sendDelay, rounded
+	// down.
+	c.hard.Burst = min(max(math.Floor(burstShare*most), 1), most)
+	c.hard.Rate = (most - c.hard.Burst + almostOne) / (time.Second + sendDelay).Seconds()
+}
+
+// advanceCold keeps the limits up to date. It is called at each tick.
+func (a *Agent) advanceCold(now time.Time) {
+	if rate := a.serviceColdRate(); rate > 0 {
+		a.setColdLimits(rate)
+		a.cold.hard.Advance(now)
+	}
 }
 
 // allowOpening reports whether the upstream may get an opening packet now, and counts it.
-func (a *Agent) allowOpening(now time.Time) bool {
+// canHandOn is set if a warm upstream can have it instead.
+func (a *Agent) allowOpening(now time.Time, canHandOn func() bool) bool {
 	rate := a.serviceColdRate()
 	if rate == 0 {
 		return true
 	}
-	a.cold.window.Span = coldSpan
-	a.cold.window.Limit, _ = a.coldLimits(rate)
-	if a.isCold(now) && a.roomNow(now, rate) <= 0 {
+	a.setColdLimits(rate)
+	if !a.isCold(now) {
+		a.cold.hard.Charge(now)
+	} else if a.cold.planned.Room(now) == 0 && canHandOn() || !a.cold.hard.Allow(now) {
 		return false
 	}
-	a.cold.window.Record(now)
+	a.cold.planned.Record(now)
 	return true
 }
 
-// roomNow returns how many opening packets the upstream may get now while it warms up.
-// Within the first span after the agent's start, the number grows with time, so that
-// several starts within a second do not add up.
-func (a *Agent) roomNow(now time.Time, rate float64) int {
-	planned, first := a.coldLimits(rate)
-	count := a.cold.window.Count(now)
-	room := planned - count
-	if age := now.Sub(a.started); age < coldSpan && !a.IsFirstStart && !a.sawUpstreamDown {
-		room = min(room, int(float64(first)*float64(age)/float64(coldSpan))-count)
-	}
-	return max(room, 0)
-}
-
 // coldRoom returns the Room of a report.
 func (a *Agent) coldRoom(now time.Time) uint16 {
 	if a.snapshot.View == nil {
@@ -168,32 +175,40 @@
 	if rate == 0 {
 		return jmhop.NoLimit
 	}
-	return uint16(min(a.roomNow(now, rate), jmhop.NoLimit-1))
+	a.setColdLimits(rate)
+	return uint16(min(a.cold.planned.Room(now), jmhop.NoLimit-1))
 }
 
-// refuseCold hands a new flow on that the own upstream can't take while it warms up. If it
-// was handed on too often or there is no other upstream, the flow is reset. If the
-// upstream has got a copy of its opening packet, the flow is left alone, since it may be
-// about to open.
-func (a *Agent) refuseCold(now time.Time, from netip.Addr, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header) Reason {
+// handleColdOpening hands a new flow on if the own upstream can't take it while it warms
+// up. It reports whether the upstream can't. If the flow was handed on too often or there
+// is no other upstream, the flow is reset. If the upstream has got a copy of its opening
+// packet, the flow is left alone, since it may be about to open.
+func (a *Agent) handleColdOpening(now time.Time, from netip.Addr, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header) (reason Reason, isRefused bool) {
+	warm := func() bool {
+		_, isWarm := a.coldAlternative(now, key, from, int(h.Hops))
+		return isWarm && h.Hops < maxHops
+	}
+	if a.allowOpening(now, warm) {
+		return ReasonNone, false
+	}
 	if f := a.table.get(key); f != nil && f.ended != bothEnded {
-		return ReasonCold
+		return ReasonCold, true
 	}
 	if h.Hops < maxHops {
-		if to, ok := a.coldAlternative(now, key, from, int(h.Hops)); ok {
+		if to, _ := a.coldAlternative(now, key, from, int(h.Hops)); to.IsValid() {
 			header := *h
 			header.Wait = 0
 			a.handOn(now, key, to, header, nil)
-			return ReasonCold
+			return ReasonCold, true
 		}
 	}
 	a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
-	return ReasonColdRefused
+	return ReasonColdRefused, true
 }
 
 // coldAlternative returns another candidate for a new flow, other than the agent that it
-// came from, and a warm one if there is one.
-func (a *Agent) coldAlternative(now time.Time, key jasminemoor.FlowKey, from netip.Addr, hops int) (to netip.Addr, ok bool) {
+// came from, and a warm one if there is one. to is not valid if there is no other one.
+func (a *Agent) coldAlternative(now time.Time, key jasminemoor.FlowKey, from netip.Addr, hops int) (to netip.Addr, isWarm bool) {
 	route := a.snapshot.Routes[key.Service()]
 	if route == nil || a.snapshot.Services[route.Pick(key)] == nil {
 		return to, false
@@ -216,13 +231,13 @@
 			warm = append(warm, agent)
 		}
 	}
-	if len(warm) > 0 {
+	if isWarm = len(warm) > 0; isWarm {
 		all = warm
 	}
 	if len(all) == 0 {
 		return to, false
 	}
-	return all[(key.Hash()+uint64(hops))%uint64(len(all))], true
+	return all[(key.Hash()+uint64(hops))%uint64(len(all))], isWarm
 }
 
 // roomTTL is how long a balancer goes by the room in an agent's report.
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -197,6 +197,7 @@
 	case ProbeRefused:
 		a.sawUpstreamDown = true
 		a.recordRestart(now)
+		a.cold.hard.Remit()
 		if !u.isDown {
 			u.isDown = true
 			for key, f := range a.table.flows {
--- a/internal/load/jmadmission/window.go
+++ b/internal/load/jmadmission/window.go
@@ -15,12 +15,11 @@
 	Span time.Duration
 
 	admitted []time.Time // the admissions of the last span, the oldest first
-	updated  time.Time
 }
 
 // Allow admits one if there is room, and reports whether it did.
 func (w *Window) Allow(now time.Time) bool {
-	w.Advance(now)
+	w.advance(now)
 	if w.Limit > 0 && len(w.admitted) >= w.Limit {
 		return false
 	}
@@ -30,7 +29,7 @@
 
 // Record counts an admission that was not asked for, whether there is room or not.
 func (w *Window) Record(now time.Time) {
-	w.Advance(now)
+	w.advance(now)
 	w.record(now)
 }
 
@@ -47,7 +46,7 @@
 
 // Count returns the number of admissions in the span that ends now.
 func (w *Window) Count(now time.Time) int {
-	w.Advance(now)
+	w.advance(now)
 	return len(w.admitted)
 }
 
@@ -57,17 +56,8 @@
 	return max(w.Limit-w.Count(now), 0)
 }
 
-// Advance drops the admissions that are older than the span. If the last call was longer
-// than maxPause ago, the process may have been paused between the last admissions and
-// what they led to: these then count from now on. The owner calls it more often than that
-// if pauses matter.
-func (w *Window) Advance(now time.Time) {
-	if !w.updated.IsZero() && now.Sub(w.updated) > maxPause {
-		for i := len(w.admitted) - 1; i >= 0 && w.updated.Sub(w.admitted[i]) <= maxPause; i-- {
-			w.admitted[i] = now
-		}
-	}
-	w.updated = now
+// advance drops the admissions that are older than the span.
+func (w *Window) advance(now time.Time) {
 	n := 0
 	for n < len(w.admitted) && now.Sub(w.admitted[n]) > w.span() {
 		n++
@@ -77,9 +67,6 @@
 	}
 }
 
-// maxPause is the time without a call from which on a pause of the process is assumed.
-const maxPause = 100 * time.Millisecond
-
 func (w *Window) span() time.Duration {
 	if w.Span > 0 {
 		return w.Span
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -43,6 +43,7 @@
 		"calm":           {quietTarget, false},
 		"burst":          {quietTarget, false},
 		"power-off":      {faultTarget, true},
+		"power-off-cold": {faultTarget, false}, // the naive policy has no limit
 		"kill-all":       {faultTarget, true},
 		"half-gone":      {faultTarget, true},
 		"slow":           {faultTarget, true},
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -33,7 +33,7 @@
 	// there is no limit. Run fails if an upstream gets more than that times coldOverrun
 	// plus coldSlack opening packets in any second.
 	ColdRate float64
-	Length      time.Duration `json:"-"`
+	Length   time.Duration `json:"-"`
 	// Lasts is Length as the file has it.
 	Lasts   jmtree.Duration
 	Classes []Class
