--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -63,7 +63,7 @@
 // recordUnknownFlow records that the upstream has sent a packet of a flow that the agent
 // does not know.
 func (c *coldState) recordUnknownFlow(p *jasminemoor.Packet) {
-	if !p.Flags.Has(jasminemoor.FlagOpen) && !p.Flags.Has(jasminemoor.FlagReset) {
+	if p.Flags&(jasminemoor.FlagOpen|jasminemoor.FlagReset|jasminemoor.FlagEnd) == 0 {
 		c.isOlder = true
 	}
 }
@@ -149,16 +149,19 @@
 }
 
 // allowOpening reports whether the upstream may get an opening packet now, and counts it.
-// canHandOn is set if a warm upstream can have it instead.
+// canHandOn reports whether a warm upstream can have it instead.
 func (a *Agent) allowOpening(now time.Time, canHandOn func() bool) bool {
 	rate := a.serviceColdRate()
 	if rate == 0 {
 		return true
 	}
 	a.setColdLimits(rate)
-	if !a.isCold(now) {
+	switch {
+	case !a.isCold(now):
 		a.cold.hard.Charge(now)
-	} else if a.cold.planned.Room(now) == 0 && canHandOn() || !a.cold.hard.Allow(now) {
+	case a.cold.planned.Room(now) == 0 && canHandOn():
+		return false
+	case !a.cold.hard.Allow(now):
 		return false
 	}
 	a.cold.planned.Record(now)
@@ -180,9 +183,9 @@
 }
 
 // handleColdOpening hands a new flow on if the own upstream can't take it while it warms
-// up. It reports whether the upstream can't. If the flow was handed on too often or there
-// is no other upstream, the flow is reset. If the upstream has got a copy of its opening
-// packet, the flow is left alone, since it may be about to open.
+// up, and reports whether that is so. If the flow was handed on too often or there is no
+// other upstream, it is reset. If the upstream has got a copy of its opening packet, it is
+// left alone, since it may be about to open.
 func (a *Agent) handleColdOpening(now time.Time, from netip.Addr, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header) (reason Reason, isRefused bool) {
 	warm := func() bool {
 		_, isWarm := a.coldAlternative(now, key, from, int(h.Hops))
