--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -114,6 +114,8 @@
 	ReasonOutOfRank
 	ReasonOverLimit
 	ReasonInVain
+	ReasonCold
+	ReasonColdRefused
 	reasonCount
 )
 
@@ -146,6 +148,8 @@
 	ReasonOutOfRank:         {"out_of_rank", "upstream is not among the first in rank, flow handed on"},
 	ReasonOverLimit:         {"over_limit", "client account has as many requests waiting as it may"},
 	ReasonInVain:            {"in_vain", "no upstream could answer before the caller gives up"},
+	ReasonCold:              {"cold", "upstream warms up and has got as many new flows as it bears, flow handed on"},
+	ReasonColdRefused:       {"cold_refused", "no upstream found that can take the flow while it warms up"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -59,7 +59,7 @@
 	newAgent: func(n *node, isFirstStart bool) agent {
 		a := &jmpass.Agent{
 			Self: n.addr, Upstream: n.upstream.addr, Service: service, IsFirstStart: isFirstStart,
-			Incarnation: jasminemoor.Incarnation(n.starts),
+			Incarnation: jasminemoor.Incarnation(n.starts), ColdOverrun: coldOverrun, ColdSlack: coldSlack,
 		}
 		a.SetShares(n.world.FairShares, nil)
 		return a
@@ -311,7 +311,7 @@
 }
 
 func (w *World) view(processStart time.Time) *jmdirectory.View {
-	s := &jmdirectory.Service{Name: service}
+	s := &jmdirectory.Service{Name: service, ColdRate: w.ColdRate}
 	v := &jmdirectory.View{
 		Revision:  w.revision,
 		Version:   w.version,
@@ -337,6 +337,7 @@
 		u := &jmdirectory.Upstream{
 			ListedUpstream: jasminemoor.ListedUpstream{
 				ID: n.addr.String(), Service: service, Address: n.upstream.addr, DataCentre: n.dataCentre, Slots: w.Slots,
+				Born: n.upstream.startedAt.UnixMilli(),
 			},
 			WarmAt:   n.upstream.warmAt,
 			HasEnded: n.upstream.hasEnded,
