jmdirectory, jmpass: a copy says since when it knows the services of routes

Cause: Route.Former lived only in processes that had seen the route move. A process that started later asked the present services, and reset flows that upstreams of the former ones served.

Change: a copy keeps RoutesKnownSince, a time since when it has had each version of the routes, and a former service the time at which it was left. PullReply carries both as ages; a process whose copy is from the platform pulls from up to three peers until its history goes back two minutes. A version that was missed begins the history anew, unless the peer that told of the next one had it. A route that is dropped keeps its former services. A search for a flow that may be older than the known history asks all services (at most 8, beyond that it resets nothing), but for upstreams that started later; the own upstream is asked as well. An agent whose service the route is known not to have had says no; before, it left the question without an answer until its table was complete.

Ruled out: former services in RouteItem. Items with the same revision aren't applied twice, so a copy from the platform would never learn them; the history is of the copy, not of an item, and earlier releases skip the new field. firstInRank keeps to the services known: it proves nothing.

Tests: TestSearchIncludesHolder has two services, a route that is split, moved and dropped, addresses that change the service, and processes that load from the platform alone or then from a peer. TestRouteHistory is red without the merge of peers' histories and without the check for missed versions (each taken out). TestRoutesRemovedAndFormer compares the time as well.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -103,6 +103,8 @@
 	Items    []Item
 	// Age is the age of the peer's copy, negative if it has none.
 	Age time.Duration
+	// RouteHistory is nil from a peer of an earlier release.
+	RouteHistory *RouteHistory
 }
 
 // Send is a message to send to a peer.
@@ -173,6 +175,9 @@
 	// not help.
 	mayRead       bool
 	seedlessExtra time.Duration
+	// historyAsked counts the peers that were asked for the history of the routes.
+	historyAsked   int
+	lastHistoryAsk time.Time
 	// isDeputy is set while the agent reads in place of those ranked before it.
 	isDeputy bool
 }
@@ -207,6 +212,9 @@
 	if peer, found := m.peerToAsk(now); found {
 		out.Pulls = append(out.Pulls, peer)
 	}
+	if peer, found := m.historyPeer(now); found {
+		out.Pulls = append(out.Pulls, peer)
+	}
 	if !m.hasAgents() && len(m.Seeds) > 0 && now.Sub(m.lastSeedRequest) >= seedInterval {
 		m.lastSeedRequest = now
 		seed := m.Seeds[m.seedRequests%len(m.Seeds)]
@@ -330,7 +338,10 @@
 		return &PullReply{Age: -1}
 	}
 	items, isWhole := m.replica.delta(r.Since)
-	return &PullReply{Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf)}
+	return &PullReply{
+		Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf),
+		RouteHistory: m.replica.routeHistory(now),
+	}
 }
 
 // HandlePullReply handles a peer's reply, or nil if the exchange failed. Since
@@ -343,7 +354,9 @@
 	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
 		return out
 	}
+	ownSince, ownUntil := m.replica.routesKnownSince, m.replica.asOf
 	isNew := m.replica.merge(now, reply.Items, reply.Revision, reply.IsWhole)
+	isNew = m.replica.mergeRouteHistory(now, reply.RouteHistory, ownSince, ownUntil) || isNew
 	m.isLoaded = true
 	m.advanceAsOf(now.Add(-reply.Age))
 	if isNew {
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -59,7 +59,7 @@
 	v := r.view(startTime)
 	require.Len(t, v.Routes, 1)
 	for _, route := range v.Routes {
-		require.Equal(t, []string{"shop"}, route.Former, "the former service may still hold open flows")
+		require.Equal(t, []FormerService{{Service: "shop", LeftAt: startTime}}, route.Former, "the former service may still hold open flows")
 		require.False(t, route.Allows("shop"))
 	}
 }
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -68,12 +68,15 @@
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
+	// routesKnownSince is a time since when the copy has had each version of the routes, zero
+	// before the first copy.
+	routesKnownSince time.Time
 }
 
 type knownRoute struct {
 	revision uint64
 	route    *jasminemoor.Route // nil after its removal
-	former   []string           // see Route.Former
+	former   []FormerService    // see Route.Former
 }
 
 type knownUpstream struct {
@@ -124,6 +127,7 @@
 	}
 	r.revision = max(r.revision, c.Revision)
 	if r.asOf.IsZero() {
+		r.routesKnownSince = now
 		r.recordFirstCopy(now)
 	}
 	return changed
@@ -183,17 +187,18 @@
 		if item.Revision <= r.versionRevision || item.Common.Version < r.version {
 			return false
 		}
+		r.recordVersion(now, item.Common.Version)
 		r.versionRevision, r.version, r.idleTimeout = item.Revision, item.Common.Version, item.Common.IdleTimeout
 		return true
 	case item.Route != nil:
-		return r.applyRoute(item.Revision, item.Route)
+		return r.applyRoute(now, item.Revision, item.Route)
 	case item.Upstream != nil:
 		return r.applyUpstream(now, item.Revision, item.Upstream)
 	}
 	return false
 }
 
-func (r *replica) applyRoute(revision uint64, item *RouteItem) (isNew bool) {
+func (r *replica) applyRoute(now time.Time, revision uint64, item *RouteItem) (isNew bool) {
 	known := r.routes[item.Address]
 	if known == nil {
 		known = &knownRoute{}
@@ -203,17 +208,9 @@
 		return false
 	}
 	if known.route != nil {
-		for _, s := range known.route.Shares {
-			if !slices.Contains(known.former, s.Service) {
-				known.former = append(known.former, s.Service)
-			}
-		}
+		known.leave(now, known.route.Shares)
 	}
 	known.revision, known.route = revision, item.Route
-	if item.Route == nil {
-		// Flows of a removed route may be discarded.
-		known.former = nil
-	}
 	return true
 }
 
@@ -280,17 +277,18 @@
 		isNew = r.apply(now, &items[i]) || isNew
 	}
 	if isWhole && revision > r.revision {
-		isNew = r.removeOtherRoutes(items, revision) || isNew
+		isNew = r.removeOtherRoutes(now, items, revision) || isNew
 		r.removalsSince = max(r.removalsSince, revision)
 	}
 	r.revision = max(r.revision, revision)
 	if r.asOf.IsZero() {
+		r.routesKnownSince = now
 		r.recordFirstCopy(now)
 	}
 	return isNew
 }
 
-func (r *replica) removeOtherRoutes(items []Item, revision uint64) (isNew bool) {
+func (r *replica) removeOtherRoutes(now time.Time, items []Item, revision uint64) (isNew bool) {
 	listed := make(map[netip.AddrPort]bool)
 	for i := range items {
 		if items[i].Route != nil {
@@ -299,7 +297,7 @@
 	}
 	for addr, known := range r.routes {
 		if !listed[addr] && known.route != nil && known.revision < revision {
-			isNew = r.applyRoute(revision, &RouteItem{Address: addr}) || isNew
+			isNew = r.applyRoute(now, revision, &RouteItem{Address: addr}) || isNew
 		}
 	}
 	return isNew
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -16,7 +16,11 @@
 	Version     uint64
 	IdleTimeout time.Duration
 	Routes      map[netip.AddrPort]*Route
-	Services    map[string]*Service
+	// RoutesKnownSince is a time since when this process, or a peer that it has learnt from,
+	// has had each version of the routes. Before that, a route may have had any service. The
+	// zero value says that all versions are known.
+	RoutesKnownSince time.Time
+	Services         map[string]*Service
 	// Upstreams holds the newest entry of each address.
 	Upstreams map[netip.AddrPort]*Upstream
 	// Agents holds the newest entry of each agent's address.
@@ -27,7 +31,7 @@
 type Route struct {
 	jasminemoor.Route
 	// Former are services of earlier versions, which may still hold open flows.
-	Former []string
+	Former []FormerService
 }
 
 // Allows reports whether new flows of the route may go to a service.
@@ -95,9 +99,11 @@
 		Revision:    r.revision,
 		Version:     r.version,
 		IdleTimeout: r.idleTimeout,
-		Routes:      make(map[netip.AddrPort]*Route, len(r.routes)),
-		Services:    make(map[string]*Service),
-		Upstreams:   make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
+
+		RoutesKnownSince: r.routesKnownSince,
+		Routes:           make(map[netip.AddrPort]*Route, len(r.routes)),
+		Services:         make(map[string]*Service),
+		Upstreams:        make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
 	}
 	for addr, known := range r.routes {
 		if known.route != nil {
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -287,8 +287,9 @@
 	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key})
 }
 
-// mayHold reports whether the upstream may hold a flow whose beginning the agent
-// has not seen.
+// mayHold reports whether the upstream may hold a flow whose beginning the agent has not
+// seen. The upstream's refusal is the proof that it does not, unless the flow's route is
+// known not to have had the service.
 func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey) bool {
 	if a.isTableComplete(now) || a.table.get(key) != nil || a.upstream.isDown {
 		return false
@@ -296,19 +297,7 @@
 	if _, isRefused := a.refused[key]; isRefused {
 		return false
 	}
-	if a.snapshot.View == nil {
-		return false
-	}
-	route := a.snapshot.Routes[key.Service()]
-	if route == nil {
-		return false
-	}
-	for _, name := range holderServices(route) {
-		if name == a.Service {
-			return true
-		}
-	}
-	return false
+	return a.snapshot.View != nil && a.mayBeOfService(now, key)
 }
 
 // isTableComplete reports whether the table has every flow of the upstream.
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -234,7 +234,7 @@
 // not know. Suspect agents and those whose entry was removed rank after all others.
 func (b *Balancer) firstInRank(now time.Time, flow jasminemoor.FlowKey, route *jmdirectory.Route) (to netip.Addr, ok bool) {
 	best, hash := math.Inf(-1), flow.Hash()
-	for _, name := range holderServices(route) {
+	for _, name := range holderServices(route, time.Time{}) {
 		service := b.snapshot.Services[name]
 		if service == nil {
 			continue
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -143,17 +143,3 @@
 // stoppedTTL is how long after an agent's last message its report counts that it takes
 // no new flows.
 const stoppedTTL = 3 * time.Second
-
-// holderServices returns the services whose upstreams may hold flows of a route:
-// those that it has now, and those that it had before.
-func holderServices(route *jmdirectory.Route) (services []string) {
-	for _, s := range route.Shares {
-		services = append(services, s.Service)
-	}
-	for _, name := range route.Former {
-		if !route.Allows(name) {
-			services = append(services, name)
-		}
-	}
-	return services
-}
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -43,24 +43,31 @@
 	if route == nil {
 		return nil
 	}
-	for _, name := range holderServices(route) {
-		if service := a.snapshot.Services[name]; service != nil {
-			agents = append(agents, a.possibleHoldersOf(now, key, service)...)
+	known := holderServices(route, a.oldestFlow(now))
+	for i, name := range a.searchedServices(now, route) {
+		service := a.snapshot.Services[name]
+		if service == nil {
+			continue
+		}
+		for _, u := range a.possibleHoldersOf(now, key, service) {
+			if i < len(known) || !a.startedInKnownPast(u) {
+				agents = append(agents, u.Address.Addr())
+			}
 		}
 	}
 	return agents
 }
 
-// possibleHoldersOf returns the other agents of a service that may hold a flow, in the
-// order of their rank.
+// possibleHoldersOf returns the upstreams of a service, without the own one, that may hold
+// a flow, in the order of their rank.
 //
 // An agent takes a flow only if its upstream is among the first candidateCount in rank
 // by its own copy of the directory (see isOutOfRank). That copy has every upstream that
 // was listed at the time. So an upstream can't hold the flow if candidateCount others
 // rank before it that have been listed since before it started, or for longer than flows
 // live.
-func (a *Agent) possibleHoldersOf(now time.Time, key jasminemoor.FlowKey, service *jmdirectory.Service) (agents []netip.Addr) {
-	oldestFlow := now.Add(-a.maxFlowAge() - maxCopyLag)
+func (a *Agent) possibleHoldersOf(now time.Time, key jasminemoor.FlowKey, service *jmdirectory.Service) (holders []*jmdirectory.Upstream) {
+	oldestFlow := a.oldestFlow(now)
 	var listed []time.Time // ListedSince of the candidateCount listed for longest of those before
 	for _, r := range rankAll(key, service.Upstreams) {
 		u := r.upstream
@@ -70,7 +77,7 @@
 		}
 		isExcluded := len(listed) == candidateCount && !slices.MaxFunc(listed, time.Time.Compare).After(flowsSince)
 		if !isExcluded && a.mayHoldFlows(now, u) {
-			agents = append(agents, u.Address.Addr())
+			holders = append(holders, u)
 		}
 		if u.ListedSince.IsZero() {
 			continue
@@ -79,7 +86,7 @@
 		listed = slices.Insert(listed, at, u.ListedSince)
 		listed = listed[:min(len(listed), candidateCount)]
 	}
-	return agents
+	return holders
 }
 
 // maxCopyLag is how far the copy of the directory by which an agent takes a flow may be
@@ -101,8 +108,13 @@
 // isListComplete reports whether the view lists all upstreams that may hold a flow. The
 // first view may lack entries that lapsed during an outage of the platform's store. Such
 // upstreams return within lapseGrace. They hold no flows if all upstreams have just
-// started, as after a power failure.
+// started, as after a power failure. If the past of the routes is not known, all services
+// count, at most maxSearchedServices.
 func (a *Agent) isListComplete(now time.Time, key jasminemoor.FlowKey) bool {
+	services := a.searchedServices(now, a.snapshot.Routes[key.Service()])
+	if len(services) > maxSearchedServices && !a.isPastKnown(now) {
+		return false
+	}
 	if a.IsFirstStart || now.Sub(a.firstView) >= lapseGrace {
 		return true
 	}
@@ -111,7 +123,7 @@
 		return false
 	}
 	started, listed := 0, 0
-	for _, name := range holderServices(a.snapshot.Routes[key.Service()]) {
+	for _, name := range services {
 		service := a.snapshot.Services[name]
 		if service == nil {
 			return false
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -28,6 +28,7 @@
 	lives    map[netip.Addr]*life
 	nextID   int
 	young    []*directoryCopy // of agents that have started lately
+	config   jasminemoor.Entry
 }
 
 // listingChange is a change of an entry.
@@ -76,18 +77,42 @@
 	l.history = append(l.history, listingChange{l.now, e})
 }
 
-// routing is the route of the shop, which never changes.
-var routing = jasminemoor.Entry{Key: "config", Revision: 1, Routing: &jasminemoor.Routing{
-	Version: 1, Routes: []jasminemoor.Route{{Address: shop, Shares: []jasminemoor.Share{{Service: "shop", Weight: 1}}}},
-}}
+// changeRoutes writes the next version of the configuration: the shop's route goes to
+// some of the services, or is dropped.
+func (l *listing) changeRoutes() {
+	l.revision++
+	version := uint64(1)
+	if l.config.Routing != nil {
+		version = l.config.Routing.Version + 1
+	}
+	c := &jasminemoor.Routing{Version: version}
+	services := [][]string{{"shop"}, {"desk"}, {"shop", "desk"}, {"desk", "shop"}, nil}
+	if names := services[l.rand.IntN(len(services))]; len(names) > 0 {
+		r := jasminemoor.Route{Address: shop}
+		for _, name := range names {
+			r.Shares = append(r.Shares, jasminemoor.Share{Service: name, Weight: uint32(1 + l.rand.IntN(3))})
+		}
+		c.Routes = append(c.Routes, r)
+	}
+	l.config = jasminemoor.Entry{Key: "config", Revision: l.revision, Routing: c}
+	l.history = append(l.history, listingChange{l.now, l.config})
+}
 
-// load makes a copy as a process does that has just started.
+// load makes a copy as a process does that has just started. Every other one then gets
+// the answer of a peer.
 func (l *listing) load(upstream netip.AddrPort, lag time.Duration) *directoryCopy {
 	c := &directoryCopy{seen: len(l.history), lag: lag, loaded: l.now}
 	c.machine.Self, c.machine.Upstream, c.machine.Rand = upstream.Addr(), upstream, l.rand
 	changes := jasminemoor.DirectoryChanges{Revision: l.revision, Entries: slices.Collect(maps.Values(l.entries))}
-	changes.Entries = append(changes.Entries, routing)
+	changes.Entries = append(changes.Entries, l.config)
 	_ = c.machine.HandleRead(l.now, jmdirectory.Read{IsLoad: true}, &changes, nil)
+	addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
+	if len(addrs) > 0 && l.rand.IntN(2) == 0 {
+		peer := l.lives[addrs[l.rand.IntN(len(addrs))]].copy
+		l.update(peer)
+		since := c.machine.Revision()
+		c.machine.HandlePullReply(l.now, since, peer.machine.HandlePullRequest(l.now, &jmdirectory.PullRequest{Since: since}))
+	}
 	c.view = c.machine.View(l.now)
 	return c
 }
@@ -110,11 +135,20 @@
 	return Snapshot{View: c.view, AsOf: l.now}
 }
 
+// serviceOf returns the service of the next upstream at an address. One in ten addresses
+// that are used again goes to another service.
+func (l *listing) serviceOf(addr netip.Addr) string {
+	if old := l.lives[addr]; old != nil && l.rand.IntN(10) > 0 {
+		return old.upstream.Service
+	}
+	return []string{"shop", "desk"}[l.rand.IntN(2)]
+}
+
 // startUpstream starts an upstream at an address. It registers at once.
 func (l *listing) startUpstream(addr netip.Addr) {
 	l.nextID++
 	x := &life{key: fmt.Sprint("u/", l.nextID), isAlive: true, upstream: jasminemoor.ListedUpstream{
-		ID: fmt.Sprint(l.nextID), Service: "shop", Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
+		ID: fmt.Sprint(l.nextID), Service: l.serviceOf(addr), Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
 		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second,
 	}}
 	if old := l.lives[addr]; old != nil && l.rand.IntN(5) == 0 {
@@ -129,16 +163,17 @@
 func (l *listing) crash(x *life) { x.isAlive, x.upstream.WarmIn = false, 0 }
 
 func (l *listing) agent(x *life) *Agent {
-	a := &Agent{Self: x.upstream.Address.Addr(), Upstream: x.upstream.Address, Service: "shop"}
+	a := &Agent{Self: x.upstream.Address.Addr(), Upstream: x.upstream.Address, Service: x.upstream.Service}
 	a.SetSnapshot(l.snapshot(x.copy))
 	return a
 }
 
-// TestSearchIncludesHolder runs random histories of a service: upstreams crash with or
-// without their agents and start again, all lose power, entries lapse and return,
-// others join and leave, and each agent's copy of the directory lags by up to half a
-// second. Agents take flows as the rule lets them. Then agents old and new must find
-// each flow's holder among the possible holders.
+// TestSearchIncludesHolder runs random histories of two services: upstreams crash with or
+// without their agents and start again, at times for the other service, all lose power,
+// entries lapse and return, others join and leave, the route moves between the services,
+// is split over both or dropped, and each agent's copy of the directory lags by up to half
+// a second. Agents take flows as the rule lets them. Then agents old and new must find
+// each flow's holder among the possible holders, or ask their own upstream.
 func TestSearchIncludesHolder(t *testing.T) {
 	for seed := range uint64(*holderSeeds) {
 		l := &listing{
@@ -153,6 +188,7 @@
 
 func (l *listing) run(t *testing.T, seed uint64) {
 	port, died, lapsed := uint16(0), make(map[*life]time.Time), make(map[*life]time.Time)
+	l.changeRoutes()
 	for i := range 20 + l.rand.IntN(40) {
 		l.startUpstream(agentAddr(i + 1))
 	}
@@ -166,6 +202,9 @@
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
+		if l.rand.IntN(40) == 0 {
+			l.changeRoutes()
+		}
 		if step == 100 {
 			l.powerOff(died)
 		}
@@ -256,19 +295,24 @@
 		if c != searcher.copy && l.rand.IntN(8) != 0 {
 			continue
 		}
-		a := &Agent{Self: c.machine.Self, Upstream: c.machine.Upstream, Service: "shop", firstView: c.loaded}
+		a := &Agent{Self: c.machine.Self, Upstream: c.machine.Upstream, started: c.loaded, firstView: c.loaded}
+		a.Service = l.lives[a.Self].upstream.Service
 		a.SetSnapshot(l.snapshot(c))
-		if a.snapshot.Revision != l.revision {
-			continue // behind: it resets nothing
+		if a.snapshot.Revision != l.revision || a.snapshot.Routes[shop] == nil {
+			continue // behind, or without the route: it proves nothing
 		}
 		for _, addr := range addrs {
 			x := l.lives[addr]
-			if !x.isAlive || addr == a.Self {
+			if !x.isAlive {
 				continue
 			}
 			for range min(len(x.flows), 3) {
 				key := x.flows[l.rand.IntN(len(x.flows))]
-				if a.isListComplete(l.now, key) && !slices.Contains(a.possibleHolders(l.now, key), addr) {
+				isFound := a.mayHold(l.now, key)
+				if addr != a.Self {
+					isFound = !a.isListComplete(l.now, key) || slices.Contains(a.possibleHolders(l.now, key), addr)
+				}
+				if !isFound {
 					require.Fail(t, "holder is missing", "seed %d, agent %d, %s after its start, after %s: %+v", seed, i, l.now.Sub(c.loaded), l.now.Sub(startTime), a.snapshot.Agents[addr])
 				}
 			}
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -178,10 +178,10 @@
 	if _, isRefused := a.refused[key]; isRefused || a.upstream.isDown {
 		return true
 	}
+	f := a.table.get(key)
 	if !a.isTableComplete(now) {
-		return false
+		return f == nil && a.isOfOtherService(now, key)
 	}
-	f := a.table.get(key)
 	// The caller has not acknowledged the reply of this upstream, but that of another one.
 	isHalfOpen := f != nil && !f.isOpen && f.hasOpenReply && ack != f.openReply+1
 	return f == nil || isHalfOpen
