jmpass: the holders' test skips versions of the configuration

It does not find the missing check for skipped versions, as two services are soon both former ones; TestRouteHistory does.

--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -117,10 +117,14 @@
 	return c
 }
 
-// update applies the changes that are older than the copy's lag.
+// update applies the changes that are older than the copy's lag. Of several versions of the
+// configuration it has only the last.
 func (l *listing) update(c *directoryCopy) {
 	changes := jasminemoor.DirectoryChanges{Revision: c.machine.Revision()}
 	for c.seen < len(l.history) && l.now.Sub(l.history[c.seen].at) >= c.lag {
+		if l.history[c.seen].entry.Routing != nil {
+			changes.Entries = slices.DeleteFunc(changes.Entries, func(e jasminemoor.Entry) bool { return e.Routing != nil })
+		}
 		changes.Entries = append(changes.Entries, l.history[c.seen].entry)
 		changes.Revision = l.history[c.seen].entry.Revision
 		c.seen++
@@ -172,7 +176,7 @@
 // without their agents and start again, at times for the other service, all lose power,
 // entries lapse and return, others join and leave, the route moves between the services,
 // is split over both or dropped, and each agent's copy of the directory lags by up to half
-// a second. Agents take flows as the rule lets them. Then agents old and new must find
+// a second, and by as much as it misses steps. Agents take flows as the rule lets them. Then agents old and new must find
 // each flow's holder among the possible holders, or ask their own upstream.
 func TestSearchIncludesHolder(t *testing.T) {
 	for seed := range uint64(*holderSeeds) {
@@ -202,7 +206,7 @@
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
-		if l.rand.IntN(40) == 0 {
+		if l.rand.IntN(20) == 0 {
 			l.changeRoutes()
 		}
 		if step == 100 {
@@ -210,7 +214,9 @@
 		}
 		for _, addr := range addrs {
 			x := l.lives[addr]
-			l.update(x.copy)
+			if l.rand.IntN(2) == 0 {
+				l.update(x.copy)
+			}
 			a := l.agent(x)
 			for range 4 {
 				port++
