--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -141,13 +141,18 @@
 		// platform answers this one.
 		m.isDeputy = m.Upstream.IsValid()
 	}
-	since := m.replica.revision
+	since, version := m.replica.revision, m.replica.version
 	changes := m.replica.applyEntries(now, c, read.IsLoad)
+	news := changes
 	if read.IsLoad {
 		m.mustLoad, m.isLoaded = false, true
+		if m.replica.recordMissed(now, version) {
+			// Peers that pull the changes learn since when the routes are known.
+			news, since = nil, m.replica.revision
+		}
 	}
 	m.advanceAsOf(now)
-	out = m.sendBeacon(now, changes, since)
+	out = m.sendBeacon(now, news, since)
 	out.HasNewView = len(changes) > 0 || read.IsLoad
 	if out.HasNewView {
 		m.updateAgents(now)
