Evacuation of data centres: replicated, in force at balancers and agents (in progress)

The directory replicates op/evacuate/ZONE; its upstreams get no new flows but still count among the first in rank, so searches need no history of evacuations.

--- a/internal/fleet/jmdirectory/history.go
+++ b/internal/fleet/jmdirectory/history.go
@@ -145,7 +145,7 @@
 	if h == nil || h.service != u.Service {
 		return
 	}
-	if u.IsReady() && len(h.ready) > 0 {
+	if u.IsInRank() && len(h.ready) > 0 {
 		u.ListedSince = h.readySince
 	}
 	if h.id == u.ID && h.born == u.Born {
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -22,14 +22,15 @@
 // of its return.
 const viewRetention = 6 * time.Second
 
-// Item is one replicated part of the directory. Exactly one of Route, Upstream and
-// Common is set.
+// Item is one replicated part of the directory. Exactly one of Route, Upstream, Common
+// and Evacuation is set.
 type Item struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Revision uint64
-	Route    *RouteItem
-	Upstream *UpstreamItem
-	Common   *CommonItem
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Revision   uint64
+	Route      *RouteItem
+	Upstream   *UpstreamItem
+	Common     *CommonItem
+	Evacuation *EvacuationItem
 }
 
 // RouteItem is a route, or the removal of one if Route is nil.
@@ -65,6 +66,7 @@
 	routes          map[netip.AddrPort]*knownRoute
 	upstreams       map[string]*knownUpstream
 	histories       map[netip.AddrPort]*history
+	evacuations     map[string]*knownEvacuation // by data centre
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
@@ -90,6 +92,7 @@
 		r.routes = make(map[netip.AddrPort]*knownRoute)
 		r.upstreams = make(map[string]*knownUpstream)
 		r.histories = make(map[netip.AddrPort]*history)
+		r.evacuations = make(map[string]*knownEvacuation)
 	}
 }
 
@@ -100,11 +103,7 @@
 	if isWhole {
 		// Removals come first: the address of a removed upstream was not listed until that
 		// of an added one, as far as a listing tells.
-		listed := make(map[string]bool)
-		for i := range c.Entries {
-			listed[c.Entries[i].Key] = true
-		}
-		changed = r.removeOthers(now, c.Revision, listed)
+		changed = r.removeUnlisted(now, c)
 	}
 	for i := range c.Entries {
 		e := &c.Entries[i]
@@ -112,7 +111,12 @@
 			changed = append(changed, r.applyRouting(now, e)...)
 			continue
 		}
-		item := Item{Revision: e.Revision, Upstream: &UpstreamItem{Key: e.Key, Upstream: e.Upstream}}
+		item := Item{Revision: e.Revision}
+		if e.Evacuation != nil {
+			item.Evacuation = &EvacuationItem{DataCentre: e.Evacuation.DataCentre, IsActive: !e.Evacuation.IsOver}
+		} else {
+			item.Upstream = &UpstreamItem{Key: e.Key, Upstream: e.Upstream}
+		}
 		if r.apply(now, &item) {
 			changed = append(changed, item)
 		}
@@ -189,6 +193,8 @@
 		return r.applyRoute(item.Revision, item.Route)
 	case item.Upstream != nil:
 		return r.applyUpstream(now, item.Revision, item.Upstream)
+	case item.Evacuation != nil:
+		return r.applyEvacuation(now, item.Revision, item.Evacuation)
 	}
 	return false
 }
@@ -257,7 +263,7 @@
 			items = append(items, Item{Revision: known.revision, Upstream: &UpstreamItem{Key: key, Upstream: known.upstream}})
 		}
 	}
-	return items, isWhole
+	return r.deltaEvacuations(items, since), isWhole
 }
 
 // merge applies items of a peer whose copy is complete up to revision, and
@@ -266,13 +272,7 @@
 func (r *replica) merge(now time.Time, items []Item, revision uint64, isWhole bool) (isNew bool) {
 	r.init()
 	if isWhole && revision > r.revision {
-		listed := make(map[string]bool)
-		for i := range items {
-			if items[i].Upstream != nil {
-				listed[items[i].Upstream.Key] = true
-			}
-		}
-		isNew = len(r.removeOthers(now, revision, listed)) > 0
+		isNew = r.mergeUnlisted(now, items, revision)
 	}
 	// The histories of addresses depend on the order of the changes.
 	items = slices.SortedFunc(slices.Values(items), func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
@@ -321,6 +321,7 @@
 			delete(r.upstreams, key)
 		}
 	}
+	r.expireEvacuations(now)
 	r.expireHistories(now)
 	return hasChanged
 }
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -21,6 +21,8 @@
 	Upstreams map[netip.AddrPort]*Upstream
 	// Agents holds the newest entry of each agent's address.
 	Agents map[netip.Addr]*Upstream
+	// Evacuated are the data centres that are being evacuated, in alphabetical order.
+	Evacuated []string
 }
 
 // Route is a route and the services that may hold its flows.
@@ -79,15 +81,25 @@
 	// RemovedAt is when this process learnt of the removal.
 	RemovedAt time.Time
 	// ListedSince is a time since when every view has had an upstream at this address
-	// that is ready. It is zero if this one is not ready.
+	// that is in rank. It is zero if this one is not.
 	ListedSince time.Time
 	// StartedAfter is a time before which the upstream had not started, zero if none is
 	// known. Its flows were opened later.
 	StartedAfter time.Time
+	// IsEvacuated is set while the upstream's data centre is being evacuated. Its open
+	// flows go on.
+	IsEvacuated bool
+	// ReturnedAt is when this process learnt that the last evacuation of the data centre
+	// had ended, zero if there was none lately.
+	ReturnedAt time.Time
 }
 
 // IsReady reports whether new flows may go to the upstream.
-func (u *Upstream) IsReady() bool { return !u.IsRemoved && u.State == jasminemoor.UpstreamReady }
+func (u *Upstream) IsReady() bool { return u.IsInRank() && !u.IsEvacuated }
+
+// IsInRank reports whether the upstream counts among the first in rank for a new flow: it
+// is ready, or would be if its data centre were not being evacuated.
+func (u *Upstream) IsInRank() bool { return !u.IsRemoved && u.State == jasminemoor.UpstreamReady }
 
 // view builds a view of the copy.
 func (r *replica) view(now time.Time) *View {
@@ -95,6 +107,7 @@
 		Revision:    r.revision,
 		Version:     r.version,
 		IdleTimeout: r.idleTimeout,
+		Evacuated:   r.evacuated(),
 		Routes:      make(map[netip.AddrPort]*Route, len(r.routes)),
 		Services:    make(map[string]*Service),
 		Upstreams:   make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
@@ -107,6 +120,7 @@
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for _, known := range r.upstreams {
 		if u := known.view(now); u != nil {
+			r.addEvacuation(u)
 			r.addHistory(u)
 			v.add(u)
 		}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -167,6 +167,9 @@
 	if own := a.snapshot.Upstreams[a.Upstream]; own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
 		return ReasonLeaving
 	}
+	if a.isEvacuated() {
+		return ReasonEvacuated
+	}
 	if a.upstream.isDown || a.upstream.isSilent {
 		return ReasonUpstreamDown
 	}
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -27,6 +27,9 @@
 	// tieBreak is the weight of the score, which spreads flows over upstreams of equal
 	// cost.
 	tieBreak = 0.02
+	// returnPenalty is added for an upstream whose evacuation has just ended, and
+	// decreases until it has returned. Others that are as far behind share with it at once.
+	returnPenalty = 1.0
 	// failureWeight, multiplied by the square of the failure rate, keeps new flows
 	// from failing upstreams. If all fail alike, it does not change the choice.
 	failureWeight = 8
@@ -73,15 +76,18 @@
 // platform's store: they are back within about two seconds.
 const lapseGrace = 2 * time.Second
 
-// placementCandidates returns the ready upstreams that rank first for a flow, in no
-// particular order.
+// placementCandidates returns the upstreams that may get a new flow, in no particular
+// order: the ready ones of the first in rank, or if they are all evacuated, the first one
+// that is not.
 func (b *Balancer) placementCandidates(now time.Time, flow jasminemoor.FlowKey, service *jmdirectory.Service) []rankedUpstream {
-	first := b.topRanked(flow, service, (*jmdirectory.Upstream).IsReady)
-	if len(first) == 0 {
+	first := b.topRanked(flow, service, (*jmdirectory.Upstream).IsInRank)
+	isListed := len(first) > 0
+	first = withoutEvacuated(flow, first, service)
+	if !isListed {
 		// The entries may have lapsed during an outage of the store. Use the entries
 		// that lapsed recently before the whole service counts as down.
 		first = b.topRanked(flow, service, func(u *jmdirectory.Upstream) bool {
-			return u.IsRemoved && u.State == jasminemoor.UpstreamReady && now.Sub(u.RemovedAt) < lapseGrace
+			return u.IsRemoved && u.State == jasminemoor.UpstreamReady && !u.IsEvacuated && now.Sub(u.RemovedAt) < lapseGrace
 		})
 	}
 	b.scratch = first
@@ -129,6 +135,7 @@
 	if u.DataCentre != b.DataCentre {
 		cost += remotePenalty
 	}
+	cost += returnPenalty * (1 - u.ReturnShare(now))
 	failures := float64(a.report.Failures) / perMille * math.Exp2(-now.Sub(a.lastSeen).Seconds()/failureHalfLife.Seconds())
 	cost += failureWeight * failures * failures
 	switch {
--- a/internal/flow/jmpass/handon.go
+++ b/internal/flow/jmpass/handon.go
@@ -96,12 +96,15 @@
 	var local, all []netip.Addr
 	rank := 0
 	for _, r := range rankAll(key, service.Upstreams) {
-		if !r.upstream.IsReady() {
+		if !r.upstream.IsInRank() {
 			continue
 		}
 		if rank++; rank > candidateCount {
 			break
 		}
+		if r.upstream.IsEvacuated {
+			continue
+		}
 		agent := r.upstream.Address.Addr()
 		if agent == a.Self {
 			continue
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -12,25 +12,29 @@
 )
 
 // An agent takes a new flow only if its upstream is among the first candidateCount in
-// rank (isOutOfRank). A search for a flow therefore asks only the agents whose upstreams
+// rank, or the first one that is not evacuated (isOutOfRank). A search for a flow therefore asks only the agents whose upstreams
 // can have been among them while the flow may have been opened (possibleHolders).
 
-// isOutOfRank reports whether the own upstream is not among the first candidateCount
-// upstreams for a flow that are ready, by the own copy of the directory. It must not take
+// isOutOfRank reports whether the own upstream is neither among the first candidateCount
+// in rank for a flow nor the first that is not evacuated, by the own copy of the directory. It must not take
 // the flow then, as a search would not find it: see possibleHoldersOf.
 func (a *Agent) isOutOfRank(key jasminemoor.FlowKey) bool {
 	service := a.snapshot.Services[a.Service]
 	if service == nil {
 		return false
 	}
-	hash, before := key.Hash(), 0
+	hash, before, readyBefore := key.Hash(), 0, 0
 	own := jmplacer.Score(hash, a.Self)
 	for _, u := range service.Upstreams {
-		if u.IsReady() && jmplacer.Score(hash, u.Address.Addr()) > own {
-			before++
+		if !u.IsInRank() || jmplacer.Score(hash, u.Address.Addr()) <= own {
+			continue
+		}
+		before++
+		if !u.IsEvacuated {
+			readyBefore++
 		}
 	}
-	return before >= candidateCount
+	return before >= candidateCount && readyBefore > 0
 }
 
 // possibleHolders returns the other agents that may hold a flow, service by service,
@@ -58,23 +62,30 @@
 // by its own copy of the directory (see isOutOfRank). That copy has every upstream that
 // was listed at the time. So an upstream can't hold the flow if candidateCount others
 // rank before it that have been listed since before it started, or for longer than flows
-// live.
+// live, unless it may have been the first that was not evacuated. It was not if one of these
+// is of its own data centre.
 func (a *Agent) possibleHoldersOf(now time.Time, key jasminemoor.FlowKey, service *jmdirectory.Service) (agents []netip.Addr) {
 	oldestFlow := now.Add(-a.maxFlowAge() - maxCopyLag)
-	var listed []time.Time // ListedSince of the candidateCount listed for longest of those before
+	firstOf := make(map[string]time.Time) // the first ListedSince of those before, by data centre
+	var listed []time.Time                // ListedSince of the candidateCount listed for longest of those before
 	for _, r := range rankAll(key, service.Upstreams) {
 		u := r.upstream
 		flowsSince := u.StartedAfter
 		if flowsSince.Before(oldestFlow) {
 			flowsSince = oldestFlow
 		}
-		isExcluded := len(listed) == candidateCount && !slices.MaxFunc(listed, time.Time.Compare).After(flowsSince)
-		if !isExcluded && a.mayHoldFlows(now, u) {
+		isBehind := len(listed) == candidateCount && !slices.MaxFunc(listed, time.Time.Compare).After(flowsSince)
+		since, found := firstOf[u.DataCentre]
+		isFirst := !found || since.After(flowsSince)
+		if (!isBehind || isFirst) && a.mayHoldFlows(now, u) {
 			agents = append(agents, u.Address.Addr())
 		}
 		if u.ListedSince.IsZero() {
 			continue
 		}
+		if !found || u.ListedSince.Before(since) {
+			firstOf[u.DataCentre] = u.ListedSince
+		}
 		at, _ := slices.BinarySearchFunc(listed, u.ListedSince, time.Time.Compare)
 		listed = slices.Insert(listed, at, u.ListedSince)
 		listed = listed[:min(len(listed), candidateCount)]
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -76,6 +76,27 @@
 	l.history = append(l.history, listingChange{l.now, e})
 }
 
+// dataCentres are those of the upstreams.
+var dataCentres = []string{"a", "b", "c", "d"}
+
+// changeEvacuation lets the evacuation of a data centre begin or end, with a low
+// probability.
+func (l *listing) changeEvacuation(dataCentre string) {
+	key := "evacuate/" + dataCentre
+	_, isActive := l.entries[key]
+	if !isActive && l.rand.IntN(60) != 0 || isActive && l.rand.IntN(15) != 0 {
+		return
+	}
+	l.revision++
+	e := jasminemoor.Entry{Key: key, Revision: l.revision, Evacuation: &jasminemoor.Evacuation{DataCentre: dataCentre, IsOver: isActive}}
+	if isActive {
+		delete(l.entries, key)
+	} else {
+		l.entries[key] = e
+	}
+	l.history = append(l.history, listingChange{l.now, e})
+}
+
 // routing is the route of the shop, which never changes.
 var routing = jasminemoor.Entry{Key: "config", Revision: 1, Routing: &jasminemoor.Routing{
 	Version: 1, Routes: []jasminemoor.Route{{Address: shop, Shares: []jasminemoor.Share{{Service: "shop", Weight: 1}}}},
@@ -115,7 +136,7 @@
 	l.nextID++
 	x := &life{key: fmt.Sprint("u/", l.nextID), isAlive: true, upstream: jasminemoor.ListedUpstream{
 		ID: fmt.Sprint(l.nextID), Service: "shop", Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
-		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second,
+		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second, DataCentre: dataCentres[int(addr.As4()[3])%len(dataCentres)],
 	}}
 	if old := l.lives[addr]; old != nil && l.rand.IntN(5) == 0 {
 		x.key, x.upstream.ID = old.key, old.upstream.ID // its entry takes the place of the former one's
@@ -136,7 +157,7 @@
 
 // TestSearchIncludesHolder runs random histories of a service: upstreams crash with or
 // without their agents and start again, all lose power, entries lapse and return,
-// others join and leave, and each agent's copy of the directory lags by up to half a
+// others join and leave, data centres are evacuated and taken back, and each agent's copy of the directory lags by up to half a
 // second. Agents take flows as the rule lets them. Then agents old and new must find
 // each flow's holder among the possible holders.
 func TestSearchIncludesHolder(t *testing.T) {
@@ -163,6 +184,9 @@
 		for _, addr := range addrs {
 			l.change(l.lives[addr], died, lapsed)
 		}
+		for _, name := range dataCentres {
+			l.changeEvacuation(name)
+		}
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -112,6 +112,7 @@
 	ReasonUnknownSender
 	ReasonBusy
 	ReasonOutOfRank
+	ReasonEvacuated
 	reasonCount
 )
 
@@ -142,6 +143,7 @@
 	ReasonGivenUp:           {"given_up", "caller gave up while its request waited"},
 	ReasonBusy:              {"busy", "upstream would answer late, another one is compared"},
 	ReasonOutOfRank:         {"out_of_rank", "upstream is not among the first in rank, flow handed on"},
+	ReasonEvacuated:         {"evacuated", "data centre is being evacuated, flow handed on"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/passthrough.go
+++ b/passthrough.go
@@ -163,7 +163,8 @@
 }
 
 // Entry is one entry of the platform's directory. Upstream, Routing and Evacuation are
-// all nil if the entry was removed or can't be decoded.
+// all nil if the entry was removed or can't be decoded, except that a removed evacuation
+// says that it is over.
 type Entry struct {
 	Key string
 	// Revision is the platform's change counter at the entry's last change.
@@ -177,6 +178,8 @@
 // flows. It holds until its entry is removed.
 type Evacuation struct {
 	DataCentre string
+	// IsOver is set if the entry was removed.
+	IsOver bool
 }
 
 // Routing is the configuration of all routes.
