--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -231,7 +231,7 @@
 		}
 	}
 	for _, e := range newest {
-		if !r.IsLoad || e.Upstream != nil || e.Routing != nil {
+		if !r.IsLoad || e.Upstream != nil || e.Routing != nil || e.Evacuation != nil && !e.Evacuation.IsOver {
 			c.Entries = append(c.Entries, e)
 		}
 	}
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -34,7 +34,12 @@
 			readyBefore++
 		}
 	}
-	return before >= candidateCount && readyBefore > 0
+	if before < candidateCount {
+		return false
+	}
+	// An agent whose upstream is not listed can't tell whether that is evacuated.
+	u := a.snapshot.Upstreams[a.Upstream]
+	return readyBefore > 0 || u == nil || !u.IsReady()
 }
 
 // possibleHolders returns the other agents that may hold a flow, service by service,
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -28,6 +28,8 @@
 	lives    map[netip.Addr]*life
 	nextID   int
 	young    []*directoryCopy // of agents that have started lately
+	// dataCentres are those of the upstreams.
+	dataCentres []string
 }
 
 // listingChange is a change of an entry.
@@ -76,9 +78,6 @@
 	l.history = append(l.history, listingChange{l.now, e})
 }
 
-// dataCentres are those of the upstreams.
-var dataCentres = []string{"a", "b", "c", "d"}
-
 // changeEvacuation lets the evacuation of a data centre begin or end, with a low
 // probability.
 func (l *listing) changeEvacuation(dataCentre string) {
@@ -136,7 +135,7 @@
 	l.nextID++
 	x := &life{key: fmt.Sprint("u/", l.nextID), isAlive: true, upstream: jasminemoor.ListedUpstream{
 		ID: fmt.Sprint(l.nextID), Service: "shop", Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
-		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second, DataCentre: dataCentres[int(addr.As4()[3])%len(dataCentres)],
+		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second, DataCentre: l.dataCentres[int(addr.As4()[3])%len(l.dataCentres)],
 	}}
 	if old := l.lives[addr]; old != nil && l.rand.IntN(5) == 0 {
 		x.key, x.upstream.ID = old.key, old.upstream.ID // its entry takes the place of the former one's
@@ -165,6 +164,7 @@
 		l := &listing{
 			rand: rand.New(rand.NewPCG(seed, 1)), now: startTime,
 			entries: make(map[string]jasminemoor.Entry), lives: make(map[netip.Addr]*life),
+			dataCentres: []string{"a", "b", "c", "d"}[:2+seed%3],
 		}
 		l.run(t, seed)
 	}
@@ -184,7 +184,7 @@
 		for _, addr := range addrs {
 			l.change(l.lives[addr], died, lapsed)
 		}
-		for _, name := range dataCentres {
+		for _, name := range l.dataCentres {
 			l.changeEvacuation(name)
 		}
 		if l.rand.IntN(10) == 0 {
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -163,8 +163,8 @@
 }
 
 // manyUpstreams returns a snapshot of a service with n upstreams.
-func manyUpstreams(n int) Snapshot {
-	return snapshot(0, func(v *jmdirectory.View) {
+func manyUpstreams(n int, change ...func(v *jmdirectory.View)) Snapshot {
+	add := func(v *jmdirectory.View) {
 		service := v.Services["shop"]
 		for i := range n {
 			u := &jmdirectory.Upstream{ListedUpstream: jasminemoor.ListedUpstream{
@@ -174,7 +174,8 @@
 			v.Agents[u.Address.Addr()] = u
 			service.Upstreams = append(service.Upstreams, u)
 		}
-	})
+	}
+	return snapshot(0, append([]func(v *jmdirectory.View){add}, change...)...)
 }
 
 // TestSearchAsksFewFirst asks the first agents in rank, among which the flow was
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -200,6 +200,7 @@
 			c.logFirstView(now, next)
 		}
 		c.logView(old, next)
+		c.logEvacuations(old, next)
 	} else {
 		next.View = old.View
 	}
