--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -77,9 +77,11 @@
 	if name == jmlocal.RoleBalancer {
 		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassBalancerStatus(b) }
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 	}
 	tasks := []func(context.Context) error{func(ctx context.Context) error {
 		reloadSettings(ctx, path, name, s, store, log)
--- a/internal/fleet/jmdirectory/evacuation_test.go
+++ b/internal/fleet/jmdirectory/evacuation_test.go
@@ -89,7 +89,7 @@
 	require.Equal(t, startTime, u.ListedSince)
 	require.Zero(t, u.ReturnShare(end))
 	require.InDelta(t, 0.5, u.ReturnShare(end.Add(returnTime/2)), 0.001)
-	require.Equal(t, 1.0, u.ReturnShare(end.Add(returnTime)))
+	require.InDelta(t, 1, u.ReturnShare(end.Add(returnTime)), 0)
 
 	end = end.Add(tombstoneRetention + time.Second)
 	r.expire(end)
--- /dev/null
+++ b/internal/flow/jmpassnode/evacuation_test.go
@@ -0,0 +1,88 @@
+package jmpassnode_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmstore"
+)
+
+// registerThere moves an upstream to another data centre.
+func (s *site) registerThere(i int) {
+	s.store.Put(fmt.Sprintf("servers/i-%d", i), map[string]any{
+		"service": "shop", "address": addr(2, i, upstreamPort).String(), "zone": "there", "max_concurrency": 5, "state": "ready", "born": 1,
+	})
+}
+
+// hasLogged reports whether a log line was written for a data centre.
+func (s *site) hasLogged(message, dataCentre string) bool {
+	for _, e := range s.hook.AllEntries() {
+		if e.Message == message && e.Data["DataCentre"] == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEvacuation evacuates a data centre, and the other one as well for a while, restarts a
+// balancer while the store is down, and takes the data centre back.
+func TestEvacuation(t *testing.T) {
+	s := newSite(t)
+	s.registerThere(1)
+	s.registerThere(2)
+	f, err := s.open(shop)
+	require.NoError(t, err)
+	opened := func() uint64 {
+		first, _ := s.upstreams[1].Counters()
+		second, _ := s.upstreams[2].Counters()
+		return uint64(first) + uint64(second)
+	}
+	serveElsewhere := func(name string) {
+		before := opened()
+		for i := range 20 {
+			answer, err := s.serve(shop, fmt.Sprint(name, i))
+			require.NoError(t, err)
+			require.True(t, strings.HasPrefix(answer, "shop3"), answer)
+		}
+		require.Equal(t, before, opened(), name)
+	}
+
+	s.store.Put("op/evacuate/there", map[string]any{})
+	time.Sleep(500 * time.Millisecond) // well within the bound
+	require.True(t, s.hasLogged("directory: evacuation began", "there"))
+	serveElsewhere("evacuated-")
+
+	time.Sleep(2 * time.Second) // a process that has just started refuses no flow
+	s.store.Put("op/evacuate/here", map[string]any{})
+	time.Sleep(500 * time.Millisecond)
+	start := time.Now()
+	_, err = s.open(shop)
+	require.Error(t, err)
+	require.Less(t, time.Since(start), time.Second, "refused at once")
+	s.store.Remove("op/evacuate/here")
+	require.Eventually(t, func() bool { return s.hasLogged("directory: evacuation ended", "here") }, 3*time.Second, 10*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+
+	s.store.SetFault(netip.Addr{}, jmstore.FaultSilent)
+	serveElsewhere("store down-")
+	s.balancers[1].kill()
+	s.startBalancer(1, false)
+	serveElsewhere("balancer started while the store is down-")
+	s.store.SetFault(netip.Addr{}, jmstore.FaultNone)
+	require.Eventually(t, func() bool { return len(s.rotation()) == 2 }, 5*time.Second, 10*time.Millisecond)
+	serveElsewhere("balancer back-")
+	_, err = s.do(f, "on the open flow")
+	require.NoError(t, err)
+
+	s.store.Remove("op/evacuate/there")
+	require.Eventually(t, func() bool {
+		answer, err := s.serve(shop, "back")
+		return err == nil && !strings.HasPrefix(answer, "shop3")
+	}, 6*time.Second, 10*time.Millisecond)
+	require.True(t, s.hasLogged("directory: evacuation ended", "there"))
+}
--- a/internal/operate/jmoperator/status.go
+++ b/internal/operate/jmoperator/status.go
@@ -32,6 +32,8 @@
 	Waiting    int               `json:",omitempty"`
 	Feeds      int               `json:",omitempty"`
 	Refusals   map[string]uint64 `json:",omitempty"`
+	// Directory is set for processes of pass-through flows that have a copy.
+	Directory *DirectoryStatus `json:",omitempty"`
 }
 
 // Member is another process as this one sees it.
@@ -128,6 +130,9 @@
 	for _, path := range slices.Sorted(maps.Keys(s.Revisions)) {
 		_, _ = fmt.Fprintf(out, "settings %s: revision %d in force\n", path, s.Revisions[path])
 	}
+	if s.Directory != nil {
+		s.Directory.Print(out)
+	}
 	for _, fault := range s.Faults {
 		_, _ = fmt.Fprintf(out, "fault: %s\n", fault)
 	}
