--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -78,6 +78,7 @@
 	if name == jmlocal.RoleBalancer {
 		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassBalancerStatus(b) }
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
@@ -86,6 +87,7 @@
 			setAddress(next)
 			a.SetShares(next.Shares)
 		}
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 	}
 	tasks := []func(context.Context) error{func(ctx context.Context) error {
 		reloadSettings(ctx, path, name, s, onReload, log)
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -193,6 +193,9 @@
 	if own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
 		return ReasonLeaving
 	}
+	if a.isEvacuated() {
+		return ReasonEvacuated
+	}
 	if a.upstream.isDown || a.upstream.isSilent || own != nil && own.HasEnded {
 		return ReasonUpstreamDown
 	}
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -30,6 +30,8 @@
 	config   jasminemoor.Entry
 	endings  []jmdirectory.Ending // that agents have found
 	young    []*directoryCopy     // of agents that have started lately
+	// dataCentres are those of the upstreams.
+	dataCentres []string
 }
 
 // listingChange is a change of an entry.
@@ -99,6 +101,24 @@
 	l.history = append(l.history, listingChange{l.now, l.config})
 }
 
+// changeEvacuation lets the evacuation of a data centre begin or end, with a low
+// probability.
+func (l *listing) changeEvacuation(dataCentre string) {
+	key := "evacuate/" + dataCentre
+	_, isActive := l.entries[key]
+	if !isActive && l.rand.IntN(60) != 0 || isActive && l.rand.IntN(15) != 0 {
+		return
+	}
+	l.revision++
+	e := jasminemoor.Entry{Key: key, Revision: l.revision, Evacuation: &jasminemoor.Evacuation{DataCentre: dataCentre, IsOver: isActive}}
+	if isActive {
+		delete(l.entries, key)
+	} else {
+		l.entries[key] = e
+	}
+	l.history = append(l.history, listingChange{l.now, e})
+}
+
 // load makes a copy as a process does that has just started. Every other one then gets
 // the answer of a peer.
 func (l *listing) load(upstream netip.AddrPort, lag time.Duration) *directoryCopy {
@@ -118,20 +138,22 @@
 	return c
 }
 
-// update applies the changes that are older than the copy's lag. Of several versions of the
-// configuration it has only the last.
+// update applies the changes that are older than the copy's lag. One update in ten is a
+// listing, which has only the newest of the versions of the configuration.
 func (l *listing) update(c *directoryCopy) {
 	changes := jasminemoor.DirectoryChanges{Revision: c.machine.Revision()}
 	for c.seen < len(l.history) && l.now.Sub(l.history[c.seen].at) >= c.lag {
-		if l.history[c.seen].entry.Routing != nil {
-			changes.Entries = slices.DeleteFunc(changes.Entries, func(e jasminemoor.Entry) bool { return e.Routing != nil })
-		}
 		changes.Entries = append(changes.Entries, l.history[c.seen].entry)
 		changes.Revision = l.history[c.seen].entry.Revision
 		c.seen++
 	}
+	read := jmdirectory.Read{Since: c.machine.Revision(), IsLoad: l.rand.IntN(10) == 0}
+	if read.IsLoad {
+		changes = jasminemoor.DirectoryChanges{Revision: l.revision, Entries: append(slices.Collect(maps.Values(l.entries)), l.config)}
+		c.seen = len(l.history)
+	}
 	hasEndings := c.machine.Handle(l.now, callerAddr.Addr(), &jmdirectory.Message{Endings: l.endings}).HasNewView
-	out := c.machine.HandleRead(l.now, jmdirectory.Read{Since: c.machine.Revision()}, &changes, nil)
+	out := c.machine.HandleRead(l.now, read, &changes, nil)
 	if hasEndings || out.HasNewView || c.machine.Tick(l.now).HasNewView {
 		c.view = c.machine.View(l.now)
 	}
@@ -155,7 +177,7 @@
 	l.nextID++
 	x := &life{key: fmt.Sprint("u/", l.nextID), isAlive: true, upstream: jasminemoor.ListedUpstream{
 		ID: fmt.Sprint(l.nextID), Service: l.serviceOf(addr), Address: netip.AddrPortFrom(addr, 8080), Slots: 2,
-		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second,
+		Born: l.now.UnixMilli(), WarmIn: 2 * time.Second, DataCentre: l.dataCentres[int(addr.As4()[3])%len(l.dataCentres)],
 	}}
 	if old := l.lives[addr]; old != nil && l.rand.IntN(5) == 0 {
 		x.key, x.upstream.ID = old.key, old.upstream.ID // its entry takes the place of the former one's
@@ -183,14 +205,16 @@
 // TestSearchIncludesHolder runs random histories of two services: upstreams crash with or
 // without their agents and start again, at times for the other service, all lose power,
 // entries lapse and return, others join and leave, the route moves between the services,
-// is split over both or dropped, and each agent's copy of the directory lags by up to half
-// a second, and by as much as it misses steps. Agents take flows as the rule lets them. Then agents old and new must find
-// each flow's holder among the possible holders, or ask their own upstream.
+// is split over both or dropped, data centres are evacuated and taken back, and each agent's
+// copy of the directory lags by up to half a second, and by as much as it misses steps.
+// Agents take flows as the rule lets them. Then agents old and new must find each flow's
+// holder among the possible holders, or ask their own upstream.
 func TestSearchIncludesHolder(t *testing.T) {
 	for seed := range uint64(*holderSeeds) {
 		l := &listing{
 			rand: rand.New(rand.NewPCG(seed, 1)), now: startTime,
 			entries: make(map[string]jasminemoor.Entry), lives: make(map[netip.Addr]*life),
+			dataCentres: []string{"a", "b", "c", "d"}[:2+seed%3],
 		}
 		l.run(t, seed)
 	}
@@ -211,6 +235,9 @@
 		for _, addr := range addrs {
 			l.change(l.lives[addr], died, lapsed)
 		}
+		for _, name := range l.dataCentres {
+			l.changeEvacuation(name)
+		}
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -116,6 +116,7 @@
 	ReasonInVain
 	ReasonCold
 	ReasonColdRefused
+	ReasonEvacuated
 	reasonCount
 )
 
@@ -150,6 +151,7 @@
 	ReasonInVain:            {"in_vain", "no upstream could answer before the caller gives up"},
 	ReasonCold:              {"cold", "upstream warms up and has got as many new flows as it bears, flow handed on"},
 	ReasonColdRefused:       {"cold_refused", "no upstream found that can take the flow while it warms up"},
+	ReasonEvacuated:         {"evacuated", "data centre is being evacuated, flow handed on"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
