--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -25,7 +25,6 @@
 // Item is one replicated part of the directory. Exactly one of Route, Upstream, Common
 // and Evacuation is set.
 type Item struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Revision   uint64
 	Route      *RouteItem
 	Upstream   *UpstreamItem
