jmpass: a repeated answer does not end the flow's next request

Cause: recordUpstream counted each packet with data as the beginning of an answer. An upstream repeats an answer if its caller had retransmitted the request, and the flow's next request then lost its place at the upstream, which got one request more than it may have. Change: the end of the upstream's newest data tells a repeated packet from a new one, also for the count of failures.

--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -38,6 +38,7 @@
 	openReply          uint32 // sequence number of that reply
 	lastAck            uint32 // sequence number that the caller acknowledged last
 	dataEnd            uint32 // sequence number after the caller's newest data
+	answerEnd          uint32 // sequence number after the upstream's newest data
 	opened             time.Time
 	lastUsed           time.Time
 	requestedAt        time.Time // when the request in flight was sent
@@ -115,14 +116,23 @@
 	}
 }
 
+// isNewAnswer reports whether a packet from the upstream has data that no earlier packet
+// had. The upstream repeats an answer if the caller retransmits its request.
+func (f *flow) isNewAnswer(p *jasminemoor.Packet) bool {
+	return p.Length > 0 && (f.answerEnd == 0 || int32(p.Sequence+uint32(p.Length)-f.answerEnd) > 0)
+}
+
 // recordUpstream updates a flow for a packet from the upstream. If the packet begins
 // an answer, it returns the answer time, otherwise 0.
 func (t *table) recordUpstream(now time.Time, f *flow, p *jasminemoor.Packet) (took time.Duration) {
 	f.lastUsed, f.isConfirmed = now, true
-	if p.Length > 0 && f.hasRequestInFlight {
-		took = now.Sub(f.requestedAt)
-		t.answerTime += (took - t.answerTime) / answerTimeDivisor
-		t.endRequest(f)
+	if f.isNewAnswer(p) {
+		f.answerEnd = p.Sequence + uint32(p.Length)
+		if f.hasRequestInFlight {
+			took = now.Sub(f.requestedAt)
+			t.answerTime += (took - t.answerTime) / answerTimeDivisor
+			t.endRequest(f)
+		}
 	}
 	if p.Flags.Has(jasminemoor.FlagEnd) {
 		f.ended |= upstreamEnded
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -51,7 +51,7 @@
 // answer.
 func (a *Agent) recordResult(now time.Time, f *flow, p *jasminemoor.Packet, isFailure bool) {
 	isReset := p.Flags.Has(jasminemoor.FlagReset)
-	if !f.hasRequestInFlight || p.Length == 0 && !isReset {
+	if !f.hasRequestInFlight || !f.isNewAnswer(p) && !isReset {
 		return
 	}
 	if a.failureRate.add(now, isFailure || isReset) {
