jmserver: a fence waits for its link as long as the caller can

Cause: go test -race ./internal/standin/jmlab -run TestCutOffDataCentre failed once, with 'order-0-46: unknown: an earlier attempt is in state 4'. A retry came to an agent in one data centre while the agent of its earlier attempt was cut off in the other. No link opened ('not sent, can't be reached'), and the answer was unknown at once, though the caller had 10 s and the partition lasts 6 s. The answer was true, but too early: a caller can do nothing with it, and a fence a moment later settles the request. Seen only if a retry falls into the partition, so it was rare. Change: while no link opens, the fence is asked again each 250 ms, for as long as a fence may wait (three quarters of the caller's time, at most 30 s). An agent that is reached and has lost its ledger still says so at once. Weighed: retries by the caller after 'unknown' (clients would have to know which unknown answers may change).

--- a/internal/request/jmserver/fence.go
+++ b/internal/request/jmserver/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -129,7 +130,7 @@
 		if at == v.Identity {
 			return v.fenceRelayedBack(ctx, id)
 		}
-		f, err := v.Peers.Fence(ctx, at, id, fenceWait(ctx))
+		f, err := v.fenceAt(ctx, at, id)
 		if err != nil {
 			v.Log.WithError(err).WithField("Agent", at.String()).Info("request: earlier attempt can't be fenced")
 			return jasminemoor.Fence{State: jasminemoor.FenceLost}
@@ -143,6 +144,27 @@
 	return jasminemoor.Fence{State: jasminemoor.FenceLost}
 }
 
+// fenceRetryInterval is the time between two attempts to open a link for a fence.
+const fenceRetryInterval = 250 * time.Millisecond
+
+// fenceAt asks one agent to fence the request. While no link to it opens, as between
+// data centres that are cut off from each other, it tries again for as long as a fence
+// may wait.
+func (v *Server) fenceAt(ctx context.Context, at jasminemoor.Identity, id jasminemoor.RequestID) (f jasminemoor.Fence, err error) {
+	end := time.Now().Add(fenceWait(ctx))
+	for {
+		f, err = v.Peers.Fence(ctx, at, id, fenceWait(ctx))
+		if !errors.Is(err, jasminemoor.ErrNotSent) || time.Until(end) < fenceRetryInterval {
+			return f, err
+		}
+		select {
+		case <-ctx.Done():
+			return f, err
+		case <-time.After(fenceRetryInterval):
+		}
+	}
+}
+
 // fenceRelayedBack fences a request in this agent's ledger after another agent
 // has said that it relayed the request here.
 func (v *Server) fenceRelayedBack(ctx context.Context, id jasminemoor.RequestID) jasminemoor.Fence {
--- a/ports.go
+++ b/ports.go
@@ -74,8 +74,8 @@
 // cancelled, as opposed to one whose connection or process was lost.
 var ErrCancelled = errors.New("cancelled by the caller")
 
-// ErrNotSent is returned by Peers.Relay if the request can't have reached the
-// other agent.
+// ErrNotSent is returned by Peers.Relay and Fencer.Fence if the request can't have
+// reached the other agent.
 var ErrNotSent = errors.New("not sent")
 
 // ByteStream is a bidirectional stream whose sending side can be closed on its
