--- a/internal/measure/jmflows/bound.go
+++ b/internal/measure/jmflows/bound.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,8 +47,7 @@
 
 func (w *World) newBoundRequest(q *request) *boundRequest {
 	sent := q.sentAt.Sub(w.startedAt)
-	work := float64(q.class.Work) * math.Exp(w.Rand.NormFloat64()*workSigma-workSigma*workSigma/2)
-	b := &boundRequest{request: q, sent: sent, work: time.Duration(min(work, float64(q.class.Work)*maxWorkFactor)), arrives: w.Length}
+	b := &boundRequest{request: q, sent: sent, work: time.Duration(w.drawWork(q.class)), arrives: w.Length}
 	for _, offset := range sendOffsets {
 		if !w.isUnreachable(sent + offset) {
 			b.arrives = sent + offset + callerDelay
@@ -134,7 +132,7 @@
 // speed returns by how much the work of the upstream with the index i takes longer, and
 // whether the upstream serves at all.
 func (w *World) speed(i int, at time.Duration) (factor float64, isUp bool) {
-	factor = 1
+	factor = 1 / w.speedOf(i)
 	for j := range w.Faults {
 		f := &w.Faults[j]
 		if w.stops(f, i) && isWithin(at, f, 0) {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -34,6 +35,16 @@
 	Lasts   jmtree.Duration
 	Classes []Class
 	Faults  []Fault
+	// Speeds are the speeds of the upstreams of each data centre, in turn. Work takes
+	// its time divided by the speed. Without any, all have speed 1.
+	Speeds []float64
+	Wave   Wave
+}
+
+// Wave has the load rise and fall.
+type Wave struct {
+	Swing  float64 // the load's largest difference from its mean, as a share of it
+	Period jmtree.Duration
 }
 
 // Class describes the requests of one kind. Each class has a route of its own.
@@ -46,11 +57,14 @@
 	Callers   int             // number of callers, if IsLong
 	PerSecond float64         // requests a second, of all callers together
 	Work      jmtree.Duration // mean time at an upstream
-	Target    jmtree.Duration // latency objective
-	Deadline  jmtree.Duration // after which the caller gives up
-	Priority  int
-	Worth     float64 // worth of an answer within the target
-	Late      float64 // worth of an answer after the target
+	// Tail is the share of the requests that take TailFactor times as long as the others.
+	Tail       float64
+	TailFactor float64
+	Target     jmtree.Duration // latency objective
+	Deadline   jmtree.Duration // after which the caller gives up
+	Priority   int
+	Worth      float64 // worth of an answer within the target
+	Late       float64 // worth of an answer after the target
 
 	serviceAddr netip.AddrPort
 }
@@ -89,7 +103,7 @@
 	Gap    jmtree.Duration
 }
 
-// loadFactor returns the factor by which the active bursts raise the load.
+// loadFactor returns the factor by which the active bursts and the wave change the load.
 func (w *World) loadFactor() float64 {
 	factor := 1.0
 	for i := range w.Faults {
@@ -97,9 +111,20 @@
 			factor *= f.Factor
 		}
 	}
+	if period := float64(w.Wave.Period); period > 0 {
+		factor *= 1 + w.Wave.Swing*math.Sin(2*math.Pi*float64(w.now.Sub(w.startedAt))/period)
+	}
 	return factor
 }
 
+// speedOf returns the speed of the upstream with the index i. See Scenario.Speeds.
+func (s *Scenario) speedOf(i int) float64 {
+	if len(s.Speeds) == 0 {
+		return 1
+	}
+	return s.Speeds[i/max(s.DataCentres, 1)%len(s.Speeds)]
+}
+
 // isActive reports whether a fault has begun and has not ended.
 func (w *World) isActive(f *Fault) bool {
 	since := w.now.Sub(w.startedAt) - time.Duration(f.At)
@@ -338,7 +363,19 @@
 			return eris.Errorf("fault %q needs Gap", f.Kind)
 		}
 	}
-	return s.checkClasses()
+	return errors.Join(s.checkSpeeds(), s.checkClasses())
+}
+
+func (s *Scenario) checkSpeeds() error {
+	for _, speed := range s.Speeds {
+		if speed <= 0 {
+			return eris.Errorf("scenario %q needs Speeds above 0", s.Name)
+		}
+	}
+	if s.Wave.Swing < 0 || s.Wave.Swing >= 1 || s.Wave.Swing > 0 && s.Wave.Period <= 0 {
+		return eris.Errorf("the Wave of scenario %q needs a Swing from 0 to less than 1, and a Period", s.Name)
+	}
+	return nil
 }
 
 func (s *Scenario) checkClasses() error {
@@ -346,6 +383,9 @@
 		if c.PerSecond <= 0 || c.Deadline <= 0 || c.Target <= 0 || c.Work <= 0 || c.IsLong && c.Callers < 1 {
 			return eris.Errorf("class %q needs PerSecond, Work, Target, Deadline, and Callers if it IsLong", c.Name)
 		}
+		if c.Tail < 0 || c.Tail > 1 || c.Tail > 0 && c.TailFactor < 1 {
+			return eris.Errorf("class %q needs a Tail from 0 to 1, and a TailFactor of at least 1", c.Name)
+		}
 	}
 	return nil
 }
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -34,6 +34,7 @@
 	listedSince time.Time
 	warmAt      time.Time // when the warm-up ends
 	slowdown    float64   // factor on the time that a request takes
+	speed       float64   // by which the time that a request takes is divided
 	breakShare  float64   // share of the requests that get a reset for an answer
 	flows       map[jasminemoor.FlowKey]*upstreamFlow
 	running     int // requests in slots
@@ -211,15 +212,23 @@
 // workTime draws the time that a request takes in its slot.
 func (u *upstream) workTime(c *Class) time.Duration {
 	w := u.node.world
-	mean := float64(c.Work)
-	took := mean * math.Exp(w.Rand.NormFloat64()*workSigma-workSigma*workSigma/2)
-	took = math.Min(took, mean*maxWorkFactor) * u.slowdown
+	took := w.drawWork(c) * u.slowdown / u.speed
 	if w.now.Before(u.warmAt) {
 		took *= coldFactor
 	}
 	return time.Duration(took)
 }
 
+// drawWork draws the time that a request takes at an upstream of speed 1.
+func (w *World) drawWork(c *Class) float64 {
+	mean := float64(c.Work)
+	work := math.Min(mean*math.Exp(w.Rand.NormFloat64()*workSigma-workSigma*workSigma/2), mean*maxWorkFactor)
+	if c.Tail > 0 && w.Rand.Float64() < c.Tail {
+		work *= c.TailFactor
+	}
+	return work
+}
+
 // answer sends the answer to a request. An answer of refusalSize tells the caller
 // and the agent that the request failed.
 func (u *upstream) answer(j *job, isSuccess bool) {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -189,7 +189,7 @@
 	}
 	for i := range w.Upstreams {
 		n := &node{world: w, addr: netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i + 1)}), dataCentre: w.dataCentreName(i)}
-		n.upstream = &upstream{node: n, addr: netip.AddrPortFrom(n.addr, 8080), slowdown: 1}
+		n.upstream = &upstream{node: n, addr: netip.AddrPortFrom(n.addr, 8080), slowdown: 1, speed: w.speedOf(i)}
 		w.agents = append(w.agents, n)
 		w.byAddr[n.addr] = n
 	}
