jmcapacity: an upstream's capacity is learned, and placement goes by expected time

Balancers placed by requests in a slot, with constants of one deployment: a feed was 0.05 requests, a cold upstream 0.6 of a warm one, another data centre 0.15 requests a slot. A slow upstream got as much as a fast one, and one whose slots were held by slow requests as much as a free one. Change: internal/load/jmcapacity learns the usual work time, the tail and the feeds' demand from answers, without probes. The agent reports the expected time of an answer and the mean work (Report.Work, 2 bytes after Room); balancers place by it. flowWeight, coldFactor, remotePenalty, minAnswerTime, failureCost and failureWeight are gone. crossingTime (10 ms) is named as chosen for callers; a failed request counts as one that is not answered until its caller gives up. Gauges: jm_pass_usual_work_seconds and five more.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -106,6 +106,7 @@
 // the agent's start.
 func (a *Agent) begin(now time.Time) {
 	a.out = a.out[:0]
+	a.table.capacity.begin(now, a.slots())
 	if a.started.IsZero() {
 		a.started = now
 		a.refused = make(map[jasminemoor.FlowKey]time.Time)
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -8,28 +8,28 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmcapacity"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
-// Parameters of the cost of placing a flow at an upstream. The cost is in requests per
-// slot.
+// Parameters of the cost of placing a flow at an upstream. The cost is the time, in
+// seconds, that the answer to the flow's first request is expected to take.
 const (
-	// flowWeight is the number of requests that a long-lived flow counts as: callers
-	// send about one request a second, which takes about 45 ms.
-	flowWeight = 0.05
-	// remotePenalty is added for an upstream in another data centre.
-	remotePenalty = 0.15
-	// coldFactor is the speed of an upstream that has just started, as a share of
-	// its full speed.
-	coldFactor = 0.6
+	// crossingTime is how much earlier an answer must be expected from another data centre
+	// for the flow to go there. It is chosen for callers: a round trip between data centres
+	// takes a few milliseconds, and the rest is the price of the bytes, for which nobody
+	// would notice a shorter wait.
+	crossingTime = 10 * time.Millisecond
+	// tieBreakTime, multiplied by the score, spreads flows over upstreams of equal cost.
+	tieBreakTime = time.Millisecond
+	// assumedWork is the mean time of a request's work while no candidate has reported
+	// any. All candidates are then alike in it.
+	assumedWork = 50 * time.Millisecond
+	// assumedFlowRate is how many requests a second a long-lived flow is taken to ask, if
+	// its agent has not measured them.
+	assumedFlowRate = 1.0
 	// defaultSlots is the number of slots of an upstream that lists none.
 	defaultSlots = 5
-	// tieBreak is the weight of the score, which spreads flows over upstreams of equal
-	// cost.
-	tieBreak = 0.02
-	// failureWeight, multiplied by the square of the failure rate, keeps new flows
-	// from failing upstreams. If all fail alike, it does not change the choice.
-	failureWeight = 8
 	// suspectPenalty puts agents that don't answer after those that do.
 	suspectPenalty = 1000
 	// stoppedPenalty puts agents that take no new flows last.
@@ -49,10 +49,12 @@
 		return 0, false
 	}
 	best := 0.0
-	for _, c := range b.placementCandidates(now, flow, service) {
+	candidates := b.placementCandidates(now, flow, service)
+	usualWork, timeout := b.usualWork(now, candidates), b.snapshot.timeout(flow)
+	for _, c := range candidates {
 		agent := c.upstream.Address.Addr()
 		index := b.indexOf(agent)
-		cost := b.cost(now, c.upstream, &b.agents[index]) + tieBreak*c.score
+		cost := b.cost(now, c.upstream, &b.agents[index], usualWork, timeout) + tieBreakTime.Seconds()*c.score
 		if agent == avoid {
 			cost += suspectPenalty
 		}
@@ -115,22 +117,47 @@
 	return first
 }
 
-// cost returns the cost of placing one more flow at an upstream.
-func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState) float64 {
+// usualWork returns the mean of the work times that the candidates' agents have reported.
+func (b *Balancer) usualWork(now time.Time, candidates []rankedUpstream) time.Duration {
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, c := range candidates {
+		if a := &b.agents[b.indexOf(c.upstream.Address.Addr())]; a.isMeasured(now) {
+			sum += a.report.Work
+			n++
+		}
+	}
+	if n == 0 {
+		return assumedWork
+	}
+	return sum / n
+}
+
+// isMeasured reports whether an agent's report has the times of its upstream, and is
+// recent enough for them to count.
+func (a *agentState) isMeasured(now time.Time) bool {
+	return a.report.Wait > 0 && a.report.Work > 0 && now.Sub(a.reported) < jmcapacity.Memory
+}
+
+// cost returns the cost of placing one more flow at an upstream. usualWork is the mean
+// work time of upstreams whose own is not known, and timeout how long the caller waits.
+func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState, usualWork, timeout time.Duration) float64 {
 	slots := float64(u.Slots)
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	if now.Before(u.WarmAt) {
-		slots *= coldFactor
+	requests, work := float64(a.placed), usualWork.Seconds()
+	cost := work
+	if a.isMeasured(now) {
+		cost, work = a.report.Wait.Seconds(), a.report.Work.Seconds()
+	} else {
+		requests += float64(a.report.Waiting) + float64(a.report.Flows)*assumedFlowRate*work
 	}
-	requests := float64(a.report.Waiting) + float64(a.placed) + 1
-	cost := (requests + flowWeight*float64(a.report.Flows)) / slots
+	cost += requests * work / slots
 	if u.DataCentre != b.DataCentre {
-		cost += remotePenalty
+		cost += crossingTime.Seconds()
 	}
 	failures := float64(a.report.Failures) / perMille * math.Exp2(-now.Sub(a.lastSeen).Seconds()/failureHalfLife.Seconds())
-	cost += failureWeight * failures * failures
+	cost += failureTime(failures, timeout).Seconds()
 	switch {
 	case a.report.State != jmhop.ReportOpen && now.Sub(a.lastSeen) < stoppedTTL:
 		cost += stoppedPenalty
--- a/internal/flow/jmpass/handon.go
+++ b/internal/flow/jmpass/handon.go
@@ -24,7 +24,7 @@
 	if a.snapshot.View == nil {
 		return false
 	}
-	expected := a.expectedAnswerTime(now)
+	expected := a.expectedAnswerTime(now, key)
 	header := *h
 	var to netip.Addr
 	switch {
@@ -65,18 +65,12 @@
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: packet})
 }
 
-// expectedAnswerTime returns how long a request that arrives now would take until its
-// answer begins. A failure counts as failureCost.
-func (a *Agent) expectedAnswerTime(now time.Time) time.Duration {
-	waiting := a.table.inFlight + len(a.queue.requests)
-	answer := a.table.answerTime * time.Duration(a.slots()+waiting) / time.Duration(a.slots())
-	return answer + time.Duration(a.failureRate.value(now)*float64(failureCost))
+// expectedAnswerTime returns how long a request of a flow that arrives now would take until
+// its answer begins. Failures count as in placement.
+func (a *Agent) expectedAnswerTime(now time.Time, key jasminemoor.FlowKey) time.Duration {
+	return a.waitOf(now, key) + failureTime(a.failureRate.value(now), a.snapshot.timeout(key))
 }
 
-// failureCost is the answer time that a failed request counts as in the comparison of two
-// upstreams. It is above what their load alone may differ by.
-const failureCost = 2 * jmhop.MaxWait
-
 // target returns the latency objective of a flow's requests.
 func (a *Agent) target(key jasminemoor.FlowKey) time.Duration {
 	if route := a.snapshot.Routes[key.Service()]; route != nil && route.Target > 0 {
--- a/internal/flow/jmpass/handon_test.go
+++ b/internal/flow/jmpass/handon_test.go
@@ -15,7 +15,9 @@
 func agentWith(i int, answerTime time.Duration) *Agent {
 	a := &Agent{Self: agentAddr(i), Upstream: upstreamAddr(i), Service: "shop", IsFirstStart: true}
 	a.SetSnapshot(snapshot(2))
-	a.table.answerTime = answerTime
+	for range 100 {
+		a.table.capacity.estimate.Record(startTime, shop, answerTime)
+	}
 	return a
 }
 
--- a/internal/flow/jmpass/queue.go
+++ b/internal/flow/jmpass/queue.go
@@ -20,9 +20,6 @@
 	// deadline is past or near when its packet arrives. A caller that still waits
 	// retransmits the packet within 1.6 s.
 	minQueueTime = 1600 * time.Millisecond
-	// minAnswerTime is the least mean answer time that the queue assumes, also before
-	// the first answer.
-	minAnswerTime = 50 * time.Millisecond
 )
 
 // request is a request that is queued at the agent.
@@ -298,7 +295,7 @@
 func (a *Agent) admitQueued(now time.Time) {
 	a.dropExpired(now)
 	for len(a.queue.requests) > 0 && a.table.inFlight < a.maxInFlight() {
-		r := a.queue.next(now, max(a.table.answerTime, minAnswerTime), a.slots())
+		r := a.queue.next(now, a.admissionTime(now), a.slots())
 		if r == nil {
 			return
 		}
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -136,6 +136,8 @@
 		Flows:       clampUint16(a.table.longLivedFlows(now)),
 		Failures:    clampUint16(int(a.failureRate.value(now) * perMille)),
 		Room:        jmhop.NoLimit,
+		Wait:        a.wait(now),
+		Work:        a.table.capacity.estimate.Mean(now),
 	}
 	if a.snapshot.View != nil {
 		r.Revision = a.snapshot.Revision
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -16,8 +16,8 @@
 	closedTTL = 3 * time.Second
 	// defaultIdleTimeout is the idle timeout of flows where the settings have none.
 	defaultIdleTimeout = 30 * time.Second
-	// minRequestTimeout, or requestTimeoutFactor times the mean answer time if that
-	// is longer, is how long a request without an answer counts as load. After that
+	// minRequestTimeout, or requestTimeoutFactor times the mean time of the upstream's work
+	// if that is longer, is how long a request without an answer counts as load. After that
 	// its caller may have left, or the answer may be lost.
 	minRequestTimeout    = time.Second
 	requestTimeoutFactor = 10
@@ -42,6 +42,7 @@
 	opened             time.Time
 	lastUsed           time.Time
 	requestedAt        time.Time // when the request in flight was sent
+	workStarted        time.Time // when the upstream began to work on it, zero if it waits there
 	queuedAt           time.Time // arrival of the request that was queued last
 	queuedSequence     uint32    // sequence number of that request's first data
 }
@@ -59,8 +60,7 @@
 type table struct {
 	flows    map[jasminemoor.FlowKey]*flow
 	inFlight int
-	// answerTime is an EWMA of the time to the first byte of an answer.
-	answerTime time.Duration
+	capacity capacity
 }
 
 func (t *table) get(key jasminemoor.FlowKey) *flow { return t.flows[key] }
@@ -113,6 +113,7 @@
 	if !f.hasRequestInFlight && f.ended == 0 {
 		f.hasRequestInFlight, f.requestedAt = true, now
 		t.inFlight++
+		t.capacity.startRequest(f)
 	}
 }
 
@@ -130,7 +131,7 @@
 		f.answerEnd = p.Sequence + uint32(p.Length)
 		if f.hasRequestInFlight {
 			took = now.Sub(f.requestedAt)
-			t.answerTime += (took - t.answerTime) / answerTimeDivisor
+			t.capacity.answered(f, p.Source)
 			t.endRequest(f)
 		}
 	}
@@ -140,22 +141,19 @@
 	return took
 }
 
-// answerTimeDivisor is the reciprocal of the newest sample's weight in the mean
-// answer time.
-const answerTimeDivisor = 16
-
 // endRequest ends the flow's request in flight, if there is one.
 func (t *table) endRequest(f *flow) {
 	if f.hasRequestInFlight {
 		f.hasRequestInFlight = false
 		t.inFlight--
+		t.capacity.endRequest(f)
 	}
 }
 
 // endOverdueRequests ends the requests in flight whose answer is overdue, and returns
 // their number.
 func (t *table) endOverdueRequests(now time.Time) (lost int) {
-	limit := max(minRequestTimeout, requestTimeoutFactor*t.answerTime)
+	limit := max(minRequestTimeout, requestTimeoutFactor*t.capacity.estimate.Mean(now))
 	for _, f := range t.flows {
 		if !f.hasRequestInFlight {
 			continue
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -123,6 +123,13 @@
 	return a.machine.Flows()
 }
 
+// Capacity returns what is known of the upstream's capacity and load.
+func (a *Agent) Capacity() jmpass.Capacity {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.machine.Capacity(time.Now())
+}
+
 func (a *Agent) setSnapshot(s jmpass.Snapshot) {
 	a.mu.Lock()
 	a.machine.SetSnapshot(s)
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -33,6 +33,8 @@
 	const (
 		quietTarget = 0.95 // the users' target for quiet days
 		faultTarget = 0.90 // their target for days with faults
+		// unevenTarget is above what placement by the number of requests reaches.
+		unevenTarget = 0.978
 	)
 	cases := map[string]struct {
 		worth float64
@@ -55,6 +57,7 @@
 		"replace":        {quietTarget, false},
 		"shift":          {quietTarget, false},
 		"flap":           {quietTarget, true},
+		"uneven":         {unevenTarget, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -30,6 +30,15 @@
 	registerReasons(set, a.Count)
 	registerGauge(set, "jm_pass_flows", func() int { flows, _ := a.Flows(); return flows })
 	registerGauge(set, "jm_pass_waiting", func() int { _, inFlight := a.Flows(); return inFlight })
+	seconds := func(read func(c jmpass.Capacity) time.Duration) func() float64 {
+		return func() float64 { return read(a.Capacity()).Seconds() }
+	}
+	set.NewGauge("jm_pass_usual_work_seconds", seconds(func(c jmpass.Capacity) time.Duration { return c.Usual }))
+	set.NewGauge("jm_pass_mean_work_seconds", seconds(func(c jmpass.Capacity) time.Duration { return c.Mean }))
+	set.NewGauge("jm_pass_wait_seconds", seconds(func(c jmpass.Capacity) time.Duration { return c.Wait }))
+	set.NewGauge("jm_pass_tail_share", func() float64 { return a.Capacity().TailShare })
+	set.NewGauge("jm_pass_rate", func() float64 { return a.Capacity().Rate })
+	set.NewGauge("jm_pass_feed_rate", func() float64 { return a.Capacity().FeedRate })
 	answers := set.NewHistogram("jm_pass_answer_seconds")
 	a.OnAnswer = func(took time.Duration) { answers.Update(took.Seconds()) }
 	return set
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -26,9 +26,9 @@
 	// KindFlowReset, which is the key of the flow.
 	FlowKeySize = jasminemoor.FlowKeySize
 	// ReportSize is the size of the body of a datagram of KindReport.
-	ReportSize = 27
-	// oldReportSize is the size of the body as earlier versions send it, without Wait and
-	// Room.
+	ReportSize = 29
+	// oldReportSize is the size of the body as earlier versions send it, without Wait, Room
+	// and Work.
 	oldReportSize = 23
 )
 
@@ -163,8 +163,14 @@
 	// Room is how many new flows the upstream can take within the next second while it
 	// warms up, NoLimit if that is not limited.
 	Room uint16
+	// Work is the mean time that the upstream works on a request, 0 if it is not known. On
+	// the wire it is in units of WorkUnit, rounded up, and at most 65,535 of them.
+	Work time.Duration
 }
 
+// WorkUnit is the unit of Report.Work on the wire.
+const WorkUnit = 100 * time.Microsecond
+
 // NoLimit is the value of Report.Room without a limit.
 const NoLimit = math.MaxUint16
 
@@ -189,11 +195,13 @@
 	b = binary.BigEndian.AppendUint64(b, r.Revision)
 	wait := (max(r.Wait, 0) + time.Millisecond - 1) / time.Millisecond
 	b = binary.BigEndian.AppendUint16(b, uint16(min(wait, math.MaxUint16)))
-	return binary.BigEndian.AppendUint16(b, r.Room)
+	b = binary.BigEndian.AppendUint16(b, r.Room)
+	work := (max(r.Work, 0) + WorkUnit - 1) / WorkUnit
+	return binary.BigEndian.AppendUint16(b, uint16(min(work, math.MaxUint16)))
 }
 
 // Unmarshal reads a report from the body of a datagram. Earlier versions send none of
-// Wait and Room.
+// Wait, Room and Work.
 func (r *Report) Unmarshal(b []byte) error {
 	if len(b) < ReportSize && len(b) != oldReportSize {
 		return ErrShort
@@ -204,10 +212,11 @@
 	r.Failures = binary.BigEndian.Uint16(b[12:])
 	r.State = ReportState(b[14])
 	r.Revision = binary.BigEndian.Uint64(b[15:])
-	r.Wait, r.Room = 0, NoLimit
+	r.Wait, r.Room, r.Work = 0, NoLimit, 0
 	if len(b) >= ReportSize {
 		r.Wait = time.Duration(binary.BigEndian.Uint16(b[23:])) * time.Millisecond
 		r.Room = binary.BigEndian.Uint16(b[25:])
+		r.Work = time.Duration(binary.BigEndian.Uint16(b[27:])) * WorkUnit
 	}
 	return nil
 }
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -78,7 +78,7 @@
 func TestReport(t *testing.T) {
 	r := jmhop.Report{
 		Incarnation: 1 << 50, Waiting: 7, Flows: 300, Failures: 1000, State: jmhop.ReportLeaving, Revision: 99,
-		Wait: 120 * time.Millisecond, Room: 12,
+		Wait: 120 * time.Millisecond, Room: 12, Work: 26300 * time.Microsecond,
 	}
 	b := r.Append(nil)
 	require.Len(t, b, jmhop.ReportSize)
@@ -87,7 +87,7 @@
 	require.Equal(t, r, got)
 
 	// A report of an earlier version sets no limit.
-	r.Wait, r.Room = 0, jmhop.NoLimit
+	r.Wait, r.Room, r.Work = 0, jmhop.NoLimit, 0
 	require.NoError(t, got.Unmarshal(b[:23]))
 	require.Equal(t, r, got)
 }
