--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -52,14 +52,13 @@
 	candidates := b.placementCandidates(now, flow, service)
 	usualWork, timeout := b.usualWork(now, candidates), b.snapshot.timeout(flow)
 	for _, c := range candidates {
-		agent := c.upstream.Address.Addr()
-		index := b.indexOf(agent)
-		cost := b.cost(now, c.upstream, &b.agents[index], usualWork, timeout) + tieBreakTime.Seconds()*c.score
-		if agent == avoid {
+		agent := &b.agents[c.agent]
+		cost := b.cost(now, c.upstream, agent, usualWork, timeout) + tieBreakTime.Seconds()*c.score
+		if agent.addr == avoid {
 			cost += suspectPenalty
 		}
 		if !ok || cost < best {
-			best, at, ok = cost, index, true
+			best, at, ok = cost, c.agent, true
 		}
 	}
 	return at, ok
@@ -69,6 +68,7 @@
 type rankedUpstream struct {
 	upstream *jmdirectory.Upstream
 	score    float64
+	agent    uint32 // index into Balancer.agents, set by usualWork
 }
 
 // lapseGrace is how long entries may be missing that lapsed during an outage of the
@@ -117,11 +117,13 @@
 	return first
 }
 
-// usualWork returns the mean of the work times that the candidates' agents have reported.
+// usualWork returns the mean of the work times that the candidates' agents have reported,
+// and sets the agents' indexes.
 func (b *Balancer) usualWork(now time.Time, candidates []rankedUpstream) time.Duration {
 	sum, n := time.Duration(0), time.Duration(0)
-	for _, c := range candidates {
-		if a := &b.agents[b.indexOf(c.upstream.Address.Addr())]; a.isMeasured(now) {
+	for i := range candidates {
+		candidates[i].agent = b.indexOf(candidates[i].upstream.Address.Addr())
+		if a := &b.agents[candidates[i].agent]; a.isMeasured(now) {
 			sum += a.report.Work
 			n++
 		}
