--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -8,31 +8,28 @@
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmcapacity"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
-// Parameters of the cost of placing a flow at an upstream. The cost is in requests per
-// slot.
+// Parameters of the cost of placing a flow at an upstream. The cost is the time, in
+// seconds, that the answer to the flow's first request is expected to take.
 const (
-	// flowWeight is the number of requests that a long-lived flow counts as: callers
-	// send about one request a second, which takes about 45 ms.
-	flowWeight = 0.05
-	// remotePenalty is added for an upstream in another data centre.
-	remotePenalty = 0.15
-	// coldFactor is the speed of an upstream that has just started, as a share of
-	// its full speed.
-	coldFactor = 0.6
+	// crossingTime is how much earlier an answer must be expected from another data centre
+	// for the flow to go there. It is chosen for callers: a round trip between data centres
+	// takes a few milliseconds, and the rest is the price of the bytes, for which nobody
+	// would notice a shorter wait.
+	crossingTime = 10 * time.Millisecond
+	// tieBreakTime, multiplied by the score, spreads flows over upstreams of equal cost.
+	tieBreakTime = time.Millisecond
+	// assumedWork is the mean time of a request's work while no candidate has reported
+	// any. All candidates are then alike in it.
+	assumedWork = 50 * time.Millisecond
+	// assumedFlowRate is how many requests a second a long-lived flow is taken to ask, if
+	// its agent has not measured them.
+	assumedFlowRate = 1.0
 	// defaultSlots is the number of slots of an upstream that lists none.
 	defaultSlots = 5
-	// tieBreak is the weight of the score, which spreads flows over upstreams of equal
-	// cost.
-	tieBreak = 0.02
-	// returnPenalty is added for an upstream whose evacuation has just ended, and
-	// decreases until it has returned. Others that are as far behind share with it at once.
-	returnPenalty = 1.0
-	// failureWeight, multiplied by the square of the failure rate, keeps new flows
-	// from failing upstreams. If all fail alike, it does not change the choice.
-	failureWeight = 8
 	// suspectPenalty puts agents that don't answer after those that do.
 	suspectPenalty = 1000
 	// noRoomPenalty puts upstreams that warm up and can take no more new flows at present
@@ -56,18 +53,18 @@
 	}
 	best := 0.0
 	candidates := b.placementCandidates(now, flow, service)
+	usualWork, timeout := b.usualWork(now, candidates), b.snapshot.timeout(flow)
 	for _, c := range candidates {
-		agent := c.upstream.Address.Addr()
-		index := b.indexOf(agent)
-		cost := b.cost(now, c.upstream, &b.agents[index]) + tieBreak*c.score
-		if service.ColdRate > 0 && b.agents[index].hasNoRoom(now) {
+		agent := &b.agents[c.agent]
+		cost := b.cost(now, c.upstream, agent, usualWork, timeout) + tieBreakTime.Seconds()*c.score
+		if service.ColdRate > 0 && agent.hasNoRoom(now) {
 			cost += noRoomPenalty
 		}
-		if agent == avoid {
+		if agent.addr == avoid {
 			cost += suspectPenalty
 		}
 		if !ok || cost < best {
-			best, at, ok = cost, index, true
+			best, at, ok = cost, c.agent, true
 		}
 	}
 	return at, ok, b.isFull(now, route, candidates)
@@ -77,6 +74,7 @@
 type rankedUpstream struct {
 	upstream *jmdirectory.Upstream
 	score    float64
+	agent    uint32 // index into Balancer.agents, set by usualWork
 }
 
 // lapseGrace is how long entries may be missing that lapsed during an outage of the
@@ -128,23 +126,51 @@
 	return first
 }
 
-// cost returns the cost of placing one more flow at an upstream.
-func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState) float64 {
+// usualWork returns the mean of the work times that the candidates' agents have reported,
+// and sets the agents' indexes.
+func (b *Balancer) usualWork(now time.Time, candidates []rankedUpstream) time.Duration {
+	sum, n := time.Duration(0), time.Duration(0)
+	for i := range candidates {
+		candidates[i].agent = b.indexOf(candidates[i].upstream.Address.Addr())
+		if a := &b.agents[candidates[i].agent]; a.isMeasured(now) {
+			sum += a.report.Work
+			n++
+		}
+	}
+	if n == 0 {
+		return assumedWork
+	}
+	return sum / n
+}
+
+// isMeasured reports whether an agent's report has the times of its upstream, and is
+// recent enough for them to count.
+func (a *agentState) isMeasured(now time.Time) bool {
+	return a.report.Wait > 0 && a.report.Work > 0 && now.Sub(a.reported) < jmcapacity.Memory
+}
+
+// cost returns the cost of placing one more flow at an upstream. usualWork is the mean
+// work time of upstreams whose own is not known, and timeout how long the caller waits.
+func (b *Balancer) cost(now time.Time, u *jmdirectory.Upstream, a *agentState, usualWork, timeout time.Duration) float64 {
 	slots := float64(u.Slots)
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	if now.Before(u.WarmAt) {
-		slots *= coldFactor
+	requests, work := float64(a.placed), usualWork.Seconds()
+	cost := work
+	if a.isMeasured(now) {
+		cost, work = a.report.Wait.Seconds(), a.report.Work.Seconds()
+	} else {
+		requests += float64(a.report.Waiting) + float64(a.report.Flows)*assumedFlowRate*work
 	}
-	requests := float64(a.report.Waiting) + float64(a.placed) + 1
-	cost := (requests + flowWeight*float64(a.report.Flows)) / slots
+	cost += requests * work / slots
 	if u.DataCentre != b.DataCentre {
-		cost += remotePenalty
+		cost += crossingTime.Seconds()
 	}
-	cost += returnPenalty * (1 - u.ReturnShare(now))
+	// Right after an evacuation an upstream counts as one request a slot behind the others.
+	cost += work * (1 - u.ReturnShare(now))
 	failures := float64(a.report.Failures) / perMille * math.Exp2(-now.Sub(a.lastSeen).Seconds()/failureHalfLife.Seconds())
-	cost += failureWeight * failures * failures
+	cost += failureTime(failures, timeout).Seconds()
 	switch {
 	case u.HasEnded:
 		cost += stoppedPenalty
--- a/internal/flow/jmpass/opening.go
+++ b/internal/flow/jmpass/opening.go
@@ -20,7 +20,7 @@
 func (b *Balancer) isFull(now time.Time, route *jmdirectory.Route, candidates []rankedUpstream) bool {
 	b.reports = b.reports[:0]
 	for _, c := range candidates {
-		a := &b.agents[b.indexOf(c.upstream.Address.Addr())]
+		a := &b.agents[c.agent]
 		b.reports = append(b.reports, jmopening.Report{
 			At: a.reported, Wait: a.report.Wait, TakesNoFlows: a.report.State != jmhop.ReportOpen,
 		})
@@ -47,7 +47,7 @@
 	a.setTimes(r)
 	r.claim = a.queue.join(r)
 	defer a.queue.leave(r)
-	answerTime := max(a.table.answerTime, minAnswerTime)
+	answerTime := a.table.capacity.estimate.Mean(now)
 	answered := now.Add(answerTime)
 	ahead := a.table.inFlight
 	for _, other := range a.queue.requests {
--- a/internal/flow/jmpass/opening_test.go
+++ b/internal/flow/jmpass/opening_test.go
@@ -46,6 +46,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			a := newAgent(true, snapshot(1, withUrgentRoute))
+			a.table.capacity.estimate.Record(startTime, urgent, 50*time.Millisecond)
 			for i := range tc.queued {
 				source := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.8"), uint16(2000+i))
 				r := &request{flow: jasminemoor.NewFlowKey(source, urgent), arrived: startTime.Add(-tc.queuedFor)}
