--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -145,20 +145,9 @@
 		return missing("Ready")
 	case !isUsable(s.Platform.Address):
 		return missing("Platform.Address")
-	case s.MaxFlowAge < 0:
-		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
-	case s.ColdOverrun < 0:
-		return eris.Errorf("ColdOverrun %g is negative", s.ColdOverrun)
-	case s.ColdSlack < 0:
-		return eris.Errorf("ColdSlack %g is negative", s.ColdSlack)
-	}
-	if s.Shares != nil {
-		if err := s.Shares.check(); err != nil {
-			return err
-		}
 	}
-	if role != RoleAgent {
-		return nil
+	if err := s.checkLimits(); err != nil || role != RoleAgent {
+		return err
 	}
 	switch {
 	case !isUsable(s.Outbound):
@@ -171,6 +160,21 @@
 	return nil
 }
 
+// checkLimits checks the settings that have a default.
+func (s *Settings) checkLimits() error {
+	switch {
+	case s.MaxFlowAge < 0:
+		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
+	case s.ColdOverrun < 0:
+		return eris.Errorf("ColdOverrun %g is negative", s.ColdOverrun)
+	case s.ColdSlack < 0:
+		return eris.Errorf("ColdSlack %g is negative", s.ColdSlack)
+	case s.Shares != nil:
+		return s.Shares.check()
+	}
+	return nil
+}
+
 func missing(field string) error { return eris.Errorf("%s is missing or unusable", field) }
 
 func isUsable(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
