Cold upstreams: an upstream that warms up gets no more new flows than it bears

A cold upstream may get cold_per_s * cold_overrun + cold_slack opening packets in any second, from all instances; nothing kept that.

Change: the agent, which sees every opening packet of its upstream, keeps the limit by a token bucket that is empty at its start (jmadmission.Pace): several runs of an agent within a second then keep it together without knowing of each other. Beyond the plain rate flows go on to warm upstreams, beyond the limit to any, at most three times; then they are reset before the handshake. Reports carry the room, balancers rank agents without room last. The limit is in force unless the agent knows that its upstream is warm. It is replicated as a field of the routes' shares: earlier versions can't read a CommonItem or an Item with a further field (msgpack: number of fields in array-encoded struct has changed).

Not built: opening packets that wait at the agent.

--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -154,7 +154,7 @@
 	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout}}}
 	listed := make(map[netip.AddrPort]bool, len(c.Routes))
 	for i := range c.Routes {
-		route := &c.Routes[i]
+		route := withLimits(&c.Routes[i], c.Services)
 		listed[route.Address] = true
 		known := r.routes[route.Address]
 		if known != nil && known.route != nil && reflect.DeepEqual(known.route, route) {
@@ -199,6 +199,11 @@
 		known = &knownRoute{}
 		r.routes[item.Address] = known
 	}
+	if revision == known.revision && hasLimits(item.Route) && !hasLimits(known.route) {
+		// A process of an earlier version has passed the route on without its limits.
+		known.route = item.Route
+		return true
+	}
 	if revision <= known.revision {
 		return false
 	}
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -64,6 +64,9 @@
 	Name string
 	// Upstreams are all that may hold flows, in the order of their addresses.
 	Upstreams []*Upstream
+	// ColdRate is how many new flows a second an upstream bears while it warms up, 0 if
+	// there is no limit. A service that has a limit is in the view also without upstreams.
+	ColdRate float64
 }
 
 // Upstream is the entry of an upstream with state from the entry's history.
@@ -111,6 +114,7 @@
 			v.add(u)
 		}
 	}
+	v.addLimits()
 	for _, u := range v.Upstreams {
 		s := v.Services[u.Service]
 		if s == nil {
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -32,6 +32,10 @@
 	// as long, a flow that its table lacks counts as not held. If it is not set,
 	// defaultMaxFlowAge is used.
 	MaxFlowAge time.Duration
+	// ColdOverrun and ColdSlack bound the new flows that the upstream gets in any second
+	// while it warms up: the rate of its service times ColdOverrun plus ColdSlack. A
+	// ColdOverrun of 0 counts as 1.
+	ColdOverrun, ColdSlack float64
 	// Counts counts decisions by their reason.
 	Counts [ReasonCount]uint64
 	// OnAnswer, if not nil, is called with the time to the first byte of each answer.
@@ -71,6 +75,7 @@
 	upstream        upstreamState
 	queue           requestQueue
 	failureRate     failureRate
+	cold            coldState
 	out             []Message
 }
 
@@ -136,6 +141,9 @@
 	if f == nil && a.handOnIfBusy(now, from, key, h) {
 		return ReasonBusy
 	}
+	if reason, isRefused := a.handleColdOpening(now, from, key, p, h); isRefused {
+		return reason
+	}
 	delete(a.handedOn, key)
 	delete(a.refused, key)
 	delete(a.lostFlows, key)
@@ -371,6 +379,7 @@
 // result passed to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
 	a.begin(now)
+	a.advanceCold(now)
 	a.sendDueReports(now)
 	a.advanceFlowProbes(now)
 	a.advanceSearches(now)
--- a/internal/flow/jmpass/choose.go
+++ b/internal/flow/jmpass/choose.go
@@ -32,6 +32,9 @@
 	failureWeight = 8
 	// suspectPenalty puts agents that don't answer after those that do.
 	suspectPenalty = 1000
+	// noRoomPenalty puts upstreams that warm up and can take no more new flows at present
+	// after those that can.
+	noRoomPenalty = 500
 	// stoppedPenalty puts agents that take no new flows last.
 	stoppedPenalty = 2000
 )
@@ -53,6 +56,9 @@
 		agent := c.upstream.Address.Addr()
 		index := b.indexOf(agent)
 		cost := b.cost(now, c.upstream, &b.agents[index]) + tieBreak*c.score
+		if service.ColdRate > 0 && b.agents[index].hasNoRoom(now) {
+			cost += noRoomPenalty
+		}
 		if agent == avoid {
 			cost += suspectPenalty
 		}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -112,6 +112,8 @@
 	ReasonUnknownSender
 	ReasonBusy
 	ReasonOutOfRank
+	ReasonCold
+	ReasonColdRefused
 	reasonCount
 )
 
@@ -142,6 +144,8 @@
 	ReasonGivenUp:           {"given_up", "caller gave up while its request waited"},
 	ReasonBusy:              {"busy", "upstream would answer late, another one is compared"},
 	ReasonOutOfRank:         {"out_of_rank", "upstream is not among the first in rank, flow handed on"},
+	ReasonCold:              {"cold", "upstream warms up and has got as many new flows as it bears, flow handed on"},
+	ReasonColdRefused:       {"cold_refused", "no upstream found that can take the flow while it warms up"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -135,7 +135,7 @@
 		Waiting:     clampUint16(a.table.inFlight + len(a.queue.requests)),
 		Flows:       clampUint16(a.table.longLivedFlows(now)),
 		Failures:    clampUint16(int(a.failureRate.value(now) * perMille)),
-		Room:        jmhop.NoLimit,
+		Room:        a.coldRoom(now),
 	}
 	if a.snapshot.View != nil {
 		r.Revision = a.snapshot.Revision
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -64,6 +64,7 @@
 	key := p.ReverseKey()
 	f := a.table.get(key)
 	if f == nil {
+		a.cold.recordUnknownFlow(p)
 		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen)}
 		a.table.add(key, f)
 	}
@@ -128,6 +129,7 @@
 		a.startSearch(now, key, origin, p, packet)
 		return ReasonSearched
 	}
+	a.recordLoss(now, f)
 	// The upstream has sent packets of the flow, so no other agent holds it.
 	if !p.Flags.Has(jasminemoor.FlagReset) {
 		f.lastAck = p.Acknowledged
@@ -194,6 +196,8 @@
 		u.isDown, u.isSilent, u.unansweredSince = false, false, time.Time{}
 	case ProbeRefused:
 		a.sawUpstreamDown = true
+		a.recordRestart(now)
+		a.cold.hard.Remit()
 		if !u.isDown {
 			u.isDown = true
 			for key, f := range a.table.flows {
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -72,6 +72,7 @@
 	s := a.Settings
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
+	a.machine.ColdOverrun, a.machine.ColdSlack = s.ColdOverrun, s.ColdSlack
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
 	a.machine.OnAnswer, a.machine.OnSearchTimeout = a.OnAnswer, a.logSearchTimeout
--- a/internal/measure/jmflows/flows_test.go
+++ b/internal/measure/jmflows/flows_test.go
@@ -43,6 +43,7 @@
 		"calm":           {quietTarget, false},
 		"burst":          {quietTarget, false},
 		"power-off":      {faultTarget, true},
+		"power-off-cold": {faultTarget, false}, // the naive policy has no limit
 		"kill-all":       {faultTarget, true},
 		"half-gone":      {faultTarget, true},
 		"slow":           {faultTarget, true},
@@ -75,6 +76,28 @@
 	}
 }
 
+// TestColdLimitCostsLittle runs load patterns in which upstreams start beside warm ones, or
+// agents start alone, with a limit for cold upstreams and without. Run returns an error if
+// an upstream gets more than the limit.
+func TestColdLimitCostsLittle(t *testing.T) {
+	const difference = 0.01 // of worth
+	for _, name := range []string{"replace", "flap", "zone-off", "roll-agents", "kill-all"} {
+		t.Run(name, func(t *testing.T) {
+			without := loadScenario(t, name)
+			with := *without
+			with.ColdRate = 20
+			for seed := range uint64(*flowSeeds) {
+				a, err := jmflows.Run(without, jmflows.Product, seed+1)
+				require.NoError(t, err, "seed %d", seed+1)
+				b, err := jmflows.Run(&with, jmflows.Product, seed+1)
+				require.NoError(t, err, "seed %d", seed+1)
+				t.Logf("seed %d: worth %.3f, with the limit %.3f", seed+1, a.Worth, b.Worth)
+				require.GreaterOrEqual(t, b.Worth, a.Worth-difference, "seed %d", seed+1)
+			}
+		})
+	}
+}
+
 // TestSizeCostsNothing runs load patterns of a large installation, and the same at a tenth
 // of the size. The callers are served alike.
 func TestSizeCostsNothing(t *testing.T) {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -29,7 +29,11 @@
 	Upstreams   int
 	DataCentres int
 	Slots       int
-	Length      time.Duration `json:"-"`
+	// ColdRate is how many new flows a second an upstream bears while it warms up, 0 if
+	// there is no limit. Run fails if an upstream gets more than that times coldOverrun
+	// plus coldSlack opening packets in any second.
+	ColdRate float64
+	Length   time.Duration `json:"-"`
 	// Lasts is Length as the file has it.
 	Lasts   jmtree.Duration
 	Classes []Class
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -38,6 +38,7 @@
 	flows       map[jasminemoor.FlowKey]*upstreamFlow
 	running     int // requests in slots
 	queue       []*job
+	openings    []time.Time // arrivals of opening packets in the last second of the warm-up
 }
 
 // upstreamFlow is the upstream's end of a flow.
@@ -64,7 +65,7 @@
 	}
 	u.isUp, u.isListed, u.isLeaving = true, true, false
 	u.flows = make(map[jasminemoor.FlowKey]*upstreamFlow)
-	u.running, u.queue = 0, nil
+	u.running, u.queue, u.openings = 0, nil, nil
 	if isCold {
 		u.warmAt = u.node.world.now.Add(warmUpTime)
 	}
@@ -116,6 +117,7 @@
 	f := u.flows[key]
 	switch {
 	case p.Flags.Has(jasminemoor.FlagOpen):
+		u.countOpening()
 		if f == nil {
 			f = &upstreamFlow{sendNext: u.node.world.Rand.Uint32(), receiveNext: p.Sequence + 1}
 			u.flows[key] = f
@@ -143,6 +145,29 @@
 	}
 }
 
+// countOpening counts an opening packet. More of them than an upstream that warms up may
+// get in a second violate a guarantee.
+func (u *upstream) countOpening() {
+	w := u.node.world
+	if w.ColdRate == 0 || !w.now.Before(u.warmAt) {
+		return
+	}
+	for len(u.openings) > 0 && w.now.Sub(u.openings[0]) > time.Second {
+		u.openings = u.openings[1:]
+	}
+	u.openings = append(u.openings, w.now)
+	if limit := w.ColdRate*coldOverrun + coldSlack; float64(len(u.openings)) > limit {
+		w.reportViolation("upstream %s got %d opening packets in a second of its warm-up, limit %g", u.addr, len(u.openings), limit)
+	}
+}
+
+// The limit of opening packets in a second of the warm-up is ColdRate * coldOverrun +
+// coldSlack.
+const (
+	coldOverrun = 1.5
+	coldSlack   = 5
+)
+
 // handleData handles a packet with data: a new request, or a retransmitted one.
 func (u *upstream) handleData(key jasminemoor.FlowKey, f *upstreamFlow, p *jasminemoor.Packet) {
 	w := u.node.world
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -59,7 +59,7 @@
 	newAgent: func(n *node, isFirstStart bool) agent {
 		return &jmpass.Agent{
 			Self: n.addr, Upstream: n.upstream.addr, Service: service, IsFirstStart: isFirstStart,
-			Incarnation: jasminemoor.Incarnation(n.starts),
+			Incarnation: jasminemoor.Incarnation(n.starts), ColdOverrun: coldOverrun, ColdSlack: coldSlack,
 		}
 	},
 }
@@ -305,7 +305,7 @@
 }
 
 func (w *World) view(processStart time.Time) *jmdirectory.View {
-	s := &jmdirectory.Service{Name: service}
+	s := &jmdirectory.Service{Name: service, ColdRate: w.ColdRate}
 	v := &jmdirectory.View{
 		Revision:  w.revision,
 		Version:   w.version,
@@ -329,6 +329,7 @@
 		u := &jmdirectory.Upstream{
 			ListedUpstream: jasminemoor.ListedUpstream{
 				ID: n.addr.String(), Service: service, Address: n.upstream.addr, DataCentre: n.dataCentre, Slots: w.Slots,
+				Born: n.upstream.startedAt.UnixMilli(),
 			},
 			WarmAt: n.upstream.warmAt,
 		}
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -32,6 +32,10 @@
 	IsFirstStart bool
 	// MaxFlowAge is the age from which a flow may be lost, 0 if the platform gives none.
 	MaxFlowAge jmtree.Duration
+	// ColdOverrun and ColdSlack say how far an upstream that warms up may go beyond the
+	// rate that it bears: rate * ColdOverrun + ColdSlack new flows in any second. They
+	// are 1 and 0 if the platform gives none.
+	ColdOverrun, ColdSlack float64
 	// Packets is the address where a balancer receives callers' packets. Packets
 	// to callers are sent to the same port.
 	Packets netip.AddrPort
@@ -82,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Settings{}
+	s = &Settings{ColdOverrun: 1}
 	if err = json.Unmarshal(plain, s); err != nil {
 		return nil, err
 	}
@@ -105,6 +109,10 @@
 		return missing("Platform.Address")
 	case s.MaxFlowAge < 0:
 		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
+	case s.ColdOverrun < 0:
+		return eris.Errorf("ColdOverrun %g is negative", s.ColdOverrun)
+	case s.ColdSlack < 0:
+		return eris.Errorf("ColdSlack %g is negative", s.ColdSlack)
 	}
 	if role != RoleAgent {
 		return nil
@@ -142,5 +150,7 @@
 	appendIf("Upstream", s.Upstream != next.Upstream)
 	appendIf("Service", s.Service != next.Service)
 	appendIf("MaxFlowAge", s.MaxFlowAge != next.MaxFlowAge)
+	appendIf("ColdOverrun", s.ColdOverrun != next.ColdOverrun)
+	appendIf("ColdSlack", s.ColdSlack != next.ColdSlack)
 	return fields
 }
--- a/internal/settings/jmlocal/settings_test.go
+++ b/internal/settings/jmlocal/settings_test.go
@@ -16,7 +16,7 @@
 	"Name": "side-1", "Address": "10.0.0.2", "DataCentre": "a", "FirstPort": 7720, "LastPort": 7735,
 	"Seeds": ["10.0.0.1:8166"], "Packets": "10.0.0.2:8172", "Outbound": "10.0.0.2:8162",
 	"Ready": "10.0.0.2:8167", "Upstream": "10.0.0.2:8165", "Service": "shop",
-	"MaxFlowAge": "45s", "Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
+	"MaxFlowAge": "45s", "ColdOverrun": 1.5, "ColdSlack": 5, "Platform": {"Address": "10.9.0.1:8169"}, "Unknown": [1],
 }`
 
 func TestParse(t *testing.T) {
@@ -26,6 +26,12 @@
 	require.Equal(t, "10.9.0.1:8169", s.Platform.Address.String())
 	require.Len(t, s.Seeds, 1)
 	require.Equal(t, jmtree.Duration(45*time.Second), s.MaxFlowAge)
+	require.InDelta(t, 1.5, s.ColdOverrun, 0)
+	require.InDelta(t, 5, s.ColdSlack, 0)
+	s, err = jmlocal.Parse([]byte(strings.Replace(agentText, `"ColdOverrun": 1.5, "ColdSlack": 5, `, "", 1)), jmlocal.RoleAgent)
+	require.NoError(t, err)
+	require.InDelta(t, 1, s.ColdOverrun, 0)
+	require.InDelta(t, 0, s.ColdSlack, 0)
 }
 
 func TestParseErrorNamesField(t *testing.T) {
@@ -39,6 +45,8 @@
 		"no upstream":     {`"Upstream": "10.0.0.2:8165", `, "", "Upstream"},
 		"no service":      {`"Service": "shop",`, "", "Service"},
 		"no platform":     {`"Address": "10.9.0.1:8169"`, "", "Platform.Address"},
+		"cold overrun":    {`1.5`, `-1`, "ColdOverrun"},
+		"cold slack":      {`"ColdSlack": 5`, `"ColdSlack": -1`, "ColdSlack"},
 		"flow age":        {`"45s"`, `"-1s"`, "MaxFlowAge"},
 		"another type":    {`"DataCentre": "a"`, `"DataCentre": 5`, "DataCentre"},
 	}
--- a/passthrough.go
+++ b/passthrough.go
@@ -121,6 +121,9 @@
 type Share struct {
 	Service string
 	Weight  uint32
+	// ColdRate is ServiceLimits.ColdRate of the service. The directory passes it on with
+	// the routes.
+	ColdRate float64 `msgpack:",omitempty"`
 }
 
 // Route says which services share the new flows to an address.
