Operators under load: status and explain for pass-through processes

Cause: processes of pass-through flows served only /metrics. `status` could not tell who waits or who is refused and why, and the line of a refusal named neither the account nor its limit.

Change: - jmoperator: PassBalancerStatus and PassAgentStatus at /status. The type stays Status, with a part Pass, so that the command and the server need no second type and further fields of Status fit beside it. - Metrics by route and account: jm_pass_requests_total, jm_pass_waiting_requests, and jm_pass_overload. 128 pairs have series of their own, for the life of the process, so that counters don't decrease; the rest is added up as "other". Routes of one name are added up too, as a series must not appear twice. - Lines of over_limit, in_vain and given_up have Route, Account, MaxWaiting or TimeoutMs. `upstream: overload began` has numbers. - `explain -flow`: an opening packet carries no request id, so `explain -request` can't find a flow that was refused there. - OPERATIONS: "When room is short".

Ruled out: one status type for each kind of process (the command would have to guess); the parties' own bound of 1024 for series (4 outcomes each, on each agent); the refusal's limit from the settings at the start (a reload changes it).

--- a/cmd/jasminemoor/explain.go
+++ b/cmd/jasminemoor/explain.go
@@ -64,8 +64,8 @@
 
 // explainFlags are the flags of explain.
 type explainFlags struct {
-	service, id, settings, operator, request string
-	asJSON                                   bool
+	service, id, settings, operator, request, flow string
+	asJSON                                         bool
 }
 
 func (f *explainFlags) add(flags *flag.FlagSet) {
@@ -74,6 +74,7 @@
 	flags.StringVar(&f.settings, "settings", "", "directory with a settings tree, to explain without a running process")
 	flags.StringVar(&f.operator, "operator", "http://"+defaultOperator, "URL of a process's operator endpoint")
 	flags.StringVar(&f.request, "request", "", "ID of a request, to find the lines about it in the logs given as arguments or at standard input")
+	flags.StringVar(&f.flow, "flow", "", "flow, or its caller's address and port, to find the lines about it in the same way; for flows that were refused")
 	flags.BoolVar(&f.asJSON, "json", false, "print JSON")
 }
 
@@ -85,13 +86,13 @@
 	return &ffcli.Command{
 		Name: "explain",
 		ShortUsage: "jasminemoor explain -service <team>/<service> [-settings <directory> | -operator <url>]\n" +
-			"  jasminemoor explain -request <id> [<log>...]",
-		ShortHelp: "Explain which upstream a new flow of a service would go to now, or what happened to a request.",
+			"  jasminemoor explain {-request <id> | -flow <ip:port>} [<log>...]",
+		ShortHelp: "Explain which upstream a new flow of a service would go to now, or what happened to a request or flow.",
 		FlagSet:   flags,
 		Options:   parseOptions(),
 		Exec: func(ctx context.Context, args []string) error {
-			if f.request != "" {
-				trace, err := findTrace(t, f.request, args)
+			if f.request != "" || f.flow != "" {
+				trace, err := f.findTrace(t, args)
 				if err != nil {
 					return err
 				}
@@ -128,12 +129,18 @@
 	return x, askOperator(ctx, f.operator, "/explain", query, x)
 }
 
-// findTrace finds the lines about a request in log files, or in standard input if
-// no file is given.
-func findTrace(t *terminal, request string, files []string) (trace *jmtrace.Trace, err error) {
+// findTrace finds the lines about a request or flow in log files, or in standard input
+// if no file is given.
+func (f *explainFlags) findTrace(t *terminal, files []string) (trace *jmtrace.Trace, err error) {
+	find := func(lines []jmtrace.Line) (*jmtrace.Trace, error) { return jmtrace.Find(lines, f.request) }
+	subject := "request " + f.request
+	if f.request == "" {
+		find = func(lines []jmtrace.Line) (*jmtrace.Trace, error) { return jmtrace.FindFlow(lines, f.flow) }
+		subject = "flow " + f.flow
+	}
 	defer func() {
 		if err != nil {
-			err = eris.Wrapf(err, "request %s", request)
+			err = eris.Wrap(err, subject)
 		}
 	}()
 	if len(files) == 0 {
@@ -141,7 +148,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return jmtrace.Find(lines, request)
+		return find(lines)
 	}
 	var all []jmtrace.Line
 	for _, name := range files {
@@ -151,7 +158,7 @@
 		}
 		all = append(all, lines...)
 	}
-	return jmtrace.Find(all, request)
+	return find(all)
 }
 
 func readLog(name string) (lines []jmtrace.Line, err error) {
--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -78,9 +78,11 @@
 	if name == jmlocal.RoleBalancer {
 		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassBalancerStatus(b) }
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 		setAddress := onReload
 		onReload = func(next *jmlocal.Settings) {
 			setAddress(next)
--- a/internal/flow/jmpass/overload.go
+++ b/internal/flow/jmpass/overload.go
@@ -11,13 +11,14 @@
 // partyOf returns the party of a flow's requests.
 func (a *Agent) partyOf(flow jasminemoor.FlowKey) (p jmoverload.Party) {
 	p.Route = flow.Service()
-	if account := a.accountOf(flow.Caller().Addr()); account != nil {
+	if account := a.Account(flow.Caller().Addr()); account != nil {
 		p.Account = account.Name
 	}
 	return p
 }
 
-func (a *Agent) accountOf(caller netip.Addr) *jasminemoor.ClientAccount {
+// Account returns the client account of a caller, nil if it has none.
+func (a *Agent) Account(caller netip.Addr) *jasminemoor.ClientAccount {
 	if a.queue.shares == nil {
 		return nil
 	}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -54,6 +54,7 @@
 	lastProbeResult atomic.Int32 // a jmpass.ProbeResult
 	mu              sync.Mutex   // guards machine
 	machine         jmpass.Agent
+	shares          *jmlocal.Shares // in force, guarded by mu
 	silent          silentAgents
 	outbound        *net.UDPConn // receives the upstream's packets
 }
@@ -76,6 +77,7 @@
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
+	a.onDecision = a.addLimit
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
@@ -116,6 +118,7 @@
 func (a *Agent) SetShares(s *jmlocal.Shares) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.shares = s
 	if s == nil {
 		a.machine.SetShares(false, nil)
 	} else {
@@ -288,7 +291,9 @@
 			}
 		}
 		if m.Kind == jmpass.Dropped {
-			a.decisions.Notable("flow: "+jmpass.ReasonGivenUp.Text(), fields(jmpass.ReasonGivenUp))
+			givenUp := fields(jmpass.ReasonGivenUp)
+			a.addLimit(givenUp, jmpass.ReasonGivenUp, m.Flow)
+			a.decisions.Notable("flow: "+jmpass.ReasonGivenUp.Text(), givenUp)
 			continue
 		}
 		a.decisions.Ordinary("flow: request sent to its upstream after waiting", func() logrus.Fields { return fields(jmpass.ReasonHeld) })
--- a/internal/flow/jmpassnode/overload.go
+++ b/internal/flow/jmpassnode/overload.go
@@ -51,30 +51,19 @@
 
 func (a *Agent) partyLoad(p jmoverload.Party, t jmoverload.Tally) PartyLoad {
 	return PartyLoad{
-		Route: a.routeName(p), Account: p.Account,
+		Route: a.routeName(p.Route), Account: p.Account,
 		InTime: t[jmoverload.InTime], Late: t[jmoverload.Late], GivenUp: t[jmoverload.GivenUp], Refused: t[jmoverload.Refused],
 	}
 }
 
-// routeName returns the name of a party's route, or its address if the directory has no
-// such route any more.
-func (a *Agent) routeName(p jmoverload.Party) string {
-	if s := a.control.Snapshot(); s != nil {
-		if route := s.Routes[p.Route]; route != nil && route.Name != "" {
-			return route.Name
-		}
-	}
-	return p.Route.String()
-}
-
 // maxLoggedParties bounds the parties in a log line.
 const maxLoggedParties = 4
 
-// logOverload logs the beginning of an overload, and its end with what became of the
-// requests of the parties that had most of them.
+// logOverload logs the beginning of an overload with the parties that wait most, and its
+// end with what became of the requests of the parties that had most of them.
 func (a *Agent) logOverload(episode *jmoverload.Episode) {
 	if episode == nil {
-		a.Log.Warn("upstream: overload began")
+		a.logOverloadBegan()
 		return
 	}
 	var parties []PartyLoad
@@ -93,3 +82,19 @@
 		"Parties": parties[:min(len(parties), maxLoggedParties)],
 	}).Warn("upstream: overload ended")
 }
+
+func (a *Agent) logOverloadBegan() {
+	byParty, waiting := a.machine.Waiting(time.Now()), 0
+	parties := make([]PartyLoad, 0, len(byParty))
+	for party, w := range byParty {
+		l := a.partyLoad(party, jmoverload.Tally{})
+		l.Waiting, l.LongestMs = w.Requests, w.Longest.Milliseconds()
+		waiting += w.Requests
+		parties = append(parties, l)
+	}
+	slices.SortFunc(parties, func(x, y PartyLoad) int { return cmp.Compare(y.Waiting, x.Waiting) })
+	_, inFlight := a.machine.Flows()
+	a.Log.WithFields(logrus.Fields{
+		"Waiting": waiting, "InFlight": inFlight, "Parties": parties[:min(len(parties), maxLoggedParties)],
+	}).Warn("upstream: overload began")
+}
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -51,6 +51,9 @@
 	tcp           net.Listener // for exchanges that other processes start
 	isReady       atomic.Bool
 
+	// onDecision, if set, adds fields to the log line of a decision.
+	onDecision func(fields logrus.Fields, reason jmpass.Reason, flow jasminemoor.FlowKey)
+
 	initOnce  sync.Once
 	leaveOnce sync.Once
 	leaving   chan struct{} // closed when the process begins to leave
@@ -224,6 +227,9 @@
 			fields["Holder"], fields["IsConfirmed"] = m.Holder, m.IsConfirmed
 		}
 	}
+	if p.onDecision != nil {
+		p.onDecision(fields, reason, flow)
+	}
 	return fields
 }
 
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -30,6 +30,7 @@
 	registerReasons(set, a.Count)
 	registerGauge(set, "jm_pass_flows", func() int { flows, _ := a.Flows(); return flows })
 	registerGauge(set, "jm_pass_waiting", func() int { _, inFlight := a.Flows(); return inFlight })
+	registerPassLoad(set, func() ([]jmpassnode.PartyLoad, bool) { return a.Load(time.Now()) })
 	answers := set.NewHistogram("jm_pass_answer_seconds")
 	a.OnAnswer = func(took time.Duration) { answers.Update(took.Seconds()) }
 	return set
--- a/internal/operate/jmoperator/status.go
+++ b/internal/operate/jmoperator/status.go
@@ -20,7 +20,7 @@
 // Status is the status of a process, as /status shows it.
 type Status struct {
 	Role       string
-	Identity   jasminemoor.Identity
+	Identity   jasminemoor.Identity `json:",omitzero"`
 	DataCentre string
 	IsReader   bool
 	IsStale    bool
@@ -32,6 +32,9 @@
 	Waiting    int               `json:",omitempty"`
 	Feeds      int               `json:",omitempty"`
 	Refusals   map[string]uint64 `json:",omitempty"`
+	// Pass is set for processes of pass-through flows, which have no Identity, Revisions,
+	// Faults and Members.
+	Pass *PassStatus `json:",omitempty"`
 }
 
 // Member is another process as this one sees it.
@@ -118,6 +121,9 @@
 
 // Print writes the status for people.
 func (s *Status) Print(out io.Writer) error {
+	if s.Pass != nil {
+		return s.printPass(out)
+	}
 	_, _ = fmt.Fprintf(out, "%s %s in %s\n", s.Role, s.Identity, s.DataCentre)
 	if s.IsStale {
 		_, _ = fmt.Fprintln(out, "was paused, and no peer has answered since")
@@ -134,9 +140,7 @@
 	if s.Role == "agent" {
 		_, _ = fmt.Fprintf(out, "%d flows, %d requests running, %d waiting, %d feeds\n", s.Flows, s.Running, s.Waiting, s.Feeds)
 	}
-	for _, cause := range slices.Sorted(maps.Keys(s.Refusals)) {
-		_, _ = fmt.Fprintf(out, "refusals, %s: %d\n", cause, s.Refusals[cause])
-	}
+	s.printRefusals(out)
 	w := tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
 	_, _ = fmt.Fprintln(w, "member\tdata centre\tstate\tleaving")
 	for _, m := range s.Members {
@@ -144,3 +148,9 @@
 	}
 	return w.Flush()
 }
+
+func (s *Status) printRefusals(out io.Writer) {
+	for _, cause := range slices.Sorted(maps.Keys(s.Refusals)) {
+		_, _ = fmt.Fprintf(out, "refusals, %s: %d\n", cause, s.Refusals[cause])
+	}
+}
--- a/internal/operate/jmtrace/trace.go
+++ b/internal/operate/jmtrace/trace.go
@@ -1,4 +1,4 @@
-// Package jmtrace finds the lines about one request in the logs of many processes.
+// Package jmtrace finds the lines about one request or flow in the logs of many processes.
 package jmtrace
 
 import (
@@ -34,9 +34,9 @@
 	Fields   map[string]string `json:",omitempty"`
 }
 
-// Trace holds the lines of the logs about a request.
+// Trace holds the lines of the logs about a request, or about a flow if Request is empty.
 type Trace struct {
-	Request string
+	Request string `json:",omitempty"`
 	// Flows are the flows that carried the request, in the order of their first line.
 	Flows []string
 	// Lines are the lines about the flows, and the lines about no flow that the
@@ -108,6 +108,30 @@
 	if len(t.Flows) == 0 {
 		return nil, eris.Errorf("no line names request %s: it never reached a process, or its lines were left out", request)
 	}
+	t.add(lines)
+	return t, nil
+}
+
+// FindFlow returns the lines about a flow, which is given by its key or by its caller's
+// address and port, as a flow that is refused at its opening never carries a request. It
+// fails if no line names the flow.
+func FindFlow(lines []Line, flow string) (t *Trace, err error) {
+	t = &Trace{}
+	for _, l := range lines {
+		caller, _, _ := strings.Cut(l.Flow, ">")
+		if l.Flow != "" && (l.Flow == flow || caller == flow) && !slices.Contains(t.Flows, l.Flow) {
+			t.Flows = append(t.Flows, l.Flow)
+		}
+	}
+	if len(t.Flows) == 0 {
+		return nil, eris.Errorf("no line names flow %s: it never reached a process, or its lines were left out", flow)
+	}
+	t.add(lines)
+	return t, nil
+}
+
+// add adds the lines about the trace's flows, and those of their processes about no flow.
+func (t *Trace) add(lines []Line) {
 	span := t.span(lines)
 	for _, l := range lines {
 		isNear := span.covers(&l)
@@ -125,7 +149,6 @@
 		}
 	}
 	slices.SortStableFunc(t.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return t, nil
 }
 
 // span is the set of processes that a request's flows passed through, and the
@@ -162,11 +185,16 @@
 // Print writes the trace as text for people.
 func (t *Trace) Print(w io.Writer) (err error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "request %s on %s\n", t.Request, strings.Join(t.Flows, ", "))
+	if t.Request != "" {
+		fmt.Fprintf(&b, "request %s on ", t.Request)
+	} else {
+		b.WriteString("flow ")
+	}
+	b.WriteString(strings.Join(t.Flows, ", ") + "\n")
 	for i := range t.Lines {
 		l := &t.Lines[i]
 		fmt.Fprintf(&b, "%s  %-16s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message)
-		if l.Request == t.Request {
+		if t.Request != "" && l.Request == t.Request {
 			b.WriteString("  [this request]")
 		}
 		for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
--- a/internal/operate/jmtrace/trace_test.go
+++ b/internal/operate/jmtrace/trace_test.go
@@ -45,3 +45,26 @@
 		}
 	})
 }
+
+// TestTraceOfRefusedFlow finds a flow that was refused at its opening, so that no line
+// names a request of it, by its caller and by its key.
+func TestTraceOfRefusedFlow(t *testing.T) {
+	text, err := os.ReadFile("testdata/refusal.log")
+	require.NoError(t, err)
+	lines, unreadable, err := jmtrace.Read(strings.NewReader(string(text)))
+	require.NoError(t, err)
+	require.Zero(t, unreadable)
+	for _, flow := range []string{"100.64.0.6:1031", "100.64.0.6:1031>198.18.0.1:8443"} {
+		trace, err := jmtrace.FindFlow(lines, flow)
+		require.NoError(t, err)
+		var b strings.Builder
+		require.NoError(t, trace.Print(&b))
+		require.Equal(t, `flow 100.64.0.6:1031>198.18.0.1:8443
+16:54:05.500  side-a-1         upstream: overload began
+16:54:07.000  front-a-1        flow: new flow placed  AgeMs=120  IsOpening=true  Outcome=passed on  Reason=placed  Revision=93  To=10.1.0.12  Version=76
+16:54:07.002  side-a-1         flow: client account has as many requests waiting as it may  Account=guests  AgeMs=121  IsOpening=true  MaxWaiting=4  Outcome=reset  Reason=over_limit  Revision=93  Route=floor  Version=76
+`, b.String())
+	}
+	_, err = jmtrace.FindFlow(lines, "100.64.0.6:103")
+	require.ErrorContains(t, err, "no line names flow 100.64.0.6:103")
+}
