--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -82,6 +82,7 @@
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
+		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 		setAddress := onReload
 		onReload = func(next *jmlocal.Settings) {
 			setAddress(next)
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -39,6 +39,7 @@
 	set.NewGauge("jm_pass_tail_share", func() float64 { return a.Capacity().TailShare })
 	set.NewGauge("jm_pass_rate", func() float64 { return a.Capacity().Rate })
 	set.NewGauge("jm_pass_feed_rate", func() float64 { return a.Capacity().FeedRate })
+	registerPassLoad(set, func() ([]jmpassnode.PartyLoad, bool) { return a.Load(time.Now()) })
 	answers := set.NewHistogram("jm_pass_answer_seconds")
 	a.OnAnswer = func(took time.Duration) { answers.Update(took.Seconds()) }
 	return set
