jmreturn: each refused caller comes back at a place of its own in the drain

Cause: jmgate told all callers that were refused while the same number waited the same time, so they came back together and most were refused again. The library spread that by half of it either way, so half came early. After a start the mean hold time was 0 and rose by an eighth of each sample, so all were told 50 ms.

Change: jmreturn.Schedule gives places at nine tenths of the rate at which slots become free, less the arrivals that go on (median of five seconds, those expected back left out). Requests whose caller gives up before its place take none. A refusal to a relaying agent takes none. The mean hold time starts at 50 ms assumed, then at the first sample. The library waits as long as it is told.

Changed test: TestRetriesDoNotMultiplyOverload.

--- a/client/overload_test.go
+++ b/client/overload_test.go
@@ -16,7 +16,7 @@
 
 // overload sends three times as many requests as the agents can serve. It returns the
 // number of requests, of attempts, and of answers. A naive caller retries without a
-// budget until its timeout.
+// budget until its timeout, and does not heed when it is told to come back.
 func overload(t *testing.T, isNaive bool) (requests, sent, answered int) {
 	trial := newTrial(0, callerLibrary)
 	for _, addr := range trial.addrs {
@@ -35,15 +35,15 @@
 				// 40 callers at 6 a second send 240; the agents can serve 80.
 				time.Sleep(time.Second / 6)
 				wg.Go(func() {
-					retries := shared
+					retries, pick := shared, trial.pick
 					if isNaive {
-						retries = &budget{isFilled: true, tokens: 1000}
+						retries, pick = &budget{isFilled: true, tokens: 1000}, heedless(trial.pick)
 					}
 					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 					defer cancel()
 					retries.earn()
 					a := &attempts{
-						pick:      trial.pick,
+						pick:      pick,
 						budget:    retries,
 						maxAnswer: 1 << 20,
 						request:   Request{ID: jasminemoor.NewRequestID(), Body: fmt.Appendf(nil, "order-%d-%d", caller, i)},
@@ -65,6 +65,25 @@
 	return requests, sent, answered
 }
 
+// heedlessPath is a path whose refusals don't say when to come back.
+type heedlessPath struct{ path }
+
+func (p heedlessPath) request(ctx context.Context, header *jasminemoor.RequestHeader, body []byte, limit int64) (status jasminemoor.Status, answer []byte, wasSent bool, err error) {
+	status, answer, wasSent, err = p.path.request(ctx, header, body, limit)
+	status.RetryAfter = 0
+	return status, answer, wasSent, err
+}
+
+func heedless(pick func(ctx context.Context) (path, error)) func(ctx context.Context) (path, error) {
+	return func(ctx context.Context) (path, error) {
+		p, err := pick(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return heedlessPath{p}, nil
+	}
+}
+
 // TestRetriesDoNotMultiplyOverload compares retries within the budget with retries
 // without one, which more than double the load.
 func TestRetriesDoNotMultiplyOverload(t *testing.T) {
--- a/client/retry.go
+++ b/client/retry.go
@@ -174,13 +174,14 @@
 	return jasminemoor.OutcomeNotRun
 }
 
-// nextDelay returns the delay before the next attempt: the exponential backoff or
-// retryAfter, whichever is longer, with a jitter of half of it either way.
+// nextDelay returns the delay before the next attempt: the exponential backoff, with a
+// jitter of half of it either way, or retryAfter if that is longer. The agent gives each
+// refused request a time of its own, so that has no jitter.
 func (a *attempts) nextDelay() time.Duration {
-	delay := max(a.backoff, a.retryAfter)
+	delay := max(a.backoff/2+rand.N(a.backoff), a.retryAfter)
 	a.retryAfter = 0
 	a.backoff = min(a.backoff*2, maxBackoff)
-	return delay/2 + rand.N(delay)
+	return delay
 }
 
 // budget is a token bucket that limits the retries of refused requests to a share of
--- a/internal/request/jmgate/gate.go
+++ b/internal/request/jmgate/gate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/load/jmreturn"
 )
 
 // The errors of Enter other than that of its context. A stream that gets one
@@ -38,6 +39,7 @@
 	feeds        int
 	waiting      list.List     // of *waiter, in order of arrival
 	meanHoldTime time.Duration // EWMA of the time that a request holds its slot
+	returns      jmreturn.Schedule
 }
 
 // waiter is a request in the queue.
@@ -76,22 +78,26 @@
 	return g.hasFreeStream() && (kind == jasminemoor.KindFeed || g.hasFreeSlot())
 }
 
-// RetryAfter estimates how long a refused request should wait before a retry
-// finds a free slot. It is the time to drain the queue, given the mean time that
-// a request holds its slot.
-func (g *Gate) RetryAfter() time.Duration {
+// RetryAfter returns how long a refused request should wait before it comes back. Each
+// call gives a place of its own in the drain of the queue, so that those that were refused
+// don't come back together. A request whose ctx ends before its place takes none.
+func (g *Gate) RetryAfter(ctx context.Context) time.Duration {
+	now, patience := time.Now(), time.Duration(0)
+	if deadline, found := ctx.Deadline(); found {
+		patience = max(deadline.Sub(now), 1)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.limits.Slots == 0 {
-		return minRetryAfter
+	holdTime := g.meanHoldTime
+	if holdTime == 0 {
+		holdTime = assumedHoldTime
 	}
-	drain := g.meanHoldTime * time.Duration(g.waiting.Len()+1) / time.Duration(g.limits.Slots)
-	return min(max(drain, minRetryAfter), maxRetryAfter)
+	return g.returns.Next(now, g.waiting.Len(), float64(g.limits.Slots)/holdTime.Seconds(), patience)
 }
 
 const (
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	// assumedHoldTime is the mean hold time before the first request has ended.
+	assumedHoldTime = 50 * time.Millisecond
 	// holdTimeDivisor gives the newest sample a weight of 1/8 in the mean hold time.
 	holdTimeDivisor = 8
 )
@@ -101,6 +107,7 @@
 // stream ends; further calls of it do nothing.
 func (g *Gate) Enter(ctx context.Context, kind jasminemoor.Kind) (release func(), err error) {
 	g.mu.Lock()
+	g.returns.Arrive(time.Now())
 	if !g.hasFreeStream() {
 		g.mu.Unlock()
 		return nil, ErrTooManyStreams
@@ -161,6 +168,9 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.running--
+		if g.meanHoldTime == 0 {
+			g.meanHoldTime = time.Since(start)
+		}
 		g.meanHoldTime += (time.Since(start) - g.meanHoldTime) / holdTimeDivisor
 		g.admitWaiting()
 	})
--- a/internal/request/jmgate/gate_test.go
+++ b/internal/request/jmgate/gate_test.go
@@ -128,12 +128,12 @@
 			time.Sleep(400 * time.Millisecond)
 			release()
 		}
-		empty := g.RetryAfter()
+		empty := g.RetryAfter(t.Context())
 		enter(t, g, jasminemoor.KindRequest)
 		enter(t, g, jasminemoor.KindRequest)
 		go func() { _, _ = g.Enter(t.Context(), jasminemoor.KindRequest) }()
 		synctest.Wait()
-		require.Greater(t, g.RetryAfter(), empty)
+		require.Greater(t, g.RetryAfter(t.Context()), empty)
 		time.Sleep(limits.QueueWait)
 	})
 }
@@ -142,5 +142,5 @@
 	var g jmgate.Gate
 	_, err := g.Enter(t.Context(), jasminemoor.KindFeed)
 	require.ErrorIs(t, err, jmgate.ErrTooManyStreams)
-	require.Positive(t, g.RetryAfter())
+	require.Positive(t, g.RetryAfter(t.Context()))
 }
--- a/internal/request/jmserver/fence.go
+++ b/internal/request/jmserver/fence.go
@@ -40,7 +40,7 @@
 	}
 	verdict, err := v.beginRequest(s, ownFences)
 	if err != nil {
-		v.refuse(s, err.Error(), v.Gate.RetryAfter())
+		v.refuse(s, err.Error(), v.Gate.RetryAfter(ctx))
 		return false
 	}
 	switch verdict {
--- a/internal/request/jmserver/relay.go
+++ b/internal/request/jmserver/relay.go
@@ -79,7 +79,7 @@
 		v.sendStored(s, &fence)
 	case jasminemoor.FenceFenced:
 		v.Ledger.RevertRelay(s.Header.ID)
-		v.refuse(s, reasonRelayLost, v.Gate.RetryAfter())
+		v.refuse(s, reasonRelayLost, v.Gate.RetryAfter(ctx))
 	default:
 		v.answerUnknown(s, reasonRelayLost)
 	}
--- a/internal/request/jmserver/run.go
+++ b/internal/request/jmserver/run.go
@@ -20,7 +20,7 @@
 		v.Meter.RecordFailure()
 		v.Log.WithError(err).Warn("upstream: can't be reached")
 		if !v.tryRelay(ctx, s) {
-			v.refuse(s, "upstream can't be reached", v.Gate.RetryAfter())
+			v.refuse(s, "upstream can't be reached", v.Gate.RetryAfter(ctx))
 		}
 		return
 	}
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -114,8 +114,8 @@
 	hasRoom := v.Gate.HasRoom(s.Header.Kind)
 	if !hasRoom && s.Header.Hops > 0 {
 		// The relaying agent queues the request itself; a second queue here
-		// would only add to the wait.
-		v.refuse(s, "no free slot for a relayed stream", v.Gate.RetryAfter())
+		// would only add to the wait. It takes no place among those that come back.
+		v.refuse(s, "no free slot for a relayed stream", 0)
 		return
 	}
 	if v.IsClosed() || !hasRoom {
@@ -129,7 +129,7 @@
 	}
 	release, err := v.admit(ctx, s)
 	if err != nil {
-		v.refuse(s, err.Error(), v.Gate.RetryAfter())
+		v.refuse(s, err.Error(), v.Gate.RetryAfter(ctx))
 		return
 	}
 	defer release()
