--- a/internal/measure/jmflows/bound.go
+++ b/internal/measure/jmflows/bound.go
@@ -12,10 +12,11 @@
 // requests are those of a run of Product with the seed, whose result is returned as well.
 //
 // Alone counts each request as if it were the only one: it is served as soon as one of
-// its packets can reach an upstream. No system earns more. Central has one queue for the
-// whole service, without any delay on the way, that knows when each upstream is up and how
-// long each request takes, and never gives up one that can be late. It is no strict bound,
-// as another order of the requests may earn more.
+// its packets can reach an upstream. A request that may have run on a flow that was lost
+// with the power of all upstreams is not sent again. No system earns more. Central has one
+// queue for the whole service, without any delay on the way, that knows when each upstream
+// is up and how long each request takes, and never gives up one that can be late. It is no
+// strict bound, as another order of the requests may earn more.
 func Bounds(s *Scenario, seed uint64) (product, alone, central *Result, err error) {
 	w := &World{Scenario: *s, Policy: Product, Rand: rand.New(rand.NewPCG(seed, seed))}
 	w.Classes = slices.Clone(s.Classes)
@@ -28,7 +29,7 @@
 			requests = append(requests, w.newBoundRequest(q))
 		}
 	}
-	slices.SortStableFunc(requests, func(x, y *boundRequest) int { return cmp.Compare(x.arrives, y.arrives) })
+	slices.SortStableFunc(requests, byArrival)
 	return product, w.boundAlone(requests), w.boundCentral(requests), nil
 }
 
@@ -41,29 +42,14 @@
 	work    time.Duration
 }
 
-// sendOffsets are the times after which a caller sends a packet of its request again.
-var sendOffsets = []time.Duration{
-	0, retransmitDelay, 3 * retransmitDelay, 7 * retransmitDelay, 7*retransmitDelay + maxRetransmitDelay, 7*retransmitDelay + 2*maxRetransmitDelay,
-}
+func byArrival(x, y *boundRequest) int { return cmp.Compare(x.arrives, y.arrives) }
 
 func (w *World) newBoundRequest(q *request) *boundRequest {
 	sent := q.sentAt.Sub(w.startedAt)
 	work := float64(q.class.Work) * math.Exp(w.Rand.NormFloat64()*workSigma-workSigma*workSigma/2)
-	b := &boundRequest{request: q, sent: sent, work: time.Duration(min(work, float64(q.class.Work)*maxWorkFactor)), arrives: w.Length}
-	for _, offset := range sendOffsets {
-		if !w.isUnreachable(sent + offset) {
-			b.arrives = sent + offset + callerDelay
-			break
-		}
+	return &boundRequest{
+		request: q, sent: sent, work: time.Duration(min(work, float64(q.class.Work)*maxWorkFactor)), arrives: w.reach(q),
 	}
-	return b
-}
-
-// isUnreachable reports whether no process runs at a time since the start of the run.
-func (w *World) isUnreachable(at time.Duration) bool {
-	return slices.ContainsFunc(w.Faults, func(f Fault) bool {
-		return (f.Kind == FaultPowerOff || f.Kind == FaultKillAll) && isWithin(at, &f, startupTime)
-	})
 }
 
 // isWithin reports whether a time is in a fault or shorter after its end than extra.
@@ -80,24 +66,36 @@
 	window.Asked++
 	r.owed += q.class.Worth
 	window.Owed += q.class.Worth
-	w.now = w.startedAt.Add(answered)
-	r.endRequest(w, q, w.now.Sub(q.sentAt) <= time.Duration(q.class.Deadline))
+	w.now = q.sentAt.Add(min(answered-b.sent, w.Length))
+	r.endRequest(w, q, answered != never && answered-b.sent <= time.Duration(q.class.Deadline))
 }
 
 func (w *World) boundAlone(requests []*boundRequest) *Result {
 	r := &Result{}
 	for _, b := range requests {
-		answered := b.arrives + b.work + callerDelay
-		if w.areAllCold(b.arrives) {
-			answered += time.Duration((coldFactor - 1) * float64(b.work))
+		arrives := b.arrives
+		if lost := w.lostAt(arrives, w.alone(b, arrives)-callerDelay); lost != never {
+			arrives = w.reachAgain(b.request, arrives, lost)
 		}
-		w.record(r, b, answered)
+		w.record(r, b, w.alone(b, arrives))
 	}
 	r.summarise(w)
 	r.Policy = "alone"
 	return r
 }
 
+// alone returns when the caller has the answer to a request that reaches an idle upstream
+// at a time.
+func (w *World) alone(b *boundRequest, arrives time.Duration) (answered time.Duration) {
+	if arrives == never {
+		return never
+	}
+	if w.areAllCold(arrives) {
+		return arrives + time.Duration(coldFactor*float64(b.work)) + callerDelay
+	}
+	return arrives + b.work + callerDelay
+}
+
 // areAllCold reports whether every upstream is warming up.
 func (w *World) areAllCold(at time.Duration) bool {
 	for i := range w.Upstreams {
@@ -176,11 +174,18 @@
 				continue
 			}
 			free[slot] = now + time.Duration(factor*float64(b.work))
+			if lost := w.lostAt(now, free[slot]); lost != never {
+				free[slot] = lost
+				b.arrives = w.reachAgain(b.request, b.arrives, lost)
+				at, _ := slices.BinarySearchFunc(requests[next:], b, byArrival)
+				requests = slices.Insert(requests, next+at, b)
+				continue
+			}
 			w.record(r, b, free[slot]+callerDelay)
 		}
 	}
 	for _, b := range append(waiting, requests[next:]...) {
-		w.record(r, b, 2*w.Length)
+		w.record(r, b, never)
 	}
 	r.summarise(w)
 	r.Policy = "central"
--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -28,6 +28,8 @@
 	runs      int  // times that an upstream began to run it
 	isEnded   bool // its outcome is known
 	isCounted bool // the result includes it
+	// flowOpened is when its flow was opened if that was open when the request was sent.
+	flowOpened time.Time
 }
 
 // countRun counts that an upstream began to run the request. A second run of a
@@ -143,6 +145,9 @@
 	if f == nil || f.isEnded || !r.class.IsLong {
 		f = c.open(r.class)
 	}
+	if f.isOpen && r.attempts == 1 {
+		r.flowOpened = f.opened
+	}
 	f.request = r
 	t := &attempt{flow: f, request: r, done: done}
 	f.onAnswer, f.onFailure = t.handleAnswer, t.handleFailure
