--- a/cmd/jasminemoor/measurebound.go
+++ b/cmd/jasminemoor/measurebound.go
@@ -15,6 +15,7 @@
 	flags := newFlagSet(t, "bound")
 	seed := flags.Uint64("seed", 1, "seed of the run")
 	scale := flags.Float64("scale", 1, "factor by which the installations and their load are multiplied")
+	plot := flags.String("plot", "", "SVG file to write, with a plot of the requests without an answer over time")
 	asJSON := flags.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name:       "bound",
@@ -39,6 +40,11 @@
 				}
 				results = append(results, product, alone, central)
 			}
+			if *plot != "" {
+				if err := writePlot(*plot, results, jmflows.PlotDrain); err != nil {
+					return err
+				}
+			}
 			if *asJSON {
 				return json.NewEncoder(t.out).Encode(results)
 			}
--- a/cmd/jasminemoor/measureflows.go
+++ b/cmd/jasminemoor/measureflows.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 
@@ -39,7 +40,7 @@
 				results = append(results, pair...)
 			}
 			if *plot != "" {
-				if err := writePlot(*plot, results); err != nil {
+				if err := writePlot(*plot, results, jmflows.Plot); err != nil {
 					return err
 				}
 			}
@@ -72,7 +73,7 @@
 	return results, nil
 }
 
-func writePlot(path string, results []*jmflows.Result) (err error) {
+func writePlot(path string, results []*jmflows.Result, plot func(io.Writer, []*jmflows.Result) error) (err error) {
 	f, err := os.Create(path) //nolint:gosec // the operator chooses the file
 	if err != nil {
 		return err
@@ -82,7 +83,7 @@
 			err = closeErr
 		}
 	}()
-	return jmflows.Plot(f, results)
+	return plot(f, results)
 }
 
 func printFlows(t *terminal, results []*jmflows.Result) error {
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -40,6 +40,9 @@
 	ResetMax  float64
 	Abandoned int
 	Windows   []Window
+	// Unanswered is how many requests had been sent and not answered, each DrainStep. It
+	// does not count those whose callers have given up.
+	Unanswered []int
 	// ByClass has the outcomes of each class, by its name.
 	ByClass map[string]*Window
 
@@ -112,6 +115,7 @@
 	if !q.isCounted {
 		return
 	}
+	r.countUnanswered(w, q)
 	took := w.now.Sub(q.sentAt)
 	worth := 0.0
 	switch {
