jmdirectory: a process announces its first copy to agents and seeds

Cause of TestWholeFleetStarts/few_served at 5.05 to 5.65 s: the first beacon of a process goes out before its copy lists the agents, so it reaches subscribers only. The ten processes that the platform serves in each second are rarely a seed, and have no subscribers. So nobody learned of their copies, until agents that were among them read as deputies 1.5 s later, and the others waited until a seed was served by the platform itself: in the traces all 300 have their copies in the same step as the seeds (1 to 4 s), and a second without a served seed adds a second.

Change: a process that has its first copy from the platform sends a beacon to agents and to the seeds after 0.1 to 1 s (drawn), unless it has heard a beacon or a peer has replied with a copy by then. Seeds pull it and pass it on to their subscribers.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -182,7 +182,8 @@
 	historyAsked   int
 	lastHistoryAsk time.Time
 	// isDeputy is set while the agent reads in place of those ranked before it.
-	isDeputy bool
+	isDeputy     bool
+	announcement announcement
 }
 
 type seenBeacon struct {
@@ -233,6 +234,7 @@
 		}
 	}
 	m.tickEndings(&out, now)
+	m.tickAnnouncement(&out, now)
 	return out
 }
 
@@ -245,6 +247,11 @@
 // sendBeacon sends a beacon with the changes after a revision. If there are more
 // than maxBeaconItems, it has none of them.
 func (m *Machine) sendBeacon(now time.Time, changes []Item, since uint64) (out Output) {
+	m.forward(&out, now, m.newBeacon(now, changes, since), netip.Addr{})
+	return out
+}
+
+func (m *Machine) newBeacon(now time.Time, changes []Item, since uint64) *Beacon {
 	m.beaconCount++
 	b := &Beacon{Reader: m.Self, Number: uint64(now.UnixMicro())<<8 | m.beaconCount&0xff, Revision: m.replica.revision, Since: since}
 	if len(changes) <= maxBeaconItems {
@@ -253,8 +260,7 @@
 		b.Since = m.replica.revision
 	}
 	m.markSeen(seenBeacon{reader: b.Reader, number: b.Number})
-	m.forward(&out, now, b, netip.Addr{})
-	return out
+	return b
 }
 
 // Handle handles a message of a peer.
@@ -275,6 +281,7 @@
 		return
 	}
 	m.markSeen(id)
+	m.announcement.cancel()
 	if m.isDeputy && b.Age < StaleAfter && readerScore(b.Reader) > readerScore(m.Self) && slices.Contains(m.agents, b.Reader) {
 		m.isDeputy = false
 	}
@@ -356,6 +363,9 @@
 	pending := m.pendingBeacon
 	m.pendingBeacon = nil
 	defer func() { m.recordPeer(now, reply != nil) }()
+	if reply != nil && reply.Age >= 0 {
+		m.announcement.cancel()
+	}
 	if reply != nil {
 		m.handleEndings(&out, now, reply.Endings)
 	}
--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -144,6 +144,9 @@
 	since, version := m.replica.revision, m.replica.version
 	changes := m.replica.applyEntries(now, c, read.IsLoad)
 	news := changes
+	if !m.isLoaded {
+		m.planAnnouncement(now)
+	}
 	if read.IsLoad {
 		m.mustLoad, m.isLoaded = false, true
 		if m.replica.recordMissed(now, version) {
--- a/internal/fleet/jmdirectory/subscription.go
+++ b/internal/fleet/jmdirectory/subscription.go
@@ -30,9 +30,9 @@
 	maps.DeleteFunc(m.subscribers, func(_ netip.Addr, s *subscription) bool {
 		return now.Sub(s.renewed) > subscriptionTime
 	})
-	peers := slices.Collect(maps.Keys(m.subscribers))
+	peers := slices.SortedFunc(maps.Keys(m.subscribers), netip.Addr.Compare)
 	if len(peers) > maxServed {
-		slices.SortFunc(peers, func(x, y netip.Addr) int {
+		slices.SortStableFunc(peers, func(x, y netip.Addr) int {
 			return m.subscribers[x].served.Compare(m.subscribers[y].served)
 		})
 		peers = peers[:maxServed]
