jmpass: requests keep their places while the upstream or its agent stalls

Cause: an agent gave up every request without an answer for 1 s, also those of an upstream that did not get to run and had them all, and admitted as many others.

Change: an overdue request counts as a failure as before, so that new flows go elsewhere, but keeps its place while the upstream is silent and a probe has found its process alive, and for as long as a request may take after the upstream, or an agent that itself did not run (ticks more than 250 ms apart), went on. Places are given up 5 s after the request at most while 10 times the mean work is below a second. Without a successful probe, and for a request that the upstream passes over while it answers others, nothing changes.

For callers: an upstream that stalls answers no others either, so what waits at the agent keeps its order and can still be dropped or answered by priority. Weighed: never giving up (a lost request would block its place); repeats from callers (they come from those of a slow upstream as well); counting late answers again (the others are at the upstream by then).

TestLostRequestAfterStall bounds the change: red if a stalled upstream's requests never give up their places.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -390,6 +390,7 @@
 // result passed to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
 	a.begin(now)
+	a.table.stall.recordTick(now)
 	a.advanceCold(now)
 	a.sendDueReports(now)
 	a.advanceFlowProbes(now)
--- a/internal/flow/jmpass/capacity_test.go
+++ b/internal/flow/jmpass/capacity_test.go
@@ -32,18 +32,29 @@
 	return e
 }
 
-func (e *exchange) ask(now time.Time) {
+func (e *exchange) ask(now time.Time) { e.askPacket(now, []byte("packet")) }
+
+// askPacket sends a request with the raw packet and returns the agent's messages, in which
+// the packet of a request that is not queued is set.
+func (e *exchange) askPacket(now time.Time, packet []byte) (out []Message) {
 	p := dataPacket(e.request, 10)
 	p.Source, p.Acknowledged = e.caller, e.answered
-	_, _ = e.agent.HandlePeer(now, balancerAddr, forwardHeader(jmhop.FlagKnown), p, []byte("packet"))
+	out, _ = e.agent.HandlePeer(now, balancerAddr, forwardHeader(jmhop.FlagKnown), p, packet)
+	for i := range out {
+		if out[i].Kind == ToUpstream && out[i].Packet == nil {
+			out[i].Packet = packet
+		}
+	}
 	e.request += 10
+	return out
 }
 
-func (e *exchange) answer(now time.Time) {
+func (e *exchange) answer(now time.Time) (out []Message) {
 	p := upstreamPacket(jasminemoor.FlagAck, 100)
 	p.Destination, p.Sequence = e.caller, e.answered
-	_, _ = e.agent.HandleUpstream(now, p, nil, false)
+	out, _ = e.agent.HandleUpstream(now, p, nil, false)
 	e.answered += 100
+	return out
 }
 
 // TestWorkIsMeasured gives an upstream of two slots as many requests as it may have. The
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -18,7 +18,8 @@
 	defaultIdleTimeout = 30 * time.Second
 	// minRequestTimeout, or requestTimeoutFactor times the mean time of the upstream's work
 	// if that is longer, is how long a request without an answer counts as load. After that
-	// its caller may have left, or the answer may be lost.
+	// its caller may have left, or the answer may be lost. It counts for longer if the
+	// upstream stalls.
 	minRequestTimeout    = time.Second
 	requestTimeoutFactor = 10
 	// answerAfterEnd is how long after the end of its flow an answer may arrive, as
@@ -33,6 +34,7 @@
 	isOpen             bool // the handshake is complete
 	isConfirmed        bool // the upstream has sent a packet of the flow
 	hasRequestInFlight bool // the upstream has not begun to answer a request
+	isOverdue          bool // the answer to that request is overdue
 	hasOpenReply       bool // the upstream has replied to the opening packet
 	ended              endFlags
 	openReply          uint32 // sequence number of that reply
@@ -61,6 +63,7 @@
 	flows    map[jasminemoor.FlowKey]*flow
 	inFlight int
 	capacity capacity
+	stall    stall
 }
 
 func (t *table) get(key jasminemoor.FlowKey) *flow { return t.flows[key] }
@@ -111,7 +114,7 @@
 func (t *table) startRequest(now time.Time, f *flow) {
 	// There is no answer to wait for on a flow that one end has closed.
 	if !f.hasRequestInFlight && f.ended == 0 {
-		f.hasRequestInFlight, f.requestedAt = true, now
+		f.hasRequestInFlight, f.isOverdue, f.requestedAt = true, false, now
 		t.inFlight++
 		t.capacity.startRequest(f)
 	}
@@ -150,21 +153,32 @@
 	}
 }
 
-// endOverdueRequests ends the requests in flight whose answer is overdue, and returns
-// their number.
-func (t *table) endOverdueRequests(now time.Time) (lost int) {
-	limit := max(minRequestTimeout, requestTimeoutFactor*t.capacity.estimate.Mean(now))
+// requestTimeout returns how long a request may take until its answer is overdue.
+func (t *table) requestTimeout(now time.Time) time.Duration {
+	return max(minRequestTimeout, requestTimeoutFactor*t.capacity.estimate.Mean(now))
+}
+
+// endOverdueRequests ends the requests in flight whose answer is overdue, unless the
+// upstream has stalled, and returns the number of those that have become overdue.
+func (t *table) endOverdueRequests(now time.Time) (overdue int) {
+	limit := t.requestTimeout(now)
 	for _, f := range t.flows {
 		if !f.hasRequestInFlight {
 			continue
 		}
 		hasEnded := f.ended&upstreamEnded != 0 && now.Sub(f.lastUsed) > answerAfterEnd
-		if hasEnded || now.Sub(f.requestedAt) > limit {
+		if !hasEnded && now.Sub(f.requestedAt) <= limit {
+			continue
+		}
+		if !f.isOverdue {
+			f.isOverdue = true
+			overdue++
+		}
+		if hasEnded || !t.stall.keeps(now, f.requestedAt, limit) {
 			t.endRequest(f)
-			lost++
 		}
 	}
-	return lost
+	return overdue
 }
 
 // evict removes the flows that are closed, idle for too long, or were never answered.
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -27,6 +27,7 @@
 
 // markUnanswered records that a packet is sent to the upstream.
 func (a *Agent) markUnanswered(now time.Time) {
+	a.table.stall.recordSent(now)
 	if a.upstream.unansweredSince.IsZero() {
 		a.upstream.unansweredSince = now
 	}
@@ -37,6 +38,7 @@
 func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) (out []Message, reason Reason) {
 	a.begin(now)
 	a.upstream = upstreamState{probed: a.upstream.probed}
+	a.table.recordHeard(now)
 	if p.Flags.Has(jasminemoor.FlagReturned) {
 		reason = a.handleReturned(now, p, packet)
 	} else {
@@ -193,8 +195,10 @@
 	u := &a.upstream
 	switch result {
 	case ProbeAccepted:
+		a.table.stall.isAlive = !a.table.stall.since.IsZero()
 		u.isDown, u.isSilent, u.unansweredSince = false, false, time.Time{}
 	case ProbeRefused:
+		a.table.stall = stall{ticked: a.table.stall.ticked}
 		a.sawUpstreamDown = true
 		a.recordRestart(now)
 		a.cold.hard.Remit()
