jmpassnode: the fields of a decision that is left out are not built

Cause: after its restart a balancer knows no flow, and each packet is a notable decision.

Change: Notable takes a function, as Ordinary does; the texts are made once.

--- a/internal/fleet/jmdecision/decision.go
+++ b/internal/fleet/jmdecision/decision.go
@@ -34,39 +34,39 @@
 
 // Debug logs a decision at level debug, unless LinesPerSecond is reached.
 func (l *Log) Debug(text string, fields logrus.Fields) {
-	if l.IsDebugEnabled() {
-		l.write(logrus.DebugLevel, LinesPerSecond, text, fields)
+	if !l.IsDebugEnabled() {
+		return
+	}
+	leftOut, isAdmitted := l.admit(time.Now(), LinesPerSecond)
+	l.writeLeftOut(logrus.DebugLevel, leftOut)
+	if isAdmitted {
+		l.Log.WithFields(fields).Debug(text)
 	}
 }
 
-// Notable logs an unusual decision at level info, unless LinesPerSecond is reached.
-func (l *Log) Notable(text string, fields logrus.Fields) {
-	if l != nil {
-		l.write(logrus.InfoLevel, LinesPerSecond, text, fields)
-	}
+// Notable logs an unusual decision at level info, unless LinesPerSecond is reached. It
+// calls fields for the line's fields only if the line is logged.
+func (l *Log) Notable(text string, fields func() logrus.Fields) {
+	l.write(LinesPerSecond, text, fields)
 }
 
 // Ordinary logs a usual decision at level info, unless OrdinaryPerSecond is
 // reached. It calls fields for the line's fields only if the line is logged.
 func (l *Log) Ordinary(text string, fields func() logrus.Fields) {
+	l.write(OrdinaryPerSecond, text, fields)
+}
+
+func (l *Log) write(limit int, text string, fields func() logrus.Fields) {
 	if l == nil {
 		return
 	}
-	leftOut, isAdmitted := l.admit(time.Now(), OrdinaryPerSecond)
+	leftOut, isAdmitted := l.admit(time.Now(), limit)
 	l.writeLeftOut(logrus.InfoLevel, leftOut)
 	if isAdmitted {
 		l.Log.WithFields(fields()).Info(text)
 	}
 }
 
-func (l *Log) write(level logrus.Level, limit int, text string, fields logrus.Fields) {
-	leftOut, isAdmitted := l.admit(time.Now(), limit)
-	l.writeLeftOut(level, leftOut)
-	if isAdmitted {
-		l.Log.WithFields(fields).Log(level, text)
-	}
-}
-
 func (l *Log) writeLeftOut(level logrus.Level, leftOut int) {
 	if leftOut > 0 {
 		l.Log.WithField("LeftOut", leftOut).Log(level, "decision: lines left out")
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -261,8 +261,10 @@
 func (a *Agent) logOutcomes(out []jmpass.Message) {
 	for i := range out {
 		if out[i].Kind == jmpass.Reset {
-			a.decisions.Notable("flow: reset, as no upstream holds it", logrus.Fields{
-				fieldInstance: a.Settings.Name, fieldFlow: out[i].Flow.String(), fieldOutcome: out[i].Kind.String(),
+			a.decisions.Notable("flow: reset, as no upstream holds it", func() logrus.Fields {
+				return logrus.Fields{
+					fieldInstance: a.Settings.Name, fieldFlow: out[i].Flow.String(), fieldOutcome: out[i].Kind.String(),
+				}
 			})
 		}
 	}
@@ -275,9 +277,11 @@
 // logSearchTimeout logs why a flow without a known holder was not reset.
 func (a *Agent) logSearchTimeout(flow jasminemoor.FlowKey, unanswered []netip.Addr) {
 	a.silent.add(unanswered)
-	a.decisions.Notable("flow: holder was not found in time, and agents that may hold the flow did not answer", logrus.Fields{
-		fieldInstance: a.Settings.Name, fieldFlow: flow.String(), "Unanswered": len(unanswered),
-		"Agents": unanswered[:min(len(unanswered), maxLoggedAgents)],
+	a.decisions.Notable("flow: holder was not found in time, and agents that may hold the flow did not answer", func() logrus.Fields {
+		return logrus.Fields{
+			fieldInstance: a.Settings.Name, fieldFlow: flow.String(), "Unanswered": len(unanswered),
+			"Agents": unanswered[:min(len(unanswered), maxLoggedAgents)],
+		}
 	})
 }
 
@@ -289,17 +293,19 @@
 		if m.RequestAge == 0 {
 			continue
 		}
-		fields := func(reason jmpass.Reason) logrus.Fields {
-			return logrus.Fields{
-				fieldInstance: a.Settings.Name, fieldFlow: m.Flow.String(), fieldRequest: a.Codec.RequestID(m.Packet),
-				fieldReason: reason.String(), "WaitedMs": m.RequestAge.Milliseconds(), fieldOutcome: m.Kind.String(),
+		fields := func(reason jmpass.Reason) func() logrus.Fields {
+			return func() logrus.Fields {
+				return logrus.Fields{
+					fieldInstance: a.Settings.Name, fieldFlow: m.Flow.String(), fieldRequest: a.Codec.RequestID(m.Packet),
+					fieldReason: reason.String(), "WaitedMs": m.RequestAge.Milliseconds(), fieldOutcome: m.Kind.String(),
+				}
 			}
 		}
 		if m.Kind == jmpass.Dropped {
-			a.decisions.Notable("flow: "+jmpass.ReasonGivenUp.Text(), fields(jmpass.ReasonGivenUp))
+			a.decisions.Notable(decisionTexts[jmpass.ReasonGivenUp], fields(jmpass.ReasonGivenUp))
 			continue
 		}
-		a.decisions.Ordinary("flow: request sent to its upstream after waiting", func() logrus.Fields { return fields(jmpass.ReasonHeld) })
+		a.decisions.Ordinary("flow: request sent to its upstream after waiting", fields(jmpass.ReasonHeld))
 	}
 }
 
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -180,18 +180,25 @@
 // logged only for packets that open a flow or begin a request, and at a lower rate
 // than notable ones.
 func (p *process) logDecision(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, datagram []byte, m *jmpass.Message) {
+	fields := func() logrus.Fields { return p.decisionFields(now, reason, packet, datagram, m) }
 	if reason.IsNotable() {
-		p.decisions.Notable("flow: "+reason.Text(), p.decisionFields(now, reason, packet, datagram, m))
+		p.decisions.Notable(decisionTexts[reason], fields)
 		return
 	}
 	isStart := packet.Flags.Has(jasminemoor.FlagOpen) || p.codec.RequestID(datagram) != ""
 	if reason != jmpass.ReasonNone && isStart {
-		p.decisions.Ordinary("flow: "+reason.Text(), func() logrus.Fields {
-			return p.decisionFields(now, reason, packet, datagram, m)
-		})
+		p.decisions.Ordinary(decisionTexts[reason], fields)
 	}
 }
 
+// decisionTexts are the texts of the log lines, by reason.
+var decisionTexts = func() (texts [jmpass.ReasonCount]string) {
+	for i := range texts {
+		texts[i] = "flow: " + jmpass.Reason(i).Text()
+	}
+	return texts
+}()
+
 func (p *process) decisionFields(now time.Time, reason jmpass.Reason, packet *jasminemoor.Packet, datagram []byte, m *jmpass.Message) logrus.Fields {
 	flow := packet.Key()
 	if m != nil && m.Kind == jmpass.ToCaller {
