jmflows: upstreams that join during a run, and flows that end

Change: Scenario.Joining {Share, At}; Class.FlowLasts, the mean time after which a caller opens a new flow; Window.Runs and JoinedRuns. Scenarios without the fields draw the same random numbers as before.

--- a/internal/measure/jmflows/caller.go
+++ b/internal/measure/jmflows/caller.go
@@ -60,6 +60,7 @@
 	isEnded     bool
 	request     *request
 	opened      time.Time
+	lasts       time.Duration // after which the caller opens another one, 0 if never
 	onAnswer    func(isSuccess bool)
 	onFailure   func() // called when the flow is reset or isn't opened in time
 }
@@ -140,6 +141,9 @@
 	}
 	r.attempts++
 	f := c.flow
+	if f != nil && f.lasts > 0 && w.now.Sub(f.opened) >= f.lasts {
+		f.close()
+	}
 	if f == nil || f.isEnded || !r.class.IsLong {
 		f = c.open(r.class)
 	}
@@ -217,7 +221,7 @@
 func (c *caller) open(class *Class) *callerFlow {
 	w := c.world
 	c.port++
-	f := &callerFlow{caller: c, class: class, sendNext: w.Rand.Uint32(), opened: w.now}
+	f := &callerFlow{caller: c, class: class, sendNext: w.Rand.Uint32(), opened: w.now, lasts: class.flowTime(w)}
 	f.key = jasminemoor.NewFlowKey(netip.AddrPortFrom(c.addr, c.port), class.serviceAddr)
 	c.flow = f
 	w.result.opened++
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -60,6 +60,9 @@
 type Window struct {
 	Asked, InTime, Late, Failed int
 	Earned, Owed                float64
+	// Runs counts the requests that upstreams began to run in the period, and JoinedRuns
+	// those of them at upstreams of Scenario.Joining. A class has none.
+	Runs, JoinedRuns int
 }
 
 // countOutcome adds the outcome of a request, and the worth that it had, to the window of
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -45,6 +45,8 @@
 	// its time divided by the speed. Without any, all have speed 1.
 	Speeds []float64
 	Wave   Wave
+	// Joining are upstreams that start empty while the load lasts. See Joining.
+	Joining Joining
 }
 
 // Wave has the load rise and fall.
@@ -60,8 +62,12 @@
 	// IsLong is set if a caller sends many requests on one flow. Otherwise each
 	// request has a flow of its own.
 	IsLong    bool
-	Callers   int             // number of callers, if IsLong
-	PerSecond float64         // requests a second, of all callers together
+	Callers   int     // number of callers, if IsLong
+	PerSecond float64 // requests a second, of all callers together
+	// FlowLasts is the mean time after which a caller opens a new flow for its next
+	// request, if IsLong. If it is not set, a flow lasts until it is lost or a request on
+	// it fails.
+	FlowLasts jmtree.Duration
 	Work      jmtree.Duration // mean time at an upstream
 	// Tail is the share of the requests that take TailFactor times as long as the others.
 	Tail       float64
@@ -369,7 +375,7 @@
 			return eris.Errorf("fault %q needs Gap", f.Kind)
 		}
 	}
-	return errors.Join(s.checkSpeeds(), s.checkClasses())
+	return errors.Join(s.checkSpeeds(), s.checkJoining(), s.checkClasses())
 }
 
 func (s *Scenario) checkSpeeds() error {
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -224,6 +224,7 @@
 		u.queue = u.queue[1:]
 		u.running++
 		j.request.countRun(w)
+		w.result.countRun(w, u.node)
 		run := u.starts
 		w.after(u.workTime(j.request.class), func() {
 			if u.isLive(run) {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -120,6 +120,7 @@
 	balancer   balancer
 	agent      agent
 	upstream   *upstream
+	isJoining  bool // it starts at Joining.At
 	// sawUpstreamDown is set if a probe of the agent has found that the upstream had ended.
 	sawUpstreamDown bool
 }
@@ -198,7 +199,14 @@
 		w.agents = append(w.agents, n)
 		w.byAddr[n.addr] = n
 	}
+	for _, n := range w.joiningAgents() {
+		n.isJoining = true
+	}
 	for _, n := range w.nodes() {
+		if n.isJoining {
+			w.after(time.Duration(w.Joining.At), n.join)
+			continue
+		}
 		if n.upstream != nil {
 			n.upstream.start(false)
 		}
