--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -54,6 +54,7 @@
 	lastProbeResult atomic.Int32 // a jmpass.ProbeResult
 	mu              sync.Mutex   // guards machine
 	machine         jmpass.Agent
+	shares          *jmlocal.Shares // in force, guarded by mu
 	silent          silentAgents
 	outbound        *net.UDPConn // receives the upstream's packets
 }
@@ -77,6 +78,7 @@
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
+	a.onDecision = a.addLimit
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
@@ -117,6 +119,7 @@
 func (a *Agent) SetShares(s *jmlocal.Shares) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.shares = s
 	if s == nil {
 		a.machine.SetShares(false, nil)
 	} else {
@@ -295,10 +298,12 @@
 		}
 		fields := func(reason jmpass.Reason) func() logrus.Fields {
 			return func() logrus.Fields {
-				return logrus.Fields{
+				line := logrus.Fields{
 					fieldInstance: a.Settings.Name, fieldFlow: m.Flow.String(), fieldRequest: a.Codec.RequestID(m.Packet),
 					fieldReason: reason.String(), "WaitedMs": m.RequestAge.Milliseconds(), fieldOutcome: m.Kind.String(),
 				}
+				a.addLimit(line, reason, m.Flow)
+				return line
 			}
 		}
 		if m.Kind == jmpass.Dropped {
