--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,7 @@
 	flows      map[netip.AddrPort]*upstreamFlow
 	runs       map[string]int // by request
 	opened     int
+	openings   []time.Time
 	badPackets int
 	// running is the number of requests in progress, peak the highest so far.
 	running, peak int
@@ -102,6 +104,14 @@
 	return u.opened, u.badPackets
 }
 
+// Openings returns when the upstream took the opening packet of each flow, in order.
+// Retransmitted ones do not count.
+func (u *Upstream) Openings() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.openings)
+}
+
 func (u *Upstream) handle(b []byte) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -116,6 +126,7 @@
 		if f == nil {
 			f = &upstreamFlow{sequence: rand.Uint32(), expected: p.Sequence + 1}
 			u.flows[p.Source] = f
+			u.openings = append(u.openings, time.Now())
 		}
 		u.send(&Packet{Source: p.Destination, Destination: p.Source, Flags: Syn | Ack, Sequence: f.sequence, Ack: f.expected})
 		return
--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -83,17 +83,22 @@
 	// name. balancerPaths are the proxies between the routers and the balancers.
 	storePaths    map[string]*jmproxy.Proxy
 	balancerPaths []*jmproxy.Proxy
+	// changes are the operator's changes besides the faults; nil for none.
+	changes *soakChanges
 
 	mu        sync.Mutex
 	processes map[string]*jmprocess.Process
 	faulty    map[string]bool // targets that have a fault now
 	upstreams []*jmpackets.Upstream
 	crashes   []int // number of crashes of each upstream
-	version   int   // of the configuration in the store
-	served    int
-	unserved  int
-	failures  []string // broken guarantees
-	injected  []string // log of the injected faults
+	// born and coldUntil are when each upstream started, and when it has warmed up.
+	born, coldUntil []time.Time
+	settledAt       time.Time // when the system has been calm for long enough; zero before
+	version         int       // of the configuration in the store
+	served          int
+	unserved        int
+	failures        []string // broken guarantees
+	injected        []string // log of the injected faults
 }
 
 // soakAddr returns the loopback address of the process or stand-in with the number i
@@ -119,32 +124,67 @@
 // publishConfig writes the configuration to the store under a new version.
 func (s *soak) publishConfig() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version += 1 + s.rng.IntN(3)
+	s.putConfig()
+}
+
+// putConfig writes the present version to the store. s.mu must be locked, so that
+// versions are written in order.
+func (s *soak) putConfig() {
 	version := s.version
-	s.mu.Unlock()
 	route := func(port int) map[string]any {
 		return map[string]any{
 			"name": fmt.Sprint("r-", port), "host": shopAddress.Addr().String(), "prefix": fmt.Sprintf("/%d/", port), "route_type": "idempotent",
 			"timeout_ms": 3000, "target_latency_ms": 200, "priority": 2, "service": "shop",
+			"split": s.changes.split(),
 		}
 	}
 	// The port of the second route encodes the version, so that a caller can check
 	// which version is in force.
 	s.store.Put("op/config", map[string]any{
 		"version": version, "routes": []any{route(int(shopAddress.Port())), route(10_000 + version)},
-		"limits": map[string]any{"idle_timeout_ms": 15000},
+		"limits": map[string]any{"idle_timeout_ms": 15000}, "services": s.changes.limits(),
 	})
 }
 
 // registerUpstream writes the state of upstream i to the store. The ID holds the
 // number of crashes, so each restart registers as a new instance.
 func (s *soak) registerUpstream(i int, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.store.Put(fmt.Sprintf("servers/i-%d-%d", i, s.crashes[i-1]), map[string]any{
-		"service": "shop", "address": soakAddr(addrAgent, i, soakUpstreamPort).String(), "zone": "here", "max_concurrency": soakSlots, "state": state,
-		"born": time.Now().UnixMilli(),
+		"service": soakService(i), "address": soakAddr(addrAgent, i, soakUpstreamPort).String(), "zone": s.changes.dataCentre(i), "max_concurrency": soakSlots, "state": state,
+		"born": s.born[i-1].UnixMilli(), "cold_left_ms": max(time.Until(s.coldUntil[i-1]), 0).Milliseconds(),
 	})
 }
 
+// startUpstream starts the next upstream and its agent.
+func (s *soak) startUpstream(isFirstStart bool) {
+	i := len(s.upstreams) + 1
+	u := &jmpackets.Upstream{Address: soakAddr(addrAgent, i, soakUpstreamPort), Outbound: soakAddr(addrAgent, i, soakOutboundPort), Name: fmt.Sprint("shop", i), ServiceTime: s.work}
+	require.NoError(s.t, u.Start(context.Background()))
+	s.t.Cleanup(u.Crash)
+	s.mu.Lock()
+	s.upstreams = append(s.upstreams, u)
+	s.crashes = append(s.crashes, 0)
+	s.born = append(s.born, time.Now().Add(-time.Minute))
+	s.coldUntil = append(s.coldUntil, time.Time{})
+	s.mu.Unlock()
+	if !isFirstStart {
+		s.recordStart(i)
+	}
+	s.registerUpstream(i, "ready")
+	s.startProcess("agent", addrAgent, i, isFirstStart)
+}
+
+// upstream returns the upstream with a number, from 1 on.
+func (s *soak) upstream(i int) *jmpackets.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upstreams[i-1]
+}
+
 // start starts the store, the upstreams, agents, balancers and the caller, and waits
 // until all balancers are ready.
 func (s *soak) start() {
@@ -155,14 +195,8 @@
 	s.t.Cleanup(func() { _ = server.Close() })
 	s.storeAddress = listener.Addr().String()
 	s.publishConfig()
-	for i := 1; i <= *soakAgents; i++ {
-		u := &jmpackets.Upstream{Address: soakAddr(addrAgent, i, soakUpstreamPort), Outbound: soakAddr(addrAgent, i, soakOutboundPort), Name: fmt.Sprint("shop", i), ServiceTime: s.work}
-		require.NoError(s.t, u.Start(context.Background()))
-		s.t.Cleanup(u.Crash)
-		s.upstreams = append(s.upstreams, u)
-		s.crashes = append(s.crashes, 0)
-		s.registerUpstream(i, "ready")
-		s.startProcess("agent", addrAgent, i, true)
+	for range *soakAgents + s.changes.extraUpstreams() {
+		s.startUpstream(true)
 	}
 	for i := 1; i <= *soakBalancers; i++ {
 		s.balancerPaths = append(s.balancerPaths, s.startProxy(soakAddr(addrBalancerPath, i, soakPacketPort), soakAddr(addrBalancer, i, soakPacketPort)))
@@ -198,13 +232,14 @@
 func (s *soak) startProcess(role string, kind, i int, isFirstStart bool) {
 	name := fmt.Sprint(role, "-", i)
 	settings := jmlocal.Settings{
-		Name: name, Address: soakAddr(kind, i, 0).Addr(), DataCentre: "here", FirstPort: soakPeerPort, LastPort: soakPeerPort + 15,
+		Name: name, Address: soakAddr(kind, i, 0).Addr(), DataCentre: s.changes.dataCentre(i), FirstPort: soakPeerPort, LastPort: soakPeerPort + 15,
 		Seeds: []netip.AddrPort{soakAddr(addrBalancer, 1, soakPeerPort)}, IsFirstStart: isFirstStart, Packets: soakAddr(kind, i, soakPacketPort),
 		Ready: soakAddr(kind, i, soakReadyPort), Platform: jmlocal.Platform{Address: s.storePath(name, kind, i).Address},
 	}
 	if kind == addrAgent {
-		settings.Outbound, settings.Upstream, settings.Service = soakAddr(addrAgent, i, soakOutboundPort), soakAddr(addrAgent, i, soakUpstreamPort), "shop"
+		settings.Outbound, settings.Upstream, settings.Service = soakAddr(addrAgent, i, soakOutboundPort), soakAddr(addrAgent, i, soakUpstreamPort), soakService(i)
 	}
+	s.changes.apply(&settings)
 	text, err := json.Marshal(settings)
 	require.NoError(s.t, err)
 	path := filepath.Join(s.dir, name+".json")
@@ -230,17 +265,20 @@
 	return crashes
 }
 
-// run runs the callers under two or more concurrent fault injectors.
+// run runs the callers under two or more concurrent fault injectors, and then without
+// faults.
 func (s *soak) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), *soakTime)
 	defer cancel()
-	s.pollReadiness(ctx)
+	calls, stop := context.WithCancel(context.Background())
+	defer stop()
+	s.pollReadiness(calls)
 	var callers, injectors sync.WaitGroup
 	for i := range soakFeeds + *soakAgents/4 {
-		callers.Go(func() { s.runFeed(ctx, i) })
+		callers.Go(func() { s.runFeed(calls, i) })
 	}
 	for i := range soakBookers {
-		callers.Go(func() { s.runBooker(ctx, i) })
+		callers.Go(func() { s.runBooker(calls, i) })
 	}
 	for range 2 + (*soakAgents+*soakBalancers)/processesPerInjector {
 		injectors.Go(func() {
@@ -250,7 +288,10 @@
 			}
 		})
 	}
+	injectors.Go(func() { s.runChanges(ctx) })
 	injectors.Wait()
+	s.settle()
+	stop()
 	callers.Wait()
 }
 
@@ -276,6 +317,7 @@
 	if n := s.caller.BadPackets(); n > 0 {
 		s.failf("callers received %d corrupted or misdirected packets", n)
 	}
+	s.checkChanges()
 	s.caller.Balancers = s.readyBalancers
 	newest := netip.AddrPortFrom(shopAddress.Addr(), uint16(10_000+s.version))
 	servesNewest := func() bool {
@@ -341,6 +383,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := newSoak(t, seed, binary, 10*time.Millisecond)
+			s.changes = newSoakChanges(seed)
 			s.start()
 			s.run()
 			s.checkGuarantees()
--- a/internal/standin/jmprocess/soakcallers_test.go
+++ b/internal/standin/jmprocess/soakcallers_test.go
@@ -81,6 +81,7 @@
 		f, err := s.openFlow(ctx)
 		if err != nil {
 			s.countResult(err)
+			time.Sleep(20 * time.Millisecond) // it may have been refused at once
 			continue
 		}
 		s.sendUntilError(ctx, f, fmt.Sprintf("feed-%d-%d", number, n))
@@ -94,6 +95,7 @@
 	upstream, before := "", s.crashCounts()
 	for n := 0; ctx.Err() == nil; n++ {
 		request, cancel := context.WithTimeout(context.WithoutCancel(ctx), soakDeadline)
+		isSettled := s.isSettled()
 		answer, err := f.Do(request, fmt.Sprintf("%s-%d", id, n))
 		cancel()
 		s.countResult(err)
@@ -104,6 +106,9 @@
 			}
 			return
 		case errors.Is(err, jmpackets.ErrDeadline):
+			if isSettled {
+				s.failf("%s at %s: request %d got no answer though there were no faults", id, upstream, n)
+			}
 			return
 		case err != nil:
 			s.failf("%s: %v", id, err)
--- a/internal/standin/jmprocess/soakfaults_test.go
+++ b/internal/standin/jmprocess/soakfaults_test.go
@@ -151,9 +151,10 @@
 	old := s.crashes[i-1]
 	s.crashes[i-1]++
 	s.mu.Unlock()
-	s.upstreams[i-1].Crash()
+	s.upstream(i).Crash()
 	time.Sleep(f.duration)
-	require.NoError(s.t, s.upstreams[i-1].Start(context.Background()))
+	s.recordStart(i)
+	require.NoError(s.t, s.upstream(i).Start(context.Background()))
 	s.registerUpstream(i, "ready")
 	s.store.Remove(fmt.Sprintf("servers/i-%d-%d", i, old))
 }
