--- a/internal/standin/jmprocess/soakchanges_test.go
+++ b/internal/standin/jmprocess/soakchanges_test.go
@@ -18,12 +18,13 @@
 	// soakExtras is the number of upstreams besides those that get the faults. As it is
 	// even, a replacement is in the same data centre.
 	soakExtras    = 4
-	soakColdRate  = 4.0 // of both services
+	soakColdRate  = 2.0 // of both services
 	coldOverrun   = 1.5
-	coldSlack     = 5.0
+	coldSlack     = 1.0
 	soakColdTime  = 1500 * time.Millisecond
 	evacuationLag = 5 * time.Second // after which no new flows go to an evacuated data centre
 	settledTime   = 1500 * time.Millisecond
+	lapseTime     = 5 * time.Second // after which the entry of an upstream that ended is removed
 )
 
 // soakChanges are changes by the operator while faults are injected. They have random
@@ -202,13 +203,15 @@
 	if err := p.Stop(); err != nil {
 		s.failf("the agent of upstream %d, which has ended, did not stop gracefully: %v", i, err)
 	}
-	s.store.Remove(fmt.Sprintf("servers/i-%d-0", i))
+	time.AfterFunc(lapseTime, func() { s.store.Remove(fmt.Sprintf("servers/i-%d-0", i)) })
 	s.startUpstream(false)
 	c.extras = append(c.extras[1:], len(s.upstreams))
 }
 
 // settle waits until the system has been without faults for evacuationLag and some time
-// more, in which an upstream ends for good. A data centre stays evacuated in half of the seeds.
+// more. Then an upstream ends for good and others of its service lose their flows: the
+// callers of these must get an answer or a reset. A data centre stays evacuated in half of
+// the seeds.
 func (s *soak) settle() {
 	c := s.changes
 	if c == nil {
@@ -221,9 +224,12 @@
 	s.mu.Lock()
 	s.settledAt = time.Now()
 	s.mu.Unlock()
-	// Endings of upstreams that have just started are not announced.
+	// An ending is announced only if the upstream has not just started.
 	if c.extras[0] <= *soakAgents+soakExtras {
 		s.replaceUpstream()
+		for _, i := range c.extras[:soakExtras-1] {
+			s.injectUpstreamFault(&fault{kind: faultUpstreamCrash, upstream: i, duration: 300 * time.Millisecond})
+		}
 	}
 	time.Sleep(settledTime)
 }
@@ -258,7 +264,11 @@
 	for _, span := range c.cold {
 		openings := slices.DeleteFunc(s.upstreams[span.upstream-1].Openings(), func(at time.Time) bool { return at.Before(span.from) || at.After(span.to) })
 		if n := mostInASecond(openings); n > limit {
-			s.failf("upstream %d, which warmed up from %s on, got %d opening packets in a second, more than %d", span.upstream, span.from.Format("05.000"), n, limit)
+			var after []time.Duration
+			for _, at := range openings {
+				after = append(after, at.Sub(span.from).Round(time.Millisecond))
+			}
+			s.failf("upstream %d, which warmed up from %s on, got %d opening packets in a second, more than %d: after %v", span.upstream, span.from.Format("05.000"), n, limit, after)
 		}
 	}
 }
