--- a/internal/measure/jmflows/drain.go
+++ b/internal/measure/jmflows/drain.go
@@ -26,25 +26,7 @@
 
 // PlotDrain writes an SVG plot of the requests that callers have sent and that are not
 // answered: one panel for each scenario, one line for each policy.
-func PlotDrain(w io.Writer, results []*Result) error {
-	var names []string
-	panels := make(map[string][]*Result)
-	for _, r := range results {
-		if panels[r.Scenario] == nil {
-			names = append(names, r.Scenario)
-		}
-		panels[r.Scenario] = append(panels[r.Scenario], r)
-	}
-	var b strings.Builder
-	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n",
-		plotWidth, len(names)*plotHeight)
-	for i, name := range names {
-		plotDrainPanel(&b, name, panels[name], i*plotHeight)
-	}
-	b.WriteString("</svg>\n")
-	_, err := io.WriteString(w, b.String())
-	return err
-}
+func PlotDrain(w io.Writer, results []*Result) error { return plotPanels(w, results, plotDrainPanel) }
 
 // drainColours are the colours of the policies of a panel, in the order of the results.
 var drainColours = []string{productColour, otherColour, "#36c", "#888"}
--- a/internal/measure/jmflows/plot.go
+++ b/internal/measure/jmflows/plot.go
@@ -21,7 +21,11 @@
 
 // Plot writes an SVG plot of the share of the worth that was earned in each window:
 // one panel for each scenario, one line for each policy.
-func Plot(w io.Writer, results []*Result) (err error) {
+func Plot(w io.Writer, results []*Result) error { return plotPanels(w, results, plotPanel) }
+
+// plotPanels writes an SVG plot with a panel for each scenario, which draw writes at an
+// offset from the top.
+func plotPanels(w io.Writer, results []*Result, draw func(b *strings.Builder, name string, results []*Result, top int)) (err error) {
 	var names []string
 	panels := make(map[string][]*Result)
 	for _, r := range results {
@@ -34,7 +38,7 @@
 	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n",
 		plotWidth, len(names)*plotHeight)
 	for i, name := range names {
-		plotPanel(&b, name, panels[name], i*plotHeight)
+		draw(&b, name, panels[name], i*plotHeight)
 	}
 	b.WriteString("</svg>\n")
 	_, err = io.WriteString(w, b.String())
