Tests: each run has a loopback network of its own

Two checkouts on one machine collided (bind: address already in use in jmpassnode, and in 6 of 8 starts of TestOverload). jmpackets.Network claims a network 127.N.0.0/16 by a bound port until the process ends; jmpassnode and the soak use it. Checked: two runs of jmpassnode at once, without a collision.

Seen: TestEvacuation (evacuation_test.go:83, 'Condition never satisfied') fails in each of 8 networks and at 127.77 on without these changes as well, by itself and in a whole run of the package; it passed once in a whole run.

--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -62,7 +62,7 @@
 // addr returns an address of instance i of a kind: 1 for balancers, 2 for agents with
 // their upstreams, 3 for callers, and 8 for agents that run without a site.
 func addr(kind, i, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, byte(kind), byte(i)}), uint16(port))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, jmpackets.Network(), byte(kind), byte(i)}), uint16(port))
 }
 
 func newSite(t *testing.T) *site {
@@ -442,8 +442,8 @@
 func TestUnusableEntries(t *testing.T) {
 	s := newSite(t)
 	s.store.Put("servers/x", "\xff\xfe")
-	s.store.Put("servers/y", `{"service":"shop","address":"127.77.2.50:1","state":"asleep"}`)
-	s.store.Put("servers/z", `{"service":"nobody","address":"127.77.2.51:1","state":"ready"}`)
+	s.store.Put("servers/y", `{"service":"shop","address":"`+addr(2, 50, 1).String()+`","state":"asleep"}`)
+	s.store.Put("servers/z", `{"service":"nobody","address":"`+addr(2, 51, 1).String()+`","state":"ready"}`)
 	s.store.Put("other/key", "1")
 	time.Sleep(200 * time.Millisecond)
 	for i := range 10 {
--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -99,7 +99,7 @@
 // soakAddr returns the loopback address of the process or stand-in with the number i
 // of a kind.
 func soakAddr(kind, i, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 88, byte(kind), byte(i)}), uint16(port))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, jmpackets.Network(), byte(kind), byte(i)}), uint16(port))
 }
 
 // failf records a broken guarantee.
