--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -369,6 +369,7 @@
 // race.
 var soakRegressions = map[uint64]string{
 	1032: "an agent loaded its upstream list before the last upstream registered, asked every agent on the list for the holder, and reset a flow",
+	4901: "an agent that started with its cold upstream had no copy of the directory while the store failed, and admitted new flows without a limit",
 }
 
 // TestSoak injects random faults while callers send requests, with the seeds of the
