jmpass: agents without a copy admit new flows as before where the settings give no tolerance

Cause: the settings have ColdOverrun 1 where none is given, which counted as a limit: an agent without a copy of the directory would have dropped all new flows on every installation. Red first: the case 'defaults'.

--- a/internal/flow/jmpass/cold_test.go
+++ b/internal/flow/jmpass/cold_test.go
@@ -329,6 +329,7 @@
 	}{
 		"limits":     {overrun: 1.5, slack: 5, most: 5},
 		"no slack":   {overrun: 1.5, most: 0},
+		"defaults":   {overrun: 1, most: 100}, // as the settings have them where none is given
 		"no setting": {most: 100},
 	}
 	for name, tc := range cases {
--- a/internal/flow/jmpass/coldstart.go
+++ b/internal/flow/jmpass/coldstart.go
@@ -3,9 +3,9 @@
 import "time"
 
 // hasUnknownColdRate reports whether the agent has no copy of the directory yet, so that it
-// does not know the rate of its service, and the settings have limits.
+// does not know the rate of its service, and the settings give a tolerance beyond rates.
 func (a *Agent) hasUnknownColdRate() bool {
-	return a.snapshot.View == nil && (a.ColdOverrun > 0 || a.ColdSlack > 0)
+	return a.snapshot.View == nil && (a.ColdOverrun > 1 || a.ColdSlack > 0)
 }
 
 // allowUnlisted is allowOpening without a copy of the directory. It admits what the
