jmpassnode: an agent that leaves waits until its announcement is sent; the test waits for the entry

The trace shows that the agent that leaves was 50 ms old and that its copy of the directory did not list its upstream yet: then it names nothing, by design. The test now waits for the entry, which is what it is about; its checks stay. Beside that, the announcement was only queued when the process ended 30 ms later, and the last probe had 20 ms: the agent now waits until it is sent, at most 150 ms for both.

--- a/internal/flow/jmpassnode/endings.go
+++ b/internal/flow/jmpassnode/endings.go
@@ -12,19 +12,29 @@
 }
 
 // Leave announces that the own upstream has ended, if its port has refused a connection.
+// It returns once the announcement is sent, or when ctx ends.
 func (c *Control) Leave(ctx context.Context) {
-	c.enqueue(func(now time.Time) { c.apply(ctx, now, c.machine.Leave(now)) })
+	sent := make(chan struct{})
+	c.enqueue(func(now time.Time) {
+		c.apply(ctx, now, c.machine.Leave(now))
+		close(sent)
+	})
+	select {
+	case <-sent:
+	case <-ctx.Done():
+	}
 }
 
-// leaveProbeTimeout bounds the last probe of the upstream's port, which is on the agent's
-// own instance, so that leaving takes hardly longer.
-const leaveProbeTimeout = 20 * time.Millisecond
+// leaveTimeout bounds the last probe of the upstream's port and the announcement that
+// follows. Both take a millisecond or so, unless the instance is busy or the upstream does
+// not answer.
+const leaveTimeout = 150 * time.Millisecond
 
 // announceEnding probes the upstream for the last time, and announces its ending if it
 // has ended: the agent can no longer tell others that a flow is not held.
 func (a *Agent) announceEnding(ctx context.Context) {
-	probing, cancel := context.WithTimeout(ctx, leaveProbeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	a.probe(probing)
+	a.probe(ctx)
 	a.control.Leave(ctx)
 }
--- a/internal/flow/jmpassnode/endings_test.go
+++ b/internal/flow/jmpassnode/endings_test.go
@@ -25,6 +25,11 @@
 		require.NoError(t, err)
 		name = strings.SplitN(answer, ":", 2)[0]
 	}
+	// An agent whose copy does not list its upstream yet says nothing of it.
+	require.Eventually(t, func() bool {
+		snapshot := s.agents[2].control().Snapshot()
+		return snapshot != nil && snapshot.Upstreams[addr(2, 2, upstreamPort)] != nil
+	}, 5*time.Second, 10*time.Millisecond)
 	s.upstreams[2].Crash()
 	s.agents[2].stop()
 
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -57,6 +57,8 @@
 	cancel context.CancelFunc
 	leave  func()
 	done   chan struct{}
+	// control returns an agent's Control.
+	control func() *jmpassnode.Control
 }
 
 // addr returns an address of instance i of a kind: 1 for balancers, 2 for agents with
@@ -150,7 +152,9 @@
 		Settings: settings, Codec: jmadapter.Codec{}, Directory: s.directory(settings.Address), Log: s.log,
 		Decisions: &jmdecision.Log{Log: s.log},
 	}
-	s.setProcess(s.agents, i, s.start(a.Run, a.Leave, a.Drained()))
+	p := s.start(a.Run, a.Leave, a.Drained())
+	p.control = a.Control
+	s.setProcess(s.agents, i, p)
 }
 
 func (s *site) setProcess(to map[int]*process, i int, p *process) {
