--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -12,12 +12,13 @@
 )
 
 // An agent takes a new flow only if its upstream is among the first candidateCount in
-// rank, or the first one that is not evacuated (isOutOfRank). A search for a flow therefore asks only the agents whose upstreams
-// can have been among them while the flow may have been opened (possibleHolders).
+// rank, or the first one that is not evacuated (isOutOfRank). A search for a flow therefore
+// asks only the agents whose upstreams can have been among them while the flow may have been
+// opened (possibleHolders).
 
 // isOutOfRank reports whether the own upstream is neither among the first candidateCount
-// in rank for a flow nor the first that is not evacuated, by the own copy of the directory. It must not take
-// the flow then, as a search would not find it: see possibleHoldersOf.
+// in rank for a flow nor the first that is not evacuated, by the own copy of the directory.
+// It must not take the flow then, as a search would not find it: see possibleHoldersOf.
 func (a *Agent) isOutOfRank(key jasminemoor.FlowKey) bool {
 	service := a.snapshot.Services[a.Service]
 	if service == nil {
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -92,7 +92,7 @@
 // The kinds of fault.
 const (
 	FaultBurst        FaultKind = "Burst"        // the load of Class, or all of it, is multiplied by Factor
-	FaultPowerOff     FaultKind = "PowerOff"     // all instances lose power: processes and upstreams stop. Share of the upstreams, which were leaving, don't start again; their agents do, and end after Gap
+	FaultPowerOff     FaultKind = "PowerOff"     // all instances lose power; see Fault.Share
 	FaultKillAll      FaultKind = "KillAll"      // all processes are killed, upstreams keep running
 	FaultZoneOff      FaultKind = "ZoneOff"      // the instances of one data centre lose power
 	FaultReplace      FaultKind = "Replace"      // each upstream drains for For and is replaced; the next one begins after Gap
@@ -107,10 +107,12 @@
 
 // Fault is a fault that a scenario injects at a given time.
 type Fault struct {
-	Kind   FaultKind
-	At     jmtree.Duration // since the start of the run
-	For    jmtree.Duration
-	Share  float64 // of the upstreams
+	Kind FaultKind
+	At   jmtree.Duration // since the start of the run
+	For  jmtree.Duration
+	// Share is the share of the upstreams that is affected. After PowerOff these, which were
+	// leaving, don't start again; their agents do, and end after Gap.
+	Share  float64
 	Factor float64
 	Gap    jmtree.Duration
 	Class  string // of a burst; all classes if it is not set
