Corrections after a last reading

One rule says which copy of an opening packet may be answered with a reset; a limit of an account and a refusal in vain had two forms of it.

--- a/internal/flow/jmpass/opening.go
+++ b/internal/flow/jmpass/opening.go
@@ -28,11 +28,15 @@
 	return jmopening.IsHopeless(now, b.reports, route.Timeout)
 }
 
+// isFirstCopy reports whether an opening packet is the first copy that its caller sent, and
+// was not handed on. Another upstream may have accepted the flow by any later one.
+func isFirstCopy(h *jmhop.Header, p *jasminemoor.Packet) bool { return p.Age == 0 && h.Hops == 0 }
+
 // refuseInVain refuses a new flow whose request could not be answered in time. Only the
 // first copy of its opening packet is answered with a reset, as another upstream may have
 // accepted a later one.
 func (a *Agent) refuseInVain(now time.Time, key jasminemoor.FlowKey, h *jmhop.Header, p *jasminemoor.Packet) (isRefused bool) {
-	if h.Flags&jmhop.FlagFull == 0 || p.Age > 0 || len(a.queue.requests) == 0 || !a.isInVain(now, key, h.Age) {
+	if h.Flags&jmhop.FlagFull == 0 || !isFirstCopy(h, p) || len(a.queue.requests) == 0 || !a.isInVain(now, key, h.Age) {
 		return false
 	}
 	a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
--- a/internal/flow/jmpass/shares.go
+++ b/internal/flow/jmpass/shares.go
@@ -1,8 +1,6 @@
 package jmpass
 
 import (
-	"time"
-
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmoverload"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmshares"
@@ -34,7 +32,7 @@
 	if a.queue.shares == nil || a.queue.shares.HasRoom(key.Caller().Addr()) {
 		return false
 	}
-	if p.Age < time.Millisecond && h.Hops == 0 {
+	if isFirstCopy(h, p) {
 		a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		a.overload.Record(a.partyOf(key), jmoverload.Refused)
 	}
--- a/internal/standin/jmprocess/soakchanges_test.go
+++ b/internal/standin/jmprocess/soakchanges_test.go
@@ -189,8 +189,8 @@
 	s.startProcess("agent", addrAgent, i, false)
 }
 
-// replaceUpstream ends the oldest of the extra upstreams for good, has its agent leave and starts another
-// upstream in the same service.
+// replaceUpstream ends the oldest of the extra upstreams for good, has its agent leave and
+// starts another upstream in the same service.
 func (s *soak) replaceUpstream() {
 	c := s.changes
 	i := c.extras[0]
