--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -62,6 +62,7 @@
 	initOnce       sync.Once
 	calls          conc.WaitGroup // calls to the platform, and pulls from peers
 	isPlatformDown bool           // the last call to the platform failed other than with ErrHistoryGone
+	era            atomic.Uint64  // of the platform's last answer
 	isReader       bool           // this process watches the platform for all others
 	// behindSince is when a datagram first showed a newer copy than this one at a
 	// peer, in nanoseconds since started; 0 if none has.
@@ -90,6 +91,9 @@
 // Snapshot returns the newest snapshot, or nil before the directory is loaded.
 func (c *Control) Snapshot() *jmpass.Snapshot { return c.snapshot.Load() }
 
+// Era returns the era of the platform in its last answer to this process, 0 before.
+func (c *Control) Era() uint64 { return c.era.Load() }
+
 // Run keeps the copy up to date until ctx ends.
 func (c *Control) Run(ctx context.Context) {
 	c.init()
@@ -291,9 +295,34 @@
 			c.Log.Info("directory: platform regained")
 		}
 	}
+	if err == nil {
+		c.logRead(now, read, changes)
+	}
 	c.apply(ctx, now, c.machine.HandleRead(now, read, changes, err))
 }
 
+// logRead logs what an answer of the platform says of its own state beside that of the copy:
+// a new era, a change counter behind that of the copy, and configurations.
+func (c *Control) logRead(now time.Time, read jmdirectory.Read, changes *jasminemoor.DirectoryChanges) {
+	era := c.era.Swap(changes.Era)
+	log := c.Log.WithFields(logrus.Fields{
+		"Era": changes.Era, "Revision": changes.Revision, "OwnRevision": c.machine.Revision(), "IsLoad": read.IsLoad,
+		"AgeMs": now.Sub(c.machine.AsOf()).Milliseconds(),
+	})
+	if c.machine.IsLoaded() && era != changes.Era {
+		log.WithField("FormerEra", era).Warn("directory: platform was restored from a copy")
+	}
+	if changes.Revision < c.machine.Revision() {
+		log.Info("directory: answer of the platform is behind the copy")
+	}
+	for i := range changes.Entries {
+		if e := &changes.Entries[i]; e.Routing != nil && c.machine.IsLoaded() {
+			log.WithFields(logrus.Fields{"Version": e.Routing.Version, "EntryRevision": e.Revision}).
+				Info("directory: configuration read from the platform")
+		}
+	}
+}
+
 // pull requests from a peer the changes since the revision of this copy.
 func (c *Control) pull(ctx context.Context, peer netip.Addr) {
 	revision := make(chan uint64, 1)
--- a/passthrough.go
+++ b/passthrough.go
@@ -204,6 +204,9 @@
 
 // DirectoryChanges holds the entries that have changed up to a revision.
 type DirectoryChanges struct {
+	// Era grows each time the platform is restored from a copy. Revisions are given out
+	// again then.
+	Era      uint64
 	Revision uint64
 	Entries  []Entry
 }
