--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -1,7 +1,7 @@
 // Package jmstore is a stand-in for the metadata store of the users' platform,
 // for tests. It keeps items and the history of their changes in memory. It can
-// delay its answers, fail the calls of one instance or of all, and drop its
-// history.
+// delay its answers, fail the calls of one instance or of all, drop its history, and
+// be restored from a copy.
 package jmstore
 
 import (
@@ -21,6 +21,8 @@
 const (
 	// pageSize bounds the items in one answer of /v1/kv-range.
 	pageSize = 50
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
 	// maxWait bounds how long a watch waits for a change.
 	maxWait = 30 * time.Second
 )
@@ -42,6 +44,7 @@
 type Store struct {
 	mu      sync.Mutex
 	rev     uint64
+	era     uint64 // how often it was restored
 	floor   uint64 // the history up to this revision was dropped
 	items   map[string]item
 	history []item
@@ -120,6 +123,33 @@
 	s.floor, s.history = s.rev, nil
 }
 
+// Backup is a copy of a store's content.
+type Backup struct {
+	rev     uint64
+	items   map[string]item
+	history []item
+}
+
+// Backup returns a copy of the present content.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{rev: s.rev, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// Restore returns the store to the content of a copy and begins a new era. Later changes
+// are lost, and their revisions are given out again. Waiting watches fail with status 410.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rev, s.items, s.history = b.rev, maps.Clone(b.items), slices.Clone(b.history)
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = nil
+}
+
 // SetFault sets the fault of the calls of one instance or, if the address is not
 // valid, of all calls without a fault of their own.
 func (s *Store) SetFault(from netip.Addr, f Fault) {
@@ -153,6 +183,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault, delay := s.beginCall(r)
 	time.Sleep(delay)
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(firstEra+s.era, 10))
+	s.mu.Unlock()
 	switch fault {
 	case FaultUnavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -234,9 +267,12 @@
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
 	timeout := time.After(wait)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if after < s.floor {
+		if after < s.floor || after > s.rev || s.era != era {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
