--- a/internal/fleet/jmdirectory/announcement_test.go
+++ b/internal/fleet/jmdirectory/announcement_test.go
@@ -21,10 +21,12 @@
 		want  bool
 	}{
 		"hears nothing":          {func(*Machine, time.Time) {}, true},
-		"a peer has no copy":     {func(m *Machine, now time.Time) { m.HandlePullReply(now, 4, &PullReply{Age: -1}) }, true},
-		"a peer does not answer": {func(m *Machine, now time.Time) { m.HandlePullReply(now, 4, nil) }, true},
-		"a peer has a copy":      {func(m *Machine, now time.Time) { m.HandlePullReply(now, 4, &PullReply{Revision: 4}) }, false},
-		"hears a beacon":         {func(m *Machine, now time.Time) { m.Handle(now, agent, beacon) }, false},
+		"a peer has no copy":     {func(m *Machine, now time.Time) { m.HandlePullReply(now, &PullRequest{Since: 4}, &PullReply{Age: -1}) }, true},
+		"a peer does not answer": {func(m *Machine, now time.Time) { m.HandlePullReply(now, &PullRequest{Since: 4}, nil) }, true},
+		"a peer has a copy": {func(m *Machine, now time.Time) {
+			m.HandlePullReply(now, &PullRequest{Since: 4}, &PullReply{Revision: 4})
+		}, false},
+		"hears a beacon": {func(m *Machine, now time.Time) { m.Handle(now, agent, beacon) }, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/jmdirectory/bench_test.go
+++ b/internal/fleet/jmdirectory/bench_test.go
@@ -20,7 +20,7 @@
 	}
 	c.Entries = append(c.Entries, routingEntry(1, 1, ports...))
 	for i := range upstreams {
-		c.Entries = append(c.Entries, upstreamEntry(i+1, uint64(i+2)))
+		c.Entries = append(c.Entries, upstreamEntry(i+1, jasminemoor.Revision(i+2)))
 	}
 	r := &replica{}
 	r.applyEntries(startTime, c, true)
@@ -45,7 +45,7 @@
 		r := fullSizeReplica()
 		v := r.view(startTime)
 		b.ReportMetric(float64(heapSize()-before)/1e6, "MB")
-		items, _ := r.delta(0)
+		items, _ := r.delta(&PullRequest{})
 		whole, err := msgpack.Marshal(&PullReply{Items: items})
 		if err != nil {
 			b.Fatal(err)
--- a/internal/fleet/jmdirectory/endings_test.go
+++ b/internal/fleet/jmdirectory/endings_test.go
@@ -98,7 +98,7 @@
 
 	pulled := &Machine{Self: agentAddr(500)}
 	reply := f.machines[agentAddr(9)].HandlePullRequest(f.now, &PullRequest{})
-	_ = pulled.HandlePullReply(f.now, 0, reply)
+	_ = pulled.HandlePullReply(f.now, &PullRequest{}, reply)
 	require.True(t, pulled.View(f.now).Agents[agentAddr(7)].HasEnded, "with the first copy")
 }
 
@@ -130,7 +130,7 @@
 		e.Key, e.Upstream.ID, e.Upstream.Born = "u/"+id, id, born.UnixMilli()
 		return e
 	}
-	apply := func(m *Machine, revision uint64, now time.Time, e jasminemoor.Entry) {
+	apply := func(m *Machine, revision jasminemoor.Revision, now time.Time, e jasminemoor.Entry) {
 		e.Revision = revision
 		isLoad := revision == 1
 		_ = m.HandleRead(now, Read{IsLoad: isLoad, Wait: WatchWait}, &jasminemoor.DirectoryChanges{Revision: revision, Entries: []jasminemoor.Entry{e}}, nil)
--- a/internal/fleet/jmdirectory/evacuation.go
+++ b/internal/fleet/jmdirectory/evacuation.go
@@ -20,13 +20,13 @@
 }
 
 type knownEvacuation struct {
-	revision  uint64
+	revision  jasminemoor.Revision
 	isActive  bool // not set after its end, until the tombstone is dropped
 	changedAt time.Time
 }
 
 // applyEvacuation applies an item and reports whether it was newer than the copy's.
-func (r *replica) applyEvacuation(now time.Time, revision uint64, item *EvacuationItem) (isNew bool) {
+func (r *replica) applyEvacuation(now time.Time, revision jasminemoor.Revision, item *EvacuationItem) (isNew bool) {
 	known := r.evacuations[item.DataCentre]
 	if known == nil {
 		known = &knownEvacuation{}
@@ -41,7 +41,7 @@
 
 // removeOtherEvacuations ends the evacuations that a full listing does not name, and
 // returns the ends.
-func (r *replica) removeOtherEvacuations(now time.Time, revision uint64, listed map[string]bool) (ends []Item) {
+func (r *replica) removeOtherEvacuations(now time.Time, revision jasminemoor.Revision, listed map[string]bool) (ends []Item) {
 	for name, known := range r.evacuations {
 		if listed[name] || !known.isActive || known.revision >= revision {
 			continue
@@ -70,7 +70,7 @@
 
 // mergeUnlisted does the same with a peer's full copy. It reports whether anything was
 // removed.
-func (r *replica) mergeUnlisted(now time.Time, items []Item, revision uint64) (isNew bool) {
+func (r *replica) mergeUnlisted(now time.Time, items []Item, revision jasminemoor.Revision) (isNew bool) {
 	listed, evacuated := make(map[string]bool), make(map[string]bool)
 	for i := range items {
 		switch {
@@ -85,7 +85,7 @@
 }
 
 // deltaEvacuations appends the evacuations that began or ended after a revision.
-func (r *replica) deltaEvacuations(items []Item, since uint64) []Item {
+func (r *replica) deltaEvacuations(items []Item, since jasminemoor.Revision) []Item {
 	for name, known := range r.evacuations {
 		if known.revision > since {
 			items = append(items, Item{Revision: known.revision, Evacuation: &EvacuationItem{DataCentre: name, IsActive: known.isActive}})
--- a/internal/fleet/jmdirectory/evacuation_test.go
+++ b/internal/fleet/jmdirectory/evacuation_test.go
@@ -10,7 +10,7 @@
 	"github.com/jasminemoor/jasminemoor"
 )
 
-func evacuationEntry(dataCentre string, revision uint64, isOver bool) jasminemoor.Entry {
+func evacuationEntry(dataCentre string, revision jasminemoor.Revision, isOver bool) jasminemoor.Entry {
 	return jasminemoor.Entry{
 		Key: "evacuate/" + dataCentre, Revision: revision, Evacuation: &jasminemoor.Evacuation{DataCentre: dataCentre, IsOver: isOver},
 	}
@@ -21,11 +21,15 @@
 func TestEvacuations(t *testing.T) {
 	type change struct {
 		isWhole  bool
-		revision uint64
+		revision jasminemoor.Revision
 		entries  []jasminemoor.Entry
 	}
-	begin := func(name string, revision uint64) jasminemoor.Entry { return evacuationEntry(name, revision, false) }
-	end := func(name string, revision uint64) jasminemoor.Entry { return evacuationEntry(name, revision, true) }
+	begin := func(name string, revision jasminemoor.Revision) jasminemoor.Entry {
+		return evacuationEntry(name, revision, false)
+	}
+	end := func(name string, revision jasminemoor.Revision) jasminemoor.Entry {
+		return evacuationEntry(name, revision, true)
+	}
 	list := func(entries ...jasminemoor.Entry) []jasminemoor.Entry { return entries }
 	cases := map[string]struct {
 		changes []change
@@ -50,12 +54,12 @@
 				entries := append([]jasminemoor.Entry{routingEntry(1, 1, 1), upstreamEntry(1, 2)}, c.entries...)
 				own.applyEntries(startTime, &jasminemoor.DirectoryChanges{Revision: c.revision, Entries: entries}, c.isWhole)
 				own.asOf = startTime
-				items, isWhole := own.delta(peer.revision)
+				items, isWhole := own.delta(&PullRequest{Since: peer.revision})
 				peer.merge(startTime, items, own.revision, isWhole)
 			}
 			require.Equal(t, tc.want, own.view(startTime).Evacuated)
 			require.Equal(t, tc.want, peer.view(startTime).Evacuated)
-			items, _ := own.delta(0)
+			items, _ := own.delta(&PullRequest{})
 			var late replica
 			late.merge(startTime, items, own.revision, true)
 			require.Equal(t, tc.want, late.view(startTime).Evacuated)
@@ -94,7 +98,7 @@
 	end = end.Add(tombstoneRetention + time.Second)
 	r.expire(end)
 	require.Zero(t, r.view(end).Upstreams[addr].ReturnedAt)
-	_, isWhole := r.delta(6)
+	_, isWhole := r.delta(&PullRequest{Since: 6})
 	require.True(t, isWhole, "a peer that still has the evacuation gets a whole copy")
 }
 
--- a/internal/fleet/jmdirectory/history_test.go
+++ b/internal/fleet/jmdirectory/history_test.go
@@ -18,7 +18,7 @@
 		entries []jasminemoor.Entry
 	}
 	const recent, long = 5_000, 60_000 // start times, in milliseconds before startTime
-	entry := func(key string, revision uint64, bornBefore int64, edit ...func(u *jasminemoor.ListedUpstream)) jasminemoor.Entry {
+	entry := func(key string, revision jasminemoor.Revision, bornBefore int64, edit ...func(u *jasminemoor.ListedUpstream)) jasminemoor.Entry {
 		e := upstreamEntry(1, revision)
 		e.Key, e.Upstream.ID, e.Upstream.Born, e.Upstream.Created = key, key, startTime.UnixMilli()-bornBefore, 1
 		for _, each := range edit {
@@ -30,7 +30,7 @@
 	isLeaving := func(u *jasminemoor.ListedUpstream) { u.State = jasminemoor.UpstreamLeaving }
 	createdAgain := func(u *jasminemoor.ListedUpstream) { u.Created = 9 }
 	ofDesk := func(u *jasminemoor.ListedUpstream) { u.Service = "desk" }
-	removal := func(key string, revision uint64) jasminemoor.Entry {
+	removal := func(key string, revision jasminemoor.Revision) jasminemoor.Entry {
 		return jasminemoor.Entry{Key: key, Revision: revision}
 	}
 	load := func(entries ...jasminemoor.Entry) change { return change{0, true, entries} }
@@ -110,7 +110,7 @@
 			var r replica
 			for _, c := range tc.changes {
 				now := startTime.Add(c.after)
-				revision := uint64(1)
+				revision := jasminemoor.Revision(1)
 				for _, e := range c.entries {
 					revision = max(revision, e.Revision)
 				}
--- a/internal/fleet/jmdirectory/item.go
+++ b/internal/fleet/jmdirectory/item.go
@@ -5,9 +5,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// itemFields is the number of fields of an Item in earlier versions, which are the elements
-// of an array on the wire. Earlier versions can't read a longer one, so only the items that
-// they don't know of have more.
+// itemFields is the number of fields of an Item that each item has on the wire, as the
+// elements of an array. Items with Evacuation or Since have more, which releases before
+// evacuations can't read and later ones ignore.
 const itemFields = 4
 
 var (
@@ -18,9 +18,12 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (i *Item) EncodeMsgpack(e *msgpack.Encoder) (err error) {
 	fields := []any{i.Revision, i.Route, i.Upstream, i.Common}
-	if i.Evacuation != nil {
+	if i.Evacuation != nil || i.Since != 0 {
 		fields = append(fields, i.Evacuation)
 	}
+	if i.Since != 0 {
+		fields = append(fields, i.Since)
+	}
 	if err = e.EncodeArrayLen(len(fields)); err != nil {
 		return err
 	}
@@ -41,9 +44,12 @@
 		return err
 	}
 	for at := itemFields; at < n; at++ {
-		if at == itemFields {
+		switch at {
+		case itemFields:
 			err = d.Decode(&i.Evacuation)
-		} else {
+		case itemFields + 1:
+			err = d.Decode(&i.Since)
+		default:
 			err = d.Skip()
 		}
 		if err != nil {
--- a/internal/fleet/jmdirectory/item_test.go
+++ b/internal/fleet/jmdirectory/item_test.go
@@ -27,6 +27,7 @@
 	Upstream   *UpstreamItem
 	Common     *CommonItem
 	Evacuation *EvacuationItem
+	Since      uint64
 	Other      map[string]int
 }
 
@@ -37,6 +38,7 @@
 	upstream := &UpstreamItem{Key: "u", Upstream: &jasminemoor.ListedUpstream{ID: "u", Address: addr}}
 	item := Item{Revision: 7, Upstream: upstream}
 	evacuation := Item{Revision: 9, Evacuation: &EvacuationItem{DataCentre: "a", IsActive: true}}
+	common := Item{Revision: 9, Common: &CommonItem{Version: 3}, Since: 2}
 	transfer := func(from, to any) error {
 		body, err := msgpack.Marshal(from)
 		require.NoError(t, err)
@@ -44,8 +46,8 @@
 	}
 
 	var got []Item
-	require.NoError(t, transfer([]Item{item, evacuation}, &got))
-	require.Equal(t, []Item{item, evacuation}, got)
+	require.NoError(t, transfer([]Item{item, evacuation, common}, &got))
+	require.Equal(t, []Item{item, evacuation, common}, got)
 
 	var earlier []earlierItem
 	require.NoError(t, transfer([]Item{item}, &earlier))
--- a/internal/fleet/jmdirectory/limits_test.go
+++ b/internal/fleet/jmdirectory/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,21 +70,22 @@
 			Routes:   []jasminemoor.Route{{Address: limitedAddr, Shares: []jasminemoor.Share{{Service: "shop", Weight: 1}}}},
 			Services: []jasminemoor.ServiceLimits{{Service: "shop", ColdRate: rate}, {Service: "desk", ColdRate: 1}},
 		}
-		return &jasminemoor.DirectoryChanges{Revision: version, Entries: []jasminemoor.Entry{{Key: "config", Revision: version, Routing: r}}}
+		return &jasminemoor.DirectoryChanges{Revision: jasminemoor.Revision(version), Entries: []jasminemoor.Entry{{Key: "config", Revision: jasminemoor.Revision(version), Routing: r}}}
 	}
 	var reader, peer replica
 	for i, rate := range []float64{12.5, 12.5, 20, 0, 5} {
 		reader.applyEntries(now, routing(uint64(i)+1, rate), false)
-		items, isWhole := reader.delta(peer.revision)
-		for _, item := range items {
-			if item.Route != nil {
+		items, isWhole := reader.delta(&PullRequest{Since: peer.revision})
+		unlimited := slices.Clone(items)
+		for at := range unlimited {
+			if item := &unlimited[at]; item.Route != nil {
 				route := *item.Route.Route
 				route.Shares = []jasminemoor.Share{{Service: "shop", Weight: 1}}
 				item.Route = &RouteItem{Address: limitedAddr, Route: &route}
 			}
-			peer.merge(now, []Item{item}, peer.revision, false)
 		}
-		peer.merge(now, items, reader.revision, isWhole)
+		peer.mergeAll(now, unlimited, peer.revision, false)
+		peer.mergeAll(now, items, reader.revision, isWhole)
 		for _, r := range []*replica{&reader, &peer} {
 			service := r.view(now).Services["shop"]
 			if rate == 0 {
--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -73,12 +73,12 @@
 	Reader   netip.Addr
 	// Number is unique among the beacons of a reader.
 	Number   uint64
-	Revision uint64
+	Revision jasminemoor.Revision
 	// Age is how old the reader's last answer was when the beacon was sent. It is 0
 	// in a beacon that is sent with the answer.
 	Age time.Duration
 	// Since is the revision after which News holds all changes.
-	Since uint64
+	Since jasminemoor.Revision
 	News  []Item
 }
 
@@ -93,16 +93,22 @@
 	Endings []Ending `msgpack:"-"`
 }
 
-// PullRequest asks a peer for all changes since a revision.
+// PullRequest asks a peer for all changes since a revision, and all routes that have changed
+// since a version.
 type PullRequest struct {
-	Since uint64
+	Since jasminemoor.Revision
+	// HasVersion is not set by an earlier release, which gets the routes by their revisions.
+	HasVersion bool
+	Version    uint64
 }
 
 // PullReply answers a PullRequest. IsWhole says that Items are the full copy.
 type PullReply struct {
-	Revision uint64
+	Revision jasminemoor.Revision
 	IsWhole  bool
-	Items    []Item
+	// Version is that of the peer's routes, 0 from an earlier release.
+	Version uint64
+	Items   []Item
 	// Age is the age of the peer's copy, negative if it has none.
 	Age     time.Duration
 	Endings []Ending
@@ -129,7 +135,7 @@
 type Read struct {
 	// IsLoad asks for all entries instead of the changes.
 	IsLoad bool
-	Since  uint64
+	Since  jasminemoor.Revision
 	Wait   time.Duration
 }
 
@@ -246,12 +252,12 @@
 
 // sendBeacon sends a beacon with the changes after a revision. If there are more
 // than maxBeaconItems, it has none of them.
-func (m *Machine) sendBeacon(now time.Time, changes []Item, since uint64) (out Output) {
+func (m *Machine) sendBeacon(now time.Time, changes []Item, since jasminemoor.Revision) (out Output) {
 	m.forward(&out, now, m.newBeacon(now, changes, since), netip.Addr{})
 	return out
 }
 
-func (m *Machine) newBeacon(now time.Time, changes []Item, since uint64) *Beacon {
+func (m *Machine) newBeacon(now time.Time, changes []Item, since jasminemoor.Revision) *Beacon {
 	m.beaconCount++
 	b := &Beacon{Reader: m.Self, Number: uint64(now.UnixMicro())<<8 | m.beaconCount&0xff, Revision: m.replica.revision, Since: since}
 	if len(changes) <= maxBeaconItems {
@@ -259,6 +265,9 @@
 	} else {
 		b.Since = m.replica.revision
 	}
+	if m.replica.version > 0 && commonOf(b.News) == nil {
+		b.News = append(slices.Clone(b.News), m.replica.announcement())
+	}
 	m.markSeen(seenBeacon{reader: b.Reader, number: b.Number})
 	return b
 }
@@ -286,12 +295,14 @@
 		m.isDeputy = false
 	}
 	isCurrent := m.isLoaded && b.Revision <= m.replica.revision
-	canApply := m.isLoaded && b.Since <= m.replica.revision
+	canApply := m.isLoaded && b.Since <= m.replica.revision && b.Revision.Era() == m.replica.revision.Era()
 	switch {
-	case isCurrent:
-		m.advanceAsOf(now.Add(-b.Age))
-	case canApply:
-		if m.replica.merge(now, b.News, b.Revision, false) {
+	case (isCurrent || canApply) && m.replica.canApplyRoutes(b.News):
+		isNew := m.replica.mergeRoutes(now, b.News, false)
+		if !isCurrent {
+			isNew = m.replica.merge(now, b.News, b.Revision, false) || isNew
+		}
+		if isNew {
 			out.HasNewView = true
 			m.updateAgents(now)
 		}
@@ -349,16 +360,20 @@
 	if !m.isLoaded {
 		return &PullReply{Age: -1}
 	}
-	items, isWhole := m.replica.delta(r.Since)
+	items, isWhole := m.replica.delta(r)
 	return &PullReply{
-		Revision: m.replica.revision, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf),
+		Revision: m.replica.revision, Version: m.replica.version, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf),
 		Endings: m.replica.endings.list(now, maxEndings), RouteHistory: m.replica.routeHistory(now),
 	}
 }
 
-// HandlePullReply handles a peer's reply, or nil if the exchange failed. Since
-// is the revision in the request.
-func (m *Machine) HandlePullReply(now time.Time, since uint64, reply *PullReply) (out Output) {
+// PullRequest returns the request for what this copy lacks.
+func (m *Machine) PullRequest() *PullRequest {
+	return &PullRequest{Since: m.replica.revision, HasVersion: true, Version: m.replica.version}
+}
+
+// HandlePullReply handles a peer's reply to a request, or nil if the exchange failed.
+func (m *Machine) HandlePullReply(now time.Time, request *PullRequest, reply *PullReply) (out Output) {
 	m.pullBegun = time.Time{}
 	pending := m.pendingBeacon
 	m.pendingBeacon = nil
@@ -369,15 +384,10 @@
 	if reply != nil {
 		m.handleEndings(&out, now, reply.Endings)
 	}
-	if reply == nil || reply.Age < 0 || reply.Revision < m.replica.revision || since > m.replica.revision {
+	if reply == nil || reply.Age < 0 {
 		return out
 	}
-	ownSince, ownUntil, version := m.replica.routesKnownSince, m.replica.asOf, m.replica.version
-	isNew := m.replica.merge(now, reply.Items, reply.Revision, reply.IsWhole)
-	m.replica.recordMissed(now, version)
-	isNew = m.replica.mergeRouteHistory(now, reply.RouteHistory, ownSince, ownUntil) || isNew
-	m.isLoaded = true
-	m.advanceAsOf(now.Add(-reply.Age))
+	isNew := m.mergeReply(now, request, reply)
 	if isNew {
 		out.HasNewView = true
 		m.updateAgents(now)
@@ -388,8 +398,33 @@
 	return out
 }
 
+// mergeReply merges a peer's copy, or what of it is newer than this one, and reports whether
+// that changed the view.
+func (m *Machine) mergeReply(now time.Time, request *PullRequest, reply *PullReply) (isNew bool) {
+	r := &m.replica
+	r.init()
+	ownSince, ownUntil, version := r.routesKnownSince, r.asOf, r.version
+	if reply.IsWhole || request.Version == r.version {
+		isNew = r.mergeRoutes(now, reply.Items, reply.IsWhole)
+		r.recordMissed(now, version)
+	}
+	if reply.Revision < r.revision {
+		return isNew
+	}
+	if reply.Revision > r.revision {
+		m.mustLoad = false
+	}
+	isNew = r.merge(now, reply.Items, reply.Revision, reply.IsWhole) || isNew
+	if reply.Version == 0 || reply.Version >= r.version {
+		isNew = r.mergeRouteHistory(now, reply.RouteHistory, ownSince, ownUntil) || isNew
+	}
+	m.isLoaded = true
+	m.advanceAsOf(now.Add(-reply.Age))
+	return isNew
+}
+
 // Revision returns the revision up to which the copy is complete.
-func (m *Machine) Revision() uint64 { return m.replica.revision }
+func (m *Machine) Revision() jasminemoor.Revision { return m.replica.revision }
 
 // updateAgents recomputes the list of agents and this agent's rank. Agents whose entries
 // have lapsed stay in it for as long as in views, since all may lapse in an outage of
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -16,7 +16,7 @@
 
 var startTime = time.Unix(1_700_000_000, 0)
 
-func upstreamEntry(i int, revision uint64) jasminemoor.Entry {
+func upstreamEntry(i int, revision jasminemoor.Revision) jasminemoor.Entry {
 	id := "i-" + strconv.Itoa(i)
 	return jasminemoor.Entry{Key: "u/" + id, Revision: revision, Upstream: &jasminemoor.ListedUpstream{
 		ID: id, Service: "shop", Address: netip.AddrPortFrom(agentAddr(i), 8080), Slots: 5,
@@ -27,7 +27,7 @@
 
 func balancerAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}) }
 
-func routingEntry(version, revision uint64, ports ...uint16) jasminemoor.Entry {
+func routingEntry(version uint64, revision jasminemoor.Revision, ports ...uint16) jasminemoor.Entry {
 	routing := &jasminemoor.Routing{Version: version}
 	for _, port := range ports {
 		routing.Routes = append(routing.Routes, jasminemoor.Route{
@@ -47,7 +47,7 @@
 	require.Len(t, v.Routes, 2)
 	r.applyEntries(startTime, &jasminemoor.DirectoryChanges{Revision: 7, Entries: []jasminemoor.Entry{routingEntry(3, 7, 9)}}, true)
 	require.Equal(t, v.Routes, r.view(startTime).Routes)
-	require.Equal(t, uint64(11), r.revision)
+	require.Equal(t, jasminemoor.Revision(11), r.revision)
 }
 
 func TestRoutesRemovedAndFormer(t *testing.T) {
@@ -105,19 +105,26 @@
 	a.applyEntries(startTime, &jasminemoor.DirectoryChanges{Revision: 5, Entries: []jasminemoor.Entry{
 		routingEntry(1, 1, 1, 2), upstreamEntry(1, 2), upstreamEntry(2, 3),
 	}}, true)
-	items, isWhole := a.delta(0)
+	items, isWhole := a.delta(&PullRequest{})
 	require.True(t, isWhole)
-	b.merge(startTime, items, a.revision, isWhole)
+	b.mergeAll(startTime, items, a.revision, isWhole)
 	require.Equal(t, a.view(startTime).Routes, b.view(startTime).Routes)
 	a.applyEntries(startTime, &jasminemoor.DirectoryChanges{Revision: 9, Entries: []jasminemoor.Entry{routingEntry(2, 8, 2), upstreamEntry(2, 3)}}, true)
-	items, isWhole = a.delta(b.revision)
+	items, isWhole = a.delta(&PullRequest{Since: b.revision})
 	require.True(t, isWhole, "a listing omits entries that were added and removed before it")
-	require.True(t, b.merge(startTime, items, a.revision, isWhole))
+	require.True(t, b.mergeAll(startTime, items, a.revision, isWhole))
 	v := b.view(startTime)
 	require.Len(t, v.Routes, 1)
 	require.True(t, v.Upstreams[netip.AddrPortFrom(agentAddr(1), 8080)].IsRemoved)
 }
 
+// mergeAll merges routes, upstreams and evacuations, as those of a pull.
+func (r *replica) mergeAll(now time.Time, items []Item, revision jasminemoor.Revision, isWhole bool) (isNew bool) {
+	r.init()
+	isNew = r.mergeRoutes(now, items, isWhole)
+	return r.merge(now, items, revision, isWhole) || isNew
+}
+
 // fleet simulates machines that exchange messages without sockets and read one
 // platform.
 type fleet struct {
@@ -127,7 +134,7 @@
 	isPartitioned map[netip.Addr]bool // from the platform
 	isDead        map[netip.Addr]bool
 	log           []jasminemoor.Entry
-	revision      uint64
+	revision      jasminemoor.Revision
 	calls         int
 	sends         int
 	pulled        map[netip.Addr]int // pulls that each process has answered
@@ -181,13 +188,13 @@
 	}
 	for _, peer := range out.Pulls {
 		m, other := f.machines[self], f.machines[peer]
-		since := m.Revision()
+		request := m.PullRequest()
 		if f.isDead[peer] {
-			f.perform(self, m.HandlePullReply(f.now, since, nil))
+			f.perform(self, m.HandlePullReply(f.now, request, nil))
 			continue
 		}
 		f.pulled[peer]++
-		f.perform(self, m.HandlePullReply(f.now, since, other.HandlePullRequest(f.now, &PullRequest{Since: since})))
+		f.perform(self, m.HandlePullReply(f.now, request, other.HandlePullRequest(f.now, request)))
 	}
 }
 
@@ -226,9 +233,13 @@
 	if f.isPartitioned[m.Self] || !f.isAdmitted(r) {
 		return m.HandleRead(f.now, r, nil, eris.Wrap(context.DeadlineExceeded, "platform"))
 	}
+	if !r.IsLoad && r.Since.Era() != f.revision.Era() {
+		return m.HandleRead(f.now, r, nil, eris.Wrap(jasminemoor.ErrHistoryGone, "platform"))
+	}
 	c := &jasminemoor.DirectoryChanges{Revision: f.revision}
 	newest := make(map[string]jasminemoor.Entry)
 	for _, e := range f.log {
+		e.Revision = jasminemoor.NewRevision(f.revision.Era(), e.Revision.Change())
 		if r.IsLoad || e.Revision > r.Since {
 			newest[e.Key] = e
 		}
--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -1,6 +1,7 @@
 package jmdirectory
 
 import (
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -115,10 +116,16 @@
 	m.mayRead = m.mayRead || m.unanswered >= peersBeforeRead || isInTurn
 }
 
+// errFormerEra says that an answer of the platform was sent before it was restored.
+var errFormerEra = errors.New("answer of a former era")
+
 // HandleRead handles the result of a call at the platform.
 func (m *Machine) HandleRead(now time.Time, read Read, c *jasminemoor.DirectoryChanges, err error) (out Output) {
 	m.isReading, m.mayRead = false, false
 	m.seedlessExtra = time.Duration(m.Rand.Int64N(int64(seedlessDelay)))
+	if err == nil && c.Revision.Era() < m.replica.revision.Era() {
+		err = errFormerEra
+	}
 	if err != nil {
 		least, most := m.backoffBounds()
 		m.backoff = min(max(m.backoff*2, least), most)
@@ -141,7 +148,7 @@
 		// platform answers this one.
 		m.isDeputy = m.Upstream.IsValid()
 	}
-	since, version := m.replica.revision, m.replica.version
+	since, version, era := m.replica.revision, m.replica.version, m.replica.revision.Era()
 	changes := m.replica.applyEntries(now, c, read.IsLoad)
 	news := changes
 	if !m.isLoaded {
@@ -149,8 +156,9 @@
 	}
 	if read.IsLoad {
 		m.mustLoad, m.isLoaded = false, true
-		if m.replica.recordMissed(now, version) {
-			// Peers that pull the changes learn since when the routes are known.
+		if m.replica.recordMissed(now, version) || m.replica.revision.Era() > era {
+			// Peers that pull the changes learn since when the routes are known, and in a
+			// new era all revisions.
 			news, since = nil, m.replica.revision
 		}
 	}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -4,13 +4,14 @@
 // recent beacon arrives, another agent reads in its place as a deputy.
 //
 // The machine has no sockets and no goroutines. Revisions and versions only
-// grow.
+// grow. Upstreams and evacuations are ordered by the revisions of their entries, and the
+// routes by the version that the operator has given to their configuration: the platform may
+// be restored from a copy with an older version.
 package jmdirectory
 
 import (
 	"cmp"
 	"net/netip"
-	"reflect"
 	"slices"
 	"time"
 
@@ -25,11 +26,14 @@
 // Item is one replicated part of the directory. Exactly one of Route, Upstream, Common
 // and Evacuation is set.
 type Item struct {
-	Revision   uint64
+	Revision   jasminemoor.Revision
 	Route      *RouteItem
 	Upstream   *UpstreamItem
 	Common     *CommonItem
 	Evacuation *EvacuationItem
+	// Since, with Common in a beacon, is the version to which the routes beside it are the
+	// changes. It is 0 from an earlier release.
+	Since uint64
 }
 
 // RouteItem is a route, or the removal of one if Route is nil.
@@ -56,33 +60,21 @@
 // replica is the copy of the directory.
 type replica struct {
 	// revision is the platform's revision up to which the copy is complete.
-	revision uint64
+	revision jasminemoor.Revision
 	// removalsSince is the lowest revision after which the copy has all removals.
-	removalsSince   uint64
-	version         uint64
-	versionRevision uint64 // revision of the configuration in force
-	idleTimeout     time.Duration
-	routes          map[netip.AddrPort]*knownRoute
-	upstreams       map[string]*knownUpstream
-	histories       map[netip.AddrPort]*history
-	endings         endings
-	evacuations     map[string]*knownEvacuation // by data centre
+	removalsSince jasminemoor.Revision
+	routing
+	upstreams   map[string]*knownUpstream
+	histories   map[netip.AddrPort]*history
+	endings     endings
+	evacuations map[string]*knownEvacuation // by data centre
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
-	// routesKnownSince is a time since when the copy has had each version of the routes, zero
-	// before the first copy.
-	routesKnownSince time.Time
-}
-
-type knownRoute struct {
-	revision uint64
-	route    *jasminemoor.Route // nil after its removal
-	former   []FormerService    // see Route.Former
 }
 
 type knownUpstream struct {
-	revision  uint64
+	revision  jasminemoor.Revision
 	upstream  *jasminemoor.ListedUpstream // nil after its removal
 	last      *jasminemoor.ListedUpstream // before its removal
 	changedAt time.Time
@@ -139,7 +131,7 @@
 
 // removeOthers removes the upstreams that a full listing does not name, and
 // returns the removals.
-func (r *replica) removeOthers(now time.Time, revision uint64, listed map[string]bool) (removals []Item) {
+func (r *replica) removeOthers(now time.Time, revision jasminemoor.Revision, listed map[string]bool) (removals []Item) {
 	for key, known := range r.upstreams {
 		if listed[key] || known.upstream == nil || known.revision >= revision {
 			continue
@@ -152,49 +144,11 @@
 	return removals
 }
 
-// applyRouting splits a configuration into items, applies those that differ from
-// the copy and returns them.
-func (r *replica) applyRouting(now time.Time, e *jasminemoor.Entry) (changed []Item) {
-	c := e.Routing
-	if c.Version <= r.version || e.Revision <= r.versionRevision {
-		return nil
-	}
-	items := []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout}}}
-	listed := make(map[netip.AddrPort]bool, len(c.Routes))
-	for i := range c.Routes {
-		route := withLimits(&c.Routes[i], c.Services)
-		listed[route.Address] = true
-		known := r.routes[route.Address]
-		if known != nil && known.route != nil && reflect.DeepEqual(known.route, route) {
-			continue
-		}
-		items = append(items, Item{Revision: e.Revision, Route: &RouteItem{Address: route.Address, Route: route}})
-	}
-	for addr, known := range r.routes {
-		if known.route != nil && !listed[addr] {
-			items = append(items, Item{Revision: e.Revision, Route: &RouteItem{Address: addr}})
-		}
-	}
-	for i := range items {
-		if r.apply(now, &items[i]) {
-			changed = append(changed, items[i])
-		}
-	}
-	return changed
-}
-
-// apply applies one item and reports whether it was newer than the copy's.
+// apply applies an upstream or an evacuation and reports whether it was newer than the
+// copy's.
 func (r *replica) apply(now time.Time, item *Item) (isNew bool) {
 	r.init()
 	switch {
-	case item.Common != nil:
-		if item.Revision <= r.versionRevision || item.Common.Version < r.version {
-			return false
-		}
-		r.versionRevision, r.version, r.idleTimeout = item.Revision, item.Common.Version, item.Common.IdleTimeout
-		return true
-	case item.Route != nil:
-		return r.applyRoute(now, item.Revision, item.Route)
 	case item.Upstream != nil:
 		return r.applyUpstream(now, item.Revision, item.Upstream)
 	case item.Evacuation != nil:
@@ -203,28 +157,7 @@
 	return false
 }
 
-func (r *replica) applyRoute(now time.Time, revision uint64, item *RouteItem) (isNew bool) {
-	known := r.routes[item.Address]
-	if known == nil {
-		known = &knownRoute{}
-		r.routes[item.Address] = known
-	}
-	if revision == known.revision && hasLimits(item.Route) && !hasLimits(known.route) {
-		// A process of an earlier version has passed the route on without its limits.
-		known.route = item.Route
-		return true
-	}
-	if revision <= known.revision {
-		return false
-	}
-	if known.route != nil {
-		known.leave(now, known.route.Shares)
-	}
-	known.revision, known.route = revision, item.Route
-	return true
-}
-
-func (r *replica) applyUpstream(now time.Time, revision uint64, item *UpstreamItem) (isNew bool) {
+func (r *replica) applyUpstream(now time.Time, revision jasminemoor.Revision, item *UpstreamItem) (isNew bool) {
 	known := r.upstreams[item.Key]
 	if known == nil {
 		known = &knownUpstream{}
@@ -233,6 +166,10 @@
 	if revision <= known.revision {
 		return false
 	}
+	if isSame(known.upstream, item.Upstream) {
+		known.revision = revision
+		return false
+	}
 	r.recordHistory(now, item.Key, known.upstream, item.Upstream)
 	if known.upstream != nil {
 		known.last = known.upstream
@@ -244,21 +181,19 @@
 	return true
 }
 
-// delta returns the items that changed after a revision. If the removals after
-// it are no longer all known, it returns all items and sets isWhole.
-func (r *replica) delta(since uint64) (items []Item, isWhole bool) {
-	isWhole = since < r.removalsSince
+// isSame reports whether two upstreams, each of which may be nil for none, are listed with
+// the same state. Of two removals, the later one counts as another.
+func isSame(x, y *jasminemoor.ListedUpstream) bool { return x != nil && y != nil && *x == *y }
+
+// delta returns what a peer's copy lacks. If the removals since it are not all known, that
+// is the whole copy, and isWhole is set.
+func (r *replica) delta(request *PullRequest) (items []Item, isWhole bool) {
+	since := request.Since
+	isWhole = since < r.removalsSince || request.HasVersion && request.Version < r.version && !r.hasHad(request.Version)
 	if isWhole {
 		since = 0
 	}
-	if r.versionRevision > since {
-		items = append(items, Item{Revision: r.versionRevision, Common: &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout}})
-	}
-	for addr, known := range r.routes {
-		if known.revision > since {
-			items = append(items, Item{Revision: known.revision, Route: &RouteItem{Address: addr, Route: known.route}})
-		}
-	}
+	items = r.deltaRoutes(request, isWhole)
 	for key, known := range r.upstreams {
 		if known.revision > since {
 			items = append(items, Item{Revision: known.revision, Upstream: &UpstreamItem{Key: key, Upstream: known.upstream}})
@@ -267,23 +202,21 @@
 	return r.deltaEvacuations(items, since), isWhole
 }
 
-// merge applies items of a peer whose copy is complete up to revision, and
-// reports whether any was new. The items must be the peer's full copy or all
-// that changed after a revision up to which this copy is complete.
-func (r *replica) merge(now time.Time, items []Item, revision uint64, isWhole bool) (isNew bool) {
+// merge applies upstreams and evacuations of a peer whose copy is complete up to revision,
+// and reports whether any was new. The items must be the peer's full copy or all that
+// changed after a revision up to which this copy is complete. Routes among them are left
+// out.
+func (r *replica) merge(now time.Time, items []Item, revision jasminemoor.Revision, isWhole bool) (isNew bool) {
 	r.init()
 	if isWhole && revision > r.revision {
 		isNew = r.mergeUnlisted(now, items, revision)
+		r.removalsSince = max(r.removalsSince, revision)
 	}
 	// The histories of addresses depend on the order of the changes.
 	items = slices.SortedFunc(slices.Values(items), func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
 	for i := range items {
 		isNew = r.apply(now, &items[i]) || isNew
 	}
-	if isWhole && revision > r.revision {
-		isNew = r.removeOtherRoutes(now, items, revision) || isNew
-		r.removalsSince = max(r.removalsSince, revision)
-	}
 	r.revision = max(r.revision, revision)
 	if r.asOf.IsZero() {
 		r.routesKnownSince = now
@@ -292,21 +225,6 @@
 	return isNew
 }
 
-func (r *replica) removeOtherRoutes(now time.Time, items []Item, revision uint64) (isNew bool) {
-	listed := make(map[netip.AddrPort]bool)
-	for i := range items {
-		if items[i].Route != nil {
-			listed[items[i].Route.Address] = true
-		}
-	}
-	for addr, known := range r.routes {
-		if !listed[addr] && known.route != nil && known.revision < revision {
-			isNew = r.applyRoute(now, revision, &RouteItem{Address: addr}) || isNew
-		}
-	}
-	return isNew
-}
-
 // expire takes removed upstreams out of the view after viewRetention, and drops
 // their tombstones after tombstoneRetention. It reports whether the view has
 // changed.
--- /dev/null
+++ b/internal/fleet/jmdirectory/restore_test.go
@@ -0,0 +1,145 @@
+package jmdirectory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
+)
+
+// restore returns the platform to what it was at a change. Later changes are lost.
+func (f *fleet) restore(change uint64) {
+	f.revision = jasminemoor.NewRevision(f.revision.Era()+1, change)
+	kept := f.log[:0]
+	for _, e := range f.log {
+		if e.Revision.Change() <= change {
+			kept = append(kept, e)
+		}
+	}
+	f.log = kept
+	for self := range f.calling {
+		f.answerAt[self] = f.now
+	}
+}
+
+// versions returns the version in force at each process.
+func (f *fleet) versions() map[netip.Addr]uint64 {
+	versions := make(map[netip.Addr]uint64)
+	for self, m := range f.machines {
+		if m.IsLoaded() {
+			versions[self] = m.View(f.now).Version
+		}
+	}
+	return versions
+}
+
+// restartProcess replaces a process by one that knows nothing.
+func (f *fleet) restartProcess(self netip.Addr) {
+	upstream := f.machines[self].Upstream
+	delete(f.calling, self)
+	f.machines[self] = &Machine{Self: self, Upstream: upstream, Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 1))}
+}
+
+// TestConfigAfterRestore restores the platform at random moments, also again, while versions
+// are written and processes start and are cut off from the platform. In each process the
+// version never goes back, and the newest one with its routes is in force everywhere in time.
+func TestConfigAfterRestore(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			f := newFleet(t, 3, 8)
+			f.rand = rand.New(rand.NewPCG(seed, 7))
+			f.run(2 * time.Second)
+			version, entry := uint64(1), routingEntry(1, 0, 1, 2, 3)
+			write := func() {
+				version += 1 + f.rand.Uint64N(3)
+				entry = routingEntry(version, 0, 1, uint16(version), uint16(100+f.rand.IntN(5)))
+				f.write(entry)
+			}
+			before := f.versions()
+			step := func(d time.Duration) {
+				for end := f.now.Add(d); f.now.Before(end); {
+					f.step()
+					now := f.versions()
+					for self, v := range now {
+						require.GreaterOrEqual(t, v, before[self], self)
+					}
+					before = now
+				}
+			}
+			for range 1 + f.rand.IntN(3) {
+				kept := f.revision.Change() - f.rand.Uint64N(3)
+				for range f.rand.IntN(5) {
+					write()
+					step(time.Duration(f.rand.IntN(400)) * time.Millisecond)
+				}
+				for self := range f.machines {
+					f.isPartitioned[self] = true
+				}
+				step(time.Duration(f.rand.IntN(3000)) * time.Millisecond)
+				f.restore(kept)
+				for _, self := range f.turns() {
+					f.isPartitioned[self] = f.rand.IntN(4) == 0
+					if f.rand.IntN(4) == 0 {
+						f.restartProcess(self)
+						delete(before, self)
+					}
+				}
+				step(time.Duration(f.rand.IntN(1500)) * time.Millisecond)
+				f.write(entry) // again
+			}
+			if f.rand.IntN(2) == 0 {
+				write()
+			}
+			for self := range f.isPartitioned {
+				delete(f.isPartitioned, self)
+			}
+			step(3 * time.Second)
+			var r replica
+			r.applyEntries(f.now, &jasminemoor.DirectoryChanges{Revision: 1, Entries: []jasminemoor.Entry{entry}}, true)
+			want := r.view(f.now).Routes
+			for self, m := range f.machines {
+				v := m.View(f.now)
+				require.Equal(t, version, v.Version, self)
+				require.Len(t, v.Routes, len(want), self)
+				for addr := range want {
+					require.Equal(t, want[addr].Route, v.Routes[addr].Route, self)
+				}
+			}
+		})
+	}
+}
+
+// TestOlderVersionFromRestoredPlatform has a process start with the older version that the
+// platform was restored to. It pulls the newer one from the peer whose beacon has it, though
+// their revisions are the same, and gives its own to none.
+func TestOlderVersionFromRestoredPlatform(t *testing.T) {
+	at := jasminemoor.NewRevision(1, 9)
+	load := func(m *Machine, c *jasminemoor.DirectoryChanges) { m.HandleRead(startTime, Read{IsLoad: true}, c, nil) }
+	reader := &Machine{Self: agentAddr(1), Upstream: netip.AddrPortFrom(agentAddr(1), 8080), Rand: rand.New(rand.NewPCG(1, 1))}
+	load(reader, &jasminemoor.DirectoryChanges{Revision: 12, Entries: []jasminemoor.Entry{upstreamEntry(1, 2), routingEntry(5, 11, 1)}})
+	restored := &jasminemoor.DirectoryChanges{Revision: at, Entries: []jasminemoor.Entry{upstreamEntry(1, at-3), routingEntry(4, at-1, 1, 2)}}
+	load(reader, restored)
+	started := &Machine{Self: agentAddr(2), Rand: rand.New(rand.NewPCG(2, 2))}
+	load(started, restored)
+	require.Equal(t, uint64(4), started.View(startTime).Version)
+
+	b := reader.newBeacon(startTime, nil, at)
+	require.Equal(t, at, b.Since)
+	out := started.Handle(startTime, reader.Self, &Message{Beacon: b})
+	require.Equal(t, []netip.Addr{reader.Self}, out.Pulls)
+	request := started.PullRequest()
+	started.HandlePullReply(startTime, request, reader.HandlePullRequest(startTime, request))
+	require.Equal(t, uint64(5), started.View(startTime).Version)
+	require.Len(t, started.View(startTime).Routes, 1)
+
+	third := &Machine{Self: agentAddr(3), Rand: rand.New(rand.NewPCG(3, 3))}
+	load(third, restored)
+	request = reader.PullRequest()
+	reader.HandlePullReply(startTime, request, third.HandlePullRequest(startTime, request))
+	require.Equal(t, uint64(5), reader.View(startTime).Version)
+}
--- a/internal/fleet/jmdirectory/routehistory_test.go
+++ b/internal/fleet/jmdirectory/routehistory_test.go
@@ -12,7 +12,7 @@
 )
 
 // routeTo is version v of the routes, with one route to the services, or none.
-func routeTo(version, revision uint64, services ...string) jasminemoor.Entry {
+func routeTo(version uint64, revision jasminemoor.Revision, services ...string) jasminemoor.Entry {
 	e := routingEntry(version, revision)
 	if len(services) > 0 {
 		e = routingEntry(version, revision, 1)
@@ -43,7 +43,7 @@
 
 // learn has m pull from a peer, by its encoded answer.
 func learn(t *testing.T, now time.Time, m, peer *Machine, edit ...func(r *PullReply)) Output {
-	request := &PullRequest{Since: m.Revision()}
+	request := m.PullRequest()
 	body, err := msgpack.Marshal(peer.HandlePullRequest(now, request))
 	require.NoError(t, err)
 	reply := &PullReply{}
@@ -51,7 +51,7 @@
 	for _, each := range edit {
 		each(reply)
 	}
-	return m.HandlePullReply(now, request.Since, reply)
+	return m.HandlePullReply(now, request, reply)
 }
 
 // TestRouteHistory covers what a copy knows of the services that a route had, and since
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -11,7 +11,7 @@
 
 // View is an immutable snapshot of a process's copy of the directory.
 type View struct {
-	Revision uint64
+	Revision jasminemoor.Revision
 	// Version is that of the configuration of the routes, 0 before the first.
 	Version     uint64
 	IdleTimeout time.Duration
@@ -80,7 +80,7 @@
 // Upstream is the entry of an upstream with state from the entry's history.
 type Upstream struct {
 	jasminemoor.ListedUpstream
-	Revision uint64
+	Revision jasminemoor.Revision
 	// WarmAt is when the upstream is at full speed.
 	WarmAt time.Time
 	// IsRemoved is set while an upstream stays in the view after the removal of its
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -141,7 +141,7 @@
 		To:        to,
 		HasPacket: true,
 		Header: jmhop.Header{
-			Kind: jmhop.KindForward, Flags: flags, Origin: b.Self, DataCentre: b.dataCentreCode, Revision: uint32(b.snapshot.Revision),
+			Kind: jmhop.KindForward, Flags: flags, Origin: b.Self, DataCentre: b.dataCentreCode, Revision: jmhop.NewRevisionCode(b.snapshot.Revision),
 		},
 	}
 }
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -22,7 +22,7 @@
 type listing struct {
 	rand     *rand.Rand
 	now      time.Time
-	revision uint64
+	revision jasminemoor.Revision
 	entries  map[string]jasminemoor.Entry
 	history  []listingChange
 	lives    map[netip.Addr]*life
@@ -70,7 +70,7 @@
 		delete(l.entries, key)
 	} else {
 		listed := *u
-		listed.Created = l.revision
+		listed.Created = l.revision.Change()
 		if before, found := l.entries[key]; found {
 			listed.Created = before.Upstream.Created
 		}
@@ -131,8 +131,8 @@
 	if len(addrs) > 0 && l.rand.IntN(2) == 0 {
 		peer := l.lives[addrs[l.rand.IntN(len(addrs))]].copy
 		l.update(peer)
-		since := c.machine.Revision()
-		c.machine.HandlePullReply(l.now, since, peer.machine.HandlePullRequest(l.now, &jmdirectory.PullRequest{Since: since}))
+		request := c.machine.PullRequest()
+		c.machine.HandlePullReply(l.now, request, peer.machine.HandlePullRequest(l.now, request))
 	}
 	c.view = c.machine.View(l.now)
 	return c
--- a/internal/flow/jmpass/revision.go
+++ b/internal/flow/jmpass/revision.go
@@ -14,7 +14,7 @@
 // recordPeerRevision records the revision of a peer's copy of the directory if it
 // is the newest.
 func (a *Agent) recordPeerRevision(now time.Time, h *jmhop.Header) {
-	if h.IsAhead(uint64(a.revision())) && (!a.isBehind(now) || h.IsAhead(uint64(a.newestPeer.Revision))) {
+	if h.IsAhead(a.revision()) && (!a.isBehind(now) || h.IsAhead(a.newestPeer.Revision)) {
 		a.newestPeer, a.newestPeerAt = *h, now
 	}
 }
@@ -22,13 +22,14 @@
 // isBehind reports whether a peer has a newer copy of the directory. The own copy
 // may then lack an upstream that holds flows already.
 func (a *Agent) isBehind(now time.Time) bool {
-	return a.newestPeer.IsAhead(uint64(a.revision())) && now.Sub(a.newestPeerAt) < newerRevisionTTL
+	return a.newestPeer.IsAhead(a.revision()) && now.Sub(a.newestPeerAt) < newerRevisionTTL
 }
 
-// revision returns the revision of the own copy of the directory, 0 if there is none.
-func (a *Agent) revision() uint32 {
+// revision returns the code of the revision of the own copy of the directory, 0 if there is
+// none.
+func (a *Agent) revision() jmhop.RevisionCode {
 	if a.snapshot.View == nil {
 		return 0
 	}
-	return uint32(a.snapshot.Revision)
+	return jmhop.NewRevisionCode(a.snapshot.Revision)
 }
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -60,7 +60,7 @@
 	// don't, in the order of possibleHolders. revision is that of the view from which
 	// they are listed.
 	remaining     []netip.Addr
-	revision      uint64
+	revision      jasminemoor.Revision
 	isInitialized bool // whether remaining is set
 	notHolders    map[netip.Addr]bool
 }
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -271,7 +271,7 @@
 // new upstream as well.
 func TestPeerHasNewerRevision(t *testing.T) {
 	const older, newer = 4, 5
-	cases := map[string]struct{ packet, answer uint32 }{
+	cases := map[string]struct{ packet, answer jmhop.RevisionCode }{
 		"an agent has a newer copy":   {older, newer},
 		"a balancer has a newer copy": {newer, older},
 	}
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -62,7 +62,6 @@
 	initOnce       sync.Once
 	calls          conc.WaitGroup // calls to the platform, and pulls from peers
 	isPlatformDown bool           // the last call to the platform failed other than with ErrHistoryGone
-	era            atomic.Uint64  // of the platform's last answer
 	isReader       bool           // this process watches the platform for all others
 	// behindSince is when a datagram first showed a newer copy than this one at a
 	// peer, in nanoseconds since started; 0 if none has.
@@ -91,9 +90,6 @@
 // Snapshot returns the newest snapshot, or nil before the directory is loaded.
 func (c *Control) Snapshot() *jmpass.Snapshot { return c.snapshot.Load() }
 
-// Era returns the era of the platform in its last answer to this process, 0 before.
-func (c *Control) Era() uint64 { return c.era.Load() }
-
 // Run keeps the copy up to date until ctx ends.
 func (c *Control) Run(ctx context.Context) {
 	c.init()
@@ -144,7 +140,7 @@
 	if s == nil {
 		return // the first copy is requested from the seeds and the platform already
 	}
-	if !h.IsAhead(s.Revision) {
+	if !h.IsAhead(jmhop.NewRevisionCode(s.Revision)) {
 		return
 	}
 	since, seen := c.behindSince.Load(), int64(now.Sub(c.started))
@@ -232,7 +228,7 @@
 	if old != nil && old.Version == next.Version {
 		return
 	}
-	c.Log.WithFields(logrus.Fields{"Version": next.Version, "Revision": next.Revision, "Routes": len(next.Routes)}).
+	c.Log.WithFields(logrus.Fields{"Version": next.Version, "Era": next.Revision.Era(), "Revision": next.Revision.Change(), "Routes": len(next.Routes)}).
 		Info("directory: new version of the routes in force")
 }
 
@@ -304,20 +300,19 @@
 // logRead logs what an answer of the platform says of its own state beside that of the copy:
 // a new era, a change counter behind that of the copy, and configurations.
 func (c *Control) logRead(now time.Time, read jmdirectory.Read, changes *jasminemoor.DirectoryChanges) {
-	era := c.era.Swap(changes.Era)
 	log := c.Log.WithFields(logrus.Fields{
-		"Era": changes.Era, "Revision": changes.Revision, "OwnRevision": c.machine.Revision(), "IsLoad": read.IsLoad,
-		"AgeMs": now.Sub(c.machine.AsOf()).Milliseconds(),
+		"Era": changes.Revision.Era(), "Revision": changes.Revision.Change(), "OwnRevision": c.machine.Revision().String(),
+		"IsLoad": read.IsLoad, "AgeMs": now.Sub(c.machine.AsOf()).Milliseconds(),
 	})
-	if c.machine.IsLoaded() && era != changes.Era {
-		log.WithField("FormerEra", era).Warn("directory: platform was restored from a copy")
+	if c.machine.IsLoaded() && changes.Revision.Era() > c.machine.Revision().Era() {
+		log.Warn("directory: platform was restored from a copy")
 	}
 	if changes.Revision < c.machine.Revision() {
 		log.Info("directory: answer of the platform is behind the copy")
 	}
 	for i := range changes.Entries {
 		if e := &changes.Entries[i]; e.Routing != nil && c.machine.IsLoaded() {
-			log.WithFields(logrus.Fields{"Version": e.Routing.Version, "EntryRevision": e.Revision}).
+			log.WithFields(logrus.Fields{"Version": e.Routing.Version, "VersionInForce": c.Snapshot().Version, "EntryRevision": e.Revision.String()}).
 				Info("directory: configuration read from the platform")
 		}
 	}
@@ -325,18 +320,18 @@
 
 // pull requests from a peer the changes since the revision of this copy.
 func (c *Control) pull(ctx context.Context, peer netip.Addr) {
-	revision := make(chan uint64, 1)
-	c.enqueue(func(time.Time) { revision <- c.machine.Revision() })
+	requests := make(chan *jmdirectory.PullRequest, 1)
+	c.enqueue(func(time.Time) { requests <- c.machine.PullRequest() })
 	select {
 	case <-ctx.Done():
 	case <-time.After(exchangeTimeout):
-	case since := <-revision:
-		reply, err := c.exchange(ctx, peer, &jmdirectory.PullRequest{Since: since})
+	case request := <-requests:
+		reply, err := c.exchange(ctx, peer, request)
 		if err != nil {
 			c.Log.WithError(err).WithField("Peer", peer).Debug("directory: peer did not answer")
 			reply = nil
 		}
-		c.enqueue(func(now time.Time) { c.apply(ctx, now, c.machine.HandlePullReply(now, since, reply)) })
+		c.enqueue(func(now time.Time) { c.apply(ctx, now, c.machine.HandlePullReply(now, request, reply)) })
 	}
 }
 
--- a/internal/flow/jmpassnode/control_test.go
+++ b/internal/flow/jmpassnode/control_test.go
@@ -25,21 +25,21 @@
 	return jasminemoor.DirectoryChanges(*d), nil
 }
 
-func (d *frozenDirectory) Watch(ctx context.Context, _ uint64, _ time.Duration) (c jasminemoor.DirectoryChanges, err error) {
+func (d *frozenDirectory) Watch(ctx context.Context, _ jasminemoor.Revision, _ time.Duration) (c jasminemoor.DirectoryChanges, err error) {
 	<-ctx.Done()
 	return c, ctx.Err()
 }
 
 // startAgent runs an agent that loads a copy of a revision from the platform, which
 // reports no changes afterwards.
-func startAgent(t *testing.T, i int, revision uint64) *jmpassnode.Agent {
+func startAgent(t *testing.T, i int, revision jasminemoor.Revision) *jmpassnode.Agent {
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
 	routing := &jasminemoor.Routing{Version: 1, Routes: []jasminemoor.Route{{
 		Address: shop, Shares: []jasminemoor.Share{{Service: "shop", Weight: 1}},
 	}}}
 	entries := []jasminemoor.Entry{{Key: "config", Revision: 1, Routing: routing}}
-	for n := uint64(2); n <= revision; n++ {
+	for n := jasminemoor.Revision(2); n <= revision; n++ {
 		entries = append(entries, jasminemoor.Entry{Key: "u" + string(rune('0'+n)), Revision: n, Upstream: &jasminemoor.ListedUpstream{
 			ID: "i", Service: "shop", Address: addr(8, int(n), upstreamPort),
 		}})
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -219,7 +219,10 @@
 		fields["IsOpening"] = true
 	}
 	if s := p.control.Snapshot(); s != nil {
-		fields["Version"], fields["Revision"] = s.Version, s.Revision
+		fields["Version"], fields["Revision"] = s.Version, s.Revision.Change()
+		if era := s.Revision.Era(); era > 0 {
+			fields["Era"] = era
+		}
 		fields["AgeMs"] = now.Sub(s.AsOf).Milliseconds()
 	}
 	if m != nil && m.Kind != 0 {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -98,9 +98,9 @@
 	agents    []*node
 	byAddr    map[netip.Addr]*node
 	callers   []*caller
-	revision  uint64 // of the directory
-	endings   uint64 // upstreams that are known to have ended
-	version   uint64 // of the routes
+	revision  jasminemoor.Revision // of the directory
+	endings   uint64               // upstreams that are known to have ended
+	version   uint64               // of the routes
 	// isPublishing is set while the publication of a change is scheduled.
 	isPublishing bool
 	views        map[time.Time]*jmdirectory.View // of the present revision, by the time of the process's start
--- a/internal/operate/jmoperator/passstatus.go
+++ b/internal/operate/jmoperator/passstatus.go
@@ -19,8 +19,10 @@
 	Name    string
 	Service string `json:",omitempty"` // of an agent's upstream
 	// Version is that of the routes in force, 0 while the directory is not known, and
-	// Revision and AgeMs are those of the copy of the directory.
+	// Revision and AgeMs are those of the copy of the directory. Era is how many times the
+	// platform's store had been restored; revisions start again with each.
 	Version, Revision uint64
+	Era               uint64 `json:",omitempty"`
 	AgeMs             int64
 	// Evacuated are the data centres that are being evacuated.
 	Evacuated []string `json:",omitempty"`
@@ -70,7 +72,7 @@
 		return s
 	}
 	if snapshot := control.Snapshot(); snapshot != nil {
-		s.Pass.Version, s.Pass.Revision = snapshot.Version, snapshot.Revision
+		s.Pass.Version, s.Pass.Era, s.Pass.Revision = snapshot.Version, snapshot.Revision.Era(), snapshot.Revision.Change()
 		s.Pass.AgeMs, s.Pass.Evacuated = time.Since(snapshot.AsOf).Milliseconds(), snapshot.Evacuated
 	}
 	return s
@@ -86,7 +88,7 @@
 	if p.Version == 0 {
 		_, _ = fmt.Fprint(out, "\ndirectory: not known yet\n")
 	} else {
-		_, _ = fmt.Fprintf(out, "\ndirectory: version %d, revision %d, %d ms old\n", p.Version, p.Revision, p.AgeMs)
+		_, _ = fmt.Fprintf(out, "\ndirectory: version %d, revision %v, %d ms old\n", p.Version, jasminemoor.NewRevision(p.Era, p.Revision), p.AgeMs)
 	}
 	if len(p.Evacuated) > 0 {
 		_, _ = fmt.Fprintf(out, "evacuated: %s\n", strings.Join(p.Evacuated, ", "))
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -99,15 +99,29 @@
 	// Origin is the balancer that the packet came through, or the sender of a
 	// datagram without a packet.
 	Origin netip.Addr
-	// Revision is the revision of the sender's copy of the directory, the low 32
-	// bits of it; 0 if it is not given.
-	Revision uint32
+	// Revision is the code of the revision of the sender's copy of the directory; 0 if it is
+	// not given.
+	Revision RevisionCode
 }
 
-// IsAhead reports whether the sender's copy of the directory is newer than a copy
-// with the given revision. It compares the low 32 bits, which may wrap.
-func (h *Header) IsAhead(revision uint64) bool {
-	return h.Revision != 0 && int32(h.Revision-uint32(revision)) > 0
+// RevisionCode is a short form of a revision in headers: the low 8 bits of its era and the
+// low 24 bits of its change counter, both of which may wrap.
+type RevisionCode uint32
+
+// codeChangeBits is the number of bits of a RevisionCode for the change counter.
+const codeChangeBits = 24
+
+// NewRevisionCode returns the code of a revision.
+func NewRevisionCode(r jasminemoor.Revision) RevisionCode {
+	return RevisionCode(r.Era()<<codeChangeBits | r.Change()&(1<<codeChangeBits-1))
+}
+
+// IsAhead reports whether the sender's copy of the directory is newer than a copy with the
+// given code.
+func (h *Header) IsAhead(other RevisionCode) bool {
+	eras := int8(h.Revision>>codeChangeBits) - int8(other>>codeChangeBits)
+	changes := int32(h.Revision-other) << (32 - codeChangeBits)
+	return h.Revision != 0 && (eras > 0 || eras == 0 && changes > 0)
 }
 
 // Marshal writes the header into the first HeaderSize bytes of b.
@@ -117,7 +131,7 @@
 		b[1] |= byte(min(max(h.Wait, WaitUnit), MaxWait)/WaitUnit) << flagBits
 	}
 	b[3] = byte(min(max(h.Age/AgeUnit, 0), math.MaxUint8))
-	binary.BigEndian.PutUint32(b[revisionStart:], h.Revision)
+	binary.BigEndian.PutUint32(b[revisionStart:], uint32(h.Revision))
 	if !h.Origin.IsValid() {
 		clear(b[addrStart:revisionStart])
 		return
@@ -137,7 +151,7 @@
 	if h.Kind < KindForward || h.Kind > KindFlowReset {
 		return ErrKind
 	}
-	h.Revision = binary.BigEndian.Uint32(b[revisionStart:])
+	h.Revision = RevisionCode(binary.BigEndian.Uint32(b[revisionStart:]))
 	raw := [16]byte(b[addrStart:revisionStart])
 	h.Origin = netip.Addr{}
 	if raw != [16]byte{} {
@@ -158,7 +172,7 @@
 	Failures uint16
 	State    ReportState
 	// Revision is the revision of the agent's copy of the directory.
-	Revision uint64
+	Revision jasminemoor.Revision
 	// Wait is how long a request that arrives now would wait until its answer begins,
 	// 0 if it is not known. On the wire it is in milliseconds, rounded up, and at most
 	// 65,535 of them.
@@ -195,7 +209,7 @@
 	b = binary.BigEndian.AppendUint16(b, r.Flows)
 	b = binary.BigEndian.AppendUint16(b, r.Failures)
 	b = append(b, byte(r.State))
-	b = binary.BigEndian.AppendUint64(b, r.Revision)
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Revision))
 	wait := (max(r.Wait, 0) + time.Millisecond - 1) / time.Millisecond
 	b = binary.BigEndian.AppendUint16(b, uint16(min(wait, math.MaxUint16)))
 	b = binary.BigEndian.AppendUint16(b, r.Room)
@@ -214,7 +228,7 @@
 	r.Flows = binary.BigEndian.Uint16(b[10:])
 	r.Failures = binary.BigEndian.Uint16(b[12:])
 	r.State = ReportState(b[14])
-	r.Revision = binary.BigEndian.Uint64(b[15:])
+	r.Revision = jasminemoor.Revision(binary.BigEndian.Uint64(b[15:]))
 	r.Wait, r.Room, r.Work = 0, NoLimit, 0
 	if len(b) >= ReportSize {
 		r.Wait = time.Duration(binary.BigEndian.Uint16(b[23:])) * time.Millisecond
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -30,21 +31,25 @@
 
 func TestIsAhead(t *testing.T) {
 	cases := map[string]struct {
-		sender   uint32
-		receiver uint64
-		want     bool
+		sender, receiver jasminemoor.Revision
+		want             bool
 	}{
 		"newer":                       {8, 7, true},
 		"the same":                    {7, 7, false},
 		"older":                       {6, 7, false},
 		"not given":                   {0, 7, false},
-		"newer, the low bits wrapped": {2, 1<<32 - 1, true},
+		"newer, the low bits wrapped": {1<<32 + 2, 1<<32 - 1, true},
 		"older, the low bits wrapped": {1<<32 - 1, 1<<32 + 1, false},
+		"newer era, lower counter":    {jasminemoor.NewRevision(1, 3), 7, true},
+		"newer era, higher counter":   {jasminemoor.NewRevision(1, 9), 7, true},
+		"former era, higher counter":  {9, jasminemoor.NewRevision(1, 3), false},
+		"newer in the same era":       {jasminemoor.NewRevision(2, 8), jasminemoor.NewRevision(2, 7), true},
+		"newer, the era wrapped":      {jasminemoor.NewRevision(257, 1), jasminemoor.NewRevision(255, 1), true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			h := jmhop.Header{Revision: tc.sender}
-			require.Equal(t, tc.want, h.IsAhead(tc.receiver))
+			h := jmhop.Header{Revision: jmhop.NewRevisionCode(tc.sender)}
+			require.Equal(t, tc.want, h.IsAhead(jmhop.NewRevisionCode(tc.receiver)))
 		})
 	}
 }
--- a/passthrough.go
+++ b/passthrough.go
@@ -170,8 +170,8 @@
 // says that it is over.
 type Entry struct {
 	Key string
-	// Revision is the platform's change counter at the entry's last change.
-	Revision   uint64
+	// Revision is that of the entry's last change.
+	Revision   Revision
 	Upstream   *ListedUpstream
 	Routing    *Routing
 	Evacuation *Evacuation
@@ -204,10 +204,7 @@
 
 // DirectoryChanges holds the entries that have changed up to a revision.
 type DirectoryChanges struct {
-	// Era grows each time the platform is restored from a copy. Revisions are given out
-	// again then.
-	Era      uint64
-	Revision uint64
+	Revision Revision
 	Entries  []Entry
 }
 
@@ -222,6 +219,7 @@
 	// that of the oldest part.
 	Load(ctx context.Context) (c DirectoryChanges, err error)
 	// Watch waits up to wait for changes since a revision. If it returns
-	// ErrHistoryGone, all entries have to be loaded again.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (c DirectoryChanges, err error)
+	// ErrHistoryGone, all entries have to be loaded again: the platform no longer has
+	// the changes, or has begun a new era.
+	Watch(ctx context.Context, since Revision, wait time.Duration) (c DirectoryChanges, err error)
 }
