Directory: an upstream that was leaving stays so after the platform is restored

What callers would see: the restored store lists an upstream as ready that had announced that it leaves, or that has left; new flows go to it until its entry is written again (DRAIN). Where an upstream had started again under its id, the entry of its former run hides the present one.

An entry that the store lists is taken for news, although it is from before the restore, and a copy knows more.

Change: an entry of a new era whose change number may be from the copy is compared with what is known by what the upstream itself says: its start, and that within one run it only goes from ready to leaving.

--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -166,17 +166,18 @@
 	if revision <= known.revision {
 		return false
 	}
-	if isSame(known.upstream, item.Upstream) {
+	upstream := known.reconcile(revision, item.Upstream)
+	if isSame(known.upstream, upstream) {
 		known.revision = revision
 		return false
 	}
-	r.recordHistory(now, item.Key, known.upstream, item.Upstream)
+	r.recordHistory(now, item.Key, known.upstream, upstream)
 	if known.upstream != nil {
 		known.last = known.upstream
 	}
-	known.revision, known.upstream, known.changedAt, known.isExpired = revision, item.Upstream, now, false
-	if item.Upstream != nil {
-		known.warmAt = now.Add(item.Upstream.WarmIn)
+	known.revision, known.upstream, known.changedAt, known.isExpired = revision, upstream, now, false
+	if upstream != nil {
+		known.warmAt = now.Add(upstream.WarmIn)
 	}
 	return true
 }
--- a/internal/fleet/jmdirectory/restore_test.go
+++ b/internal/fleet/jmdirectory/restore_test.go
@@ -143,3 +143,54 @@
 	reader.HandlePullReply(startTime, request, third.HandlePullRequest(startTime, request))
 	require.Equal(t, uint64(5), reader.View(startTime).Version)
 }
+
+// TestUpstreamAfterRestore covers what a copy tells of an upstream whose entry in the restored
+// platform is older than the one that was lost. New flows must not go to one that is leaving.
+func TestUpstreamAfterRestore(t *testing.T) {
+	type entry = jasminemoor.Entry
+	run := func(born int64, state jasminemoor.UpstreamState, revision jasminemoor.Revision) entry {
+		e := upstreamEntry(1, revision)
+		e.Upstream.Born, e.Upstream.State = born, state
+		return e
+	}
+	const ready, leaving = jasminemoor.UpstreamReady, jasminemoor.UpstreamLeaving
+	removal := entry{Key: "u/i-1", Revision: 11}
+	after := func(change uint64) jasminemoor.Revision { return jasminemoor.NewRevision(1, change) }
+	cases := map[string]struct {
+		lost, restored []entry
+		later          []entry // changes after the first listing
+		isReady        bool
+		born           int64
+	}{
+		"leaving, listed as ready":             {lost: []entry{run(5, leaving, 10)}, restored: []entry{run(5, ready, after(3))}, born: 5},
+		"then written again":                   {lost: []entry{run(5, leaving, 10)}, restored: []entry{run(5, ready, after(3))}, later: []entry{run(5, leaving, after(13))}, born: 5},
+		"left, listed as ready":                {lost: []entry{run(5, leaving, 10), removal}, restored: []entry{run(5, ready, after(3))}, born: 5},
+		"lapsed, listed as ready":              {lost: []entry{removal}, restored: []entry{run(5, ready, after(3))}, isReady: true, born: 5},
+		"unchanged":                            {restored: []entry{run(5, ready, after(3))}, isReady: true, born: 5},
+		"next run, the former one is listed":   {lost: []entry{run(9, ready, 10)}, restored: []entry{run(5, ready, after(3))}, isReady: true, born: 9},
+		"then the next run is written again":   {lost: []entry{run(9, ready, 10)}, restored: []entry{run(5, ready, after(3))}, later: []entry{run(9, ready, after(8))}, isReady: true, born: 9},
+		"next run started since the restore":   {lost: []entry{run(5, leaving, 10)}, restored: []entry{run(9, ready, after(8))}, isReady: true, born: 9},
+		"its clock was set back since":         {lost: []entry{run(5, leaving, 10)}, restored: []entry{run(2, ready, after(12))}, isReady: true, born: 2},
+		"leaving is written before the load":   {restored: []entry{run(5, leaving, after(8))}, born: 5},
+		"leaving in the restored copy as well": {lost: []entry{run(5, leaving, 4)}, restored: []entry{run(5, leaving, after(4))}, born: 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := loaded(t, startTime, run(5, ready, 3), routeTo(1, 2, "shop"))
+			read(m, startTime, false, tc.lost...)
+			now := startTime.Add(time.Second)
+			read(m, now, true, append(tc.restored, routeTo(1, after(2), "shop"))...)
+			if tc.later != nil {
+				read(m, now, false, tc.later...)
+			}
+			peer := &Machine{Self: agentAddr(3), Rand: rand.New(rand.NewPCG(3, 3))}
+			learn(t, now, peer, m)
+			for _, v := range []*View{m.View(now), peer.View(now)} {
+				u := v.Upstreams[netip.AddrPortFrom(agentAddr(1), 8080)]
+				require.NotNil(t, u)
+				require.Equal(t, tc.isReady, u.IsReady())
+				require.Equal(t, tc.born, u.Born)
+			}
+		})
+	}
+}
