Directory: what is missing after a restore stays in force until its owner can write it again

What callers would see: a data centre that the operator is evacuating gets new flows from the restore until the operator's key is written again (EVAC), and upstreams that registered last, which may be all of a service that was replaced, get none.

A listing without an entry is taken for its removal, though the platform has only lost it.

Change: an entry of an earlier era that the first listing of a new one lacks is removed as of the era's start. Such removals come into force after 2.5 s; owners write theirs again within two. Removals that the new era tells of are in force at once, as before.

Evidence: TestEntriesMissingAfterRestore failed at the first step after the restore, in both cases.

--- a/internal/fleet/jmdirectory/evacuation.go
+++ b/internal/fleet/jmdirectory/evacuation.go
@@ -23,6 +23,14 @@
 	revision  jasminemoor.Revision
 	isActive  bool // not set after its end, until the tombstone is dropped
 	changedAt time.Time
+	// isGraceOver is set once views show its end, which began with a restore.
+	isGraceOver bool
+}
+
+// isInForce reports whether the evacuation is active, or was until the platform was restored
+// and may be written again.
+func (k *knownEvacuation) isInForce(now time.Time) bool {
+	return k.isActive || k.revision.IsEraStart() && now.Sub(k.changedAt) <= restoreGrace
 }
 
 // applyEvacuation applies an item and reports whether it was newer than the copy's.
@@ -35,7 +43,7 @@
 	if revision <= known.revision {
 		return false
 	}
-	known.revision, known.isActive, known.changedAt = revision, item.IsActive, now
+	known.revision, known.isActive, known.changedAt, known.isGraceOver = revision, item.IsActive, now, false
 	return true
 }
 
@@ -46,7 +54,7 @@
 		if listed[name] || !known.isActive || known.revision >= revision {
 			continue
 		}
-		item := Item{Revision: revision, Evacuation: &EvacuationItem{DataCentre: name}}
+		item := Item{Revision: removalAt(known.revision, revision), Evacuation: &EvacuationItem{DataCentre: name}}
 		if r.apply(now, &item) {
 			ends = append(ends, item)
 		}
@@ -94,22 +102,27 @@
 	return items
 }
 
-// expireEvacuations drops the tombstones of evacuations after tombstoneRetention.
-func (r *replica) expireEvacuations(now time.Time) {
+// expireEvacuations drops the tombstones of evacuations after tombstoneRetention. It reports
+// whether the view has changed.
+func (r *replica) expireEvacuations(now time.Time) (hasChanged bool) {
 	for name, known := range r.evacuations {
+		if known.revision.IsEraStart() && !known.isGraceOver && !known.isInForce(now) {
+			known.isGraceOver, hasChanged = true, true
+		}
 		if !known.isActive && now.Sub(known.changedAt) > tombstoneRetention {
 			r.removalsSince = max(r.removalsSince, known.revision)
 			delete(r.evacuations, name)
 		}
 	}
+	return hasChanged
 }
 
 // addEvacuation adds to an upstream what the copy knows of evacuations of its data centre.
-func (r *replica) addEvacuation(u *Upstream) {
+func (r *replica) addEvacuation(now time.Time, u *Upstream) {
 	known := r.evacuations[u.DataCentre]
 	switch {
 	case known == nil:
-	case known.isActive:
+	case known.isInForce(now):
 		u.IsEvacuated = true
 	default:
 		u.ReturnedAt = known.changedAt
@@ -117,10 +130,10 @@
 }
 
 // evacuated returns the data centres that are being evacuated, in alphabetical order.
-func (r *replica) evacuated() []string {
+func (r *replica) evacuated(now time.Time) []string {
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(r.evacuations)) {
-		if r.evacuations[name].isActive {
+		if r.evacuations[name].isInForce(now) {
 			names = append(names, name)
 		}
 	}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -80,6 +80,8 @@
 	changedAt time.Time
 	warmAt    time.Time
 	isExpired bool // its removal was so long ago that views omit it
+	// isGraceOver is set once views show its removal: see isMissing.
+	isGraceOver bool
 }
 
 func (r *replica) init() {
@@ -136,7 +138,7 @@
 		if listed[key] || known.upstream == nil || known.revision >= revision {
 			continue
 		}
-		item := Item{Revision: revision, Upstream: &UpstreamItem{Key: key}}
+		item := Item{Revision: removalAt(known.revision, revision), Upstream: &UpstreamItem{Key: key}}
 		if r.apply(now, &item) {
 			removals = append(removals, item)
 		}
@@ -175,7 +177,7 @@
 	if known.upstream != nil {
 		known.last = known.upstream
 	}
-	known.revision, known.upstream, known.changedAt, known.isExpired = revision, upstream, now, false
+	known.revision, known.upstream, known.changedAt, known.isExpired, known.isGraceOver = revision, upstream, now, false, false
 	if upstream != nil {
 		known.warmAt = now.Add(upstream.WarmIn)
 	}
@@ -234,6 +236,9 @@
 		if known.upstream != nil {
 			continue
 		}
+		if !known.isGraceOver && known.revision.IsEraStart() && !known.isMissing(now) {
+			known.isGraceOver, hasChanged = true, true
+		}
 		if !known.isExpired && now.Sub(known.changedAt) > viewRetention {
 			known.isExpired, hasChanged = true, true
 		}
@@ -242,7 +247,7 @@
 			delete(r.upstreams, key)
 		}
 	}
-	r.expireEvacuations(now)
+	hasChanged = r.expireEvacuations(now) || hasChanged
 	r.expireHistories(now)
 	return hasChanged
 }
--- a/internal/fleet/jmdirectory/restore.go
+++ b/internal/fleet/jmdirectory/restore.go
@@ -1,6 +1,8 @@
 package jmdirectory
 
 import (
+	"time"
+
 	"github.com/jasminemoor/jasminemoor"
 )
 
@@ -8,6 +10,26 @@
 // that were changed or removed since, and lacks others, until their owners have written them
 // again.
 
+// restoreGrace is how long after a restore an entry that was missing in the first listing
+// counts as present. Owners write theirs again within about two seconds.
+const restoreGrace = 2500 * time.Millisecond
+
+// removalAt returns the revision of the removal of an entry that a listing of a revision lacks.
+// If the entry is of an earlier era, it is missing since the start of this one, as far as is
+// known.
+func removalAt(known, listing jasminemoor.Revision) jasminemoor.Revision {
+	if known.Era() < listing.Era() {
+		return listing.EraStart()
+	}
+	return listing
+}
+
+// isMissing reports whether an upstream that was missing after a restore still counts as
+// present.
+func (k *knownUpstream) isMissing(now time.Time) bool {
+	return k.upstream == nil && k.last != nil && k.revision.IsEraStart() && now.Sub(k.changedAt) <= restoreGrace
+}
+
 // reconcile returns what is known of an upstream after an entry of a revision, nil if it is
 // removed. A restored entry may tell less than the copy knows: of an earlier run of the
 // upstream, or that it is ready although it was leaving.
--- a/internal/fleet/jmdirectory/restore_test.go
+++ b/internal/fleet/jmdirectory/restore_test.go
@@ -194,3 +194,72 @@
 		})
 	}
 }
+
+// TestEntriesMissingAfterRestore restores the platform to before an upstream registered and an
+// evacuation began. Both stay in force everywhere until their entries are written again, or for
+// restoreGrace.
+func TestEntriesMissingAfterRestore(t *testing.T) {
+	for name, isRewritten := range map[string]bool{"written again": true, "gone": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 6)
+			f.run(2 * time.Second)
+			kept := f.revision.Change()
+			added := upstreamEntry(50, 0)
+			f.write(added)
+			f.write(evacuationEntry("a", 0, false))
+			f.run(time.Second)
+			inForce := func() (count int) {
+				for _, m := range f.machines {
+					v := m.View(f.now)
+					u := v.Upstreams[added.Upstream.Address]
+					if u != nil && u.IsReady() && len(v.Evacuated) == 1 {
+						count++
+					}
+				}
+				return count
+			}
+			require.Equal(t, len(f.machines), inForce())
+			f.restore(kept)
+			for range 40 {
+				f.step()
+				require.Equal(t, len(f.machines), inForce())
+			}
+			if isRewritten {
+				f.write(added)
+				f.write(evacuationEntry("a", 0, false))
+			}
+			f.run(3 * time.Second)
+			if isRewritten {
+				require.Equal(t, len(f.machines), inForce())
+				return
+			}
+			require.Zero(t, inForce())
+			f.run(viewRetention)
+			for self, m := range f.machines {
+				v := m.View(f.now)
+				require.Empty(t, v.Evacuated, self)
+				require.NotContains(t, v.Upstreams, added.Upstream.Address, self)
+			}
+		})
+	}
+}
+
+// TestMissingEntriesLeaveViews checks that views are built anew once, when entries that are
+// missing since a restore no longer count as present.
+func TestMissingEntriesLeaveViews(t *testing.T) {
+	for name, lost := range map[string]jasminemoor.Entry{"upstream": upstreamEntry(2, 3), "evacuation": evacuationEntry("a", 3, false)} {
+		t.Run(name, func(t *testing.T) {
+			m := loaded(t, startTime, upstreamEntry(1, 2), lost)
+			read(m, startTime, true, upstreamEntry(1, jasminemoor.NewRevision(1, 2)))
+			var built []time.Duration
+			for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+				if m.Tick(startTime.Add(at)).HasNewView {
+					built = append(built, at)
+				}
+			}
+			require.Len(t, built, 1)
+			require.Greater(t, built[0], restoreGrace)
+			require.LessOrEqual(t, built[0], restoreGrace+expireInterval)
+		})
+	}
+}
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -119,7 +119,7 @@
 		Revision:    r.revision,
 		Version:     r.version,
 		IdleTimeout: r.idleTimeout,
-		Evacuated:   r.evacuated(),
+		Evacuated:   r.evacuated(now),
 		EndingCount: r.endings.count,
 
 		RoutesKnownSince: r.routesKnownSince,
@@ -135,7 +135,7 @@
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for _, known := range r.upstreams {
 		if u := known.view(now); u != nil {
-			r.addEvacuation(u)
+			r.addEvacuation(now, u)
 			r.addHistory(u)
 			u.HasEnded = r.endings.has(&u.ListedUpstream)
 			v.add(u)
@@ -163,6 +163,8 @@
 	switch {
 	case k.upstream != nil:
 		u.ListedUpstream = *k.upstream
+	case k.isMissing(now):
+		u.ListedUpstream = *k.last
 	case k.last == nil || now.Sub(k.changedAt) > viewRetention:
 		return nil
 	default:
--- a/revision.go
+++ b/revision.go
@@ -23,6 +23,12 @@
 // began, before any change.
 func (r Revision) Change() uint64 { return uint64(r) & (1<<changeBits - 1) }
 
+// IsEraStart reports whether r is the state with which the platform came back from a copy.
+func (r Revision) IsEraStart() bool { return r.Change() == 0 && r.Era() > 0 }
+
+// EraStart returns the first revision of the era of r.
+func (r Revision) EraStart() Revision { return NewRevision(r.Era(), 0) }
+
 // String returns the era and the change counter, as in 1/530. The era is left out before the
 // first restore.
 func (r Revision) String() string {
--- a/revision_test.go
+++ b/revision_test.go
@@ -26,6 +26,8 @@
 			require.Equal(t, tc.era, r.Era())
 			require.Equal(t, tc.change, r.Change())
 			require.Equal(t, tc.text, r.String())
+			require.Equal(t, tc.era > 0 && tc.change == 0, r.IsEraStart())
+			require.Equal(t, jasminemoor.NewRevision(tc.era, 0), r.EraStart())
 		})
 	}
 	require.Less(t, jasminemoor.NewRevision(0, 530), jasminemoor.NewRevision(1, 7))
