Directory: conclusions from listings don't outlast a restore

A restored store lists upstreams that ended before; an upstream that started nine seconds ago is taken to have started after its predecessor was last listed, so it is not asked for older flows. Processes that start just after the restore may also place flows by routes and listings of the past.

Listings are taken for evidence of their own time.

Change: with a new era, how long an address has been listed counts anew, the former services of routes count as left now, and for six seconds, until lapsed entries have gone, a listed predecessor tells nothing of when its successor started. A first copy of a store that was ever restored draws no such conclusion, as its age is not known: searches ask some more agents then.

Evidence: TestConclusionsAfterRestore, all three cases failed before.

--- a/internal/fleet/jmdirectory/history.go
+++ b/internal/fleet/jmdirectory/history.go
@@ -53,7 +53,11 @@
 		clear(h.ready)
 		h.emptySince = r.asOf
 	}
-	h.recordStart(now, r.asOf, after)
+	asOf := r.asOf
+	if now.Before(r.doubtUntil) {
+		asOf = time.Time{}
+	}
+	h.recordStart(now, asOf, after)
 	if after.State == jasminemoor.UpstreamReady {
 		if len(h.ready) == 0 {
 			h.readySince = now
@@ -71,7 +75,7 @@
 }
 
 // recordStart updates the history for an upstream that may be another one than before,
-// by a copy that was complete at asOf.
+// by a copy that was complete at asOf, zero if its entries tell nothing of the former one.
 func (h *history) recordStart(now, asOf time.Time, u *jasminemoor.ListedUpstream) {
 	if u.ID == h.id && u.Born == h.born {
 		return
@@ -129,8 +133,8 @@
 		h := r.histories[addr]
 		h.id, h.born, h.startedAfter = u.ID, u.Born, startByClock(now, u)
 		formerRan := time.Duration(u.Born-first[addr]) * time.Millisecond
-		if formerRan <= 0 {
-			continue
+		if formerRan <= 0 || r.revision.Era() > 0 {
+			continue // the former one may be listed only since the platform was restored
 		}
 		h.startedAfter = latest(h.startedAfter, now.Add(-entryLapse))
 		if listedFor := formerRan - clockTolerance; listedFor > 0 {
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -71,6 +71,9 @@
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
+	// doubtUntil is until when listings may have entries of upstreams that have ended long
+	// ago, since the platform was restored.
+	doubtUntil time.Time
 }
 
 type knownUpstream struct {
@@ -80,7 +83,7 @@
 	changedAt time.Time
 	warmAt    time.Time
 	isExpired bool // its removal was so long ago that views omit it
-	// isGraceOver is set once views show its removal: see isMissing.
+	// isGraceOver is set once views show its removal: see missing.
 	isGraceOver bool
 }
 
@@ -97,6 +100,7 @@
 // If isWhole is set, the answer lists all entries.
 func (r *replica) applyEntries(now time.Time, c *jasminemoor.DirectoryChanges, isWhole bool) (changed []Item) {
 	r.init()
+	r.beginEra(now, c.Revision)
 	if isWhole {
 		// Removals come first: the address of a removed upstream was not listed until that
 		// of an added one, as far as a listing tells.
@@ -211,6 +215,7 @@
 // out.
 func (r *replica) merge(now time.Time, items []Item, revision jasminemoor.Revision, isWhole bool) (isNew bool) {
 	r.init()
+	r.beginEra(now, revision)
 	if isWhole && revision > r.revision {
 		isNew = r.mergeUnlisted(now, items, revision)
 		r.removalsSince = max(r.removalsSince, revision)
--- a/internal/fleet/jmdirectory/restore.go
+++ b/internal/fleet/jmdirectory/restore.go
@@ -14,6 +14,26 @@
 // counts as present. Owners write theirs again within about two seconds.
 const restoreGrace = 2500 * time.Millisecond
 
+// beginEra prepares the copy for a revision of a later era than its own. What it has concluded
+// from listings of the platform holds up to now only: processes that have started since the
+// restore know just the restored entries.
+func (r *replica) beginEra(now time.Time, revision jasminemoor.Revision) {
+	if revision.Era() <= r.revision.Era() {
+		return
+	}
+	r.doubtUntil = now.Add(entryLapse)
+	for _, h := range r.histories {
+		if len(h.ready) > 0 {
+			h.readySince = now
+		}
+	}
+	for _, known := range r.routes {
+		for _, f := range known.former {
+			known.addFormer(FormerService{Service: f.Service, LeftAt: now.Add(restoreGrace)})
+		}
+	}
+}
+
 // removalAt returns the revision of the removal of an entry that a listing of a revision lacks.
 // If the entry is of an earlier era, it is missing since the start of this one, as far as is
 // known.
--- a/internal/fleet/jmdirectory/restore_test.go
+++ b/internal/fleet/jmdirectory/restore_test.go
@@ -263,3 +263,56 @@
 		})
 	}
 }
+
+// TestConclusionsAfterRestore covers what a copy concludes from listings about the past, which
+// decides who is asked for a lost flow. The restored platform lists an upstream that has ended
+// and lacks the next one at its address, which started 9 s ago and holds flows. A process that
+// starts after the restore knows only that.
+func TestConclusionsAfterRestore(t *testing.T) {
+	const age = 9 * time.Second // of the next upstream at the restore
+	now := startTime.Add(age)
+	addr := netip.AddrPortFrom(agentAddr(1), 8080)
+	after := func(change uint64) jasminemoor.Revision { return jasminemoor.NewRevision(1, change) }
+	ended := upstreamEntry(1, 3)
+	ended.Upstream.Born = startTime.Add(-time.Minute).UnixMilli()
+	next := upstreamEntry(1, 6)
+	next.Key, next.Upstream.ID, next.Upstream.Born = "u/i-9", "i-9", startTime.UnixMilli()
+	restored := func(e jasminemoor.Entry, change uint64) jasminemoor.Entry {
+		e.Revision = after(change)
+		return e
+	}
+	listing := []jasminemoor.Entry{restored(ended, 3), routeTo(1, after(2), "shop")}
+	cases := map[string]func(t *testing.T) *Machine{
+		"running before": func(t *testing.T) *Machine {
+			m := loaded(t, startTime.Add(-20*time.Second), ended, routeTo(1, 2, "shop"))
+			read(m, startTime.Add(-19*time.Second), false, routeTo(2, 4, "desk"))
+			read(m, startTime.Add(100*time.Millisecond), false, jasminemoor.Entry{Key: ended.Key, Revision: 5}, next)
+			read(m, now, true, listing...)
+			return m
+		},
+		"started since": func(t *testing.T) *Machine { return loaded(t, now, listing...) },
+	}
+	for name, start := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := start(t)
+			if v := m.View(now); v.Version == 2 {
+				former := v.Routes[netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), 1)].Former
+				require.Equal(t, []FormerService{{Service: "shop", LeftAt: now.Add(restoreGrace)}}, former,
+					"a process that has just started may still use it")
+			}
+			rewrittenAt := now.Add(1200 * time.Millisecond)
+			read(m, rewrittenAt, false, restored(next, 8))
+			u := m.View(rewrittenAt).Upstreams[addr]
+			require.Equal(t, "i-9", u.ID)
+			require.False(t, u.StartedAfter.After(startTime), "it may hold flows since its start")
+			require.False(t, u.ListedSince.Before(now), "processes may lack it until it is written again")
+		})
+	}
+	t.Run("first copy with both", func(t *testing.T) {
+		both := loaded(t, now, append(listing, restored(next, 8))...)
+		u := both.View(now).Upstreams[addr]
+		require.Equal(t, "i-9", u.ID)
+		require.False(t, u.StartedAfter.After(startTime))
+		require.False(t, u.ListedSince.Before(now))
+	})
+}
