Search: nothing is reset while a restored platform may lack upstreams

Up to two seconds after a restore, the platform does not list upstreams that registered since the copy was made. An agent that had not heard of one before takes its list for complete, asks all that it names, and resets the flow.

Cause: the same class, in the proof that a flow is lost: a current listing is taken for a complete one.

Change: a view says from when it lists all that live, 2.5 s after the restore. A process that starts later learns from its peers when that was; they are asked within 0.9 s, and where none knows, all have just started.

Evidence: TestSearchIncludesHolder now restores the platform in every other history, with owners that write again.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -114,6 +114,8 @@
 	Endings []Ending
 	// RouteHistory is nil from a peer of an earlier release.
 	RouteHistory *RouteHistory
+	// RestoredFor is how long ago the platform was restored, 0 if the peer does not know.
+	RestoredFor time.Duration
 }
 
 // Send is a message to send to a peer.
@@ -364,6 +366,7 @@
 	return &PullReply{
 		Revision: m.replica.revision, Version: m.replica.version, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf),
 		Endings: m.replica.endings.list(now, maxEndings), RouteHistory: m.replica.routeHistory(now),
+		RestoredFor: m.replica.restoredFor(now),
 	}
 }
 
@@ -415,6 +418,7 @@
 		m.mustLoad = false
 	}
 	isNew = r.merge(now, reply.Items, reply.Revision, reply.IsWhole) || isNew
+	isNew = r.mergeRestore(now, reply.Revision, reply.RestoredFor) || isNew
 	if reply.Version == 0 || reply.Version >= r.version {
 		isNew = r.mergeRouteHistory(now, reply.RouteHistory, ownSince, ownUntil) || isNew
 	}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -71,9 +71,14 @@
 	// asOf is the latest time at which the copy is known to have been complete, zero
 	// before the first copy.
 	asOf time.Time
+	// restoredAt is when the platform is known to have been restored, by this process or a
+	// peer; zero if it was not, or before all of them started.
+	restoredAt time.Time
 	// doubtUntil is until when listings may have entries of upstreams that have ended long
 	// ago, since the platform was restored.
 	doubtUntil time.Time
+	// completeAt is View.CompleteAt.
+	completeAt time.Time
 }
 
 type knownUpstream struct {
--- a/internal/fleet/jmdirectory/restore.go
+++ b/internal/fleet/jmdirectory/restore.go
@@ -22,6 +22,12 @@
 		return
 	}
 	r.doubtUntil = now.Add(entryLapse)
+	if r.asOf.IsZero() {
+		// Peers that were there tell when the platform was restored.
+		r.completeAt = now.Add(historyAsks * historyAskInterval)
+	} else {
+		r.restoredAt, r.completeAt = now, now.Add(restoreGrace)
+	}
 	for _, h := range r.histories {
 		if len(h.ready) > 0 {
 			h.readySince = now
@@ -34,6 +40,26 @@
 	}
 }
 
+// restoredFor returns how long ago the platform was restored, 0 if that is not known.
+func (r *replica) restoredFor(now time.Time) time.Duration {
+	if r.restoredAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(r.restoredAt), 1)
+}
+
+// mergeRestore adds what a peer tells of when the platform was restored to the era of both
+// copies, 0 if it does not know. It reports whether that changed the view.
+func (r *replica) mergeRestore(now time.Time, revision jasminemoor.Revision, restoredFor time.Duration) (isNew bool) {
+	at := now.Add(-restoredFor)
+	isKnown := !r.restoredAt.IsZero() && !at.Before(r.restoredAt)
+	if restoredFor <= 0 || isKnown || revision.Era() != r.revision.Era() {
+		return false
+	}
+	r.restoredAt, r.completeAt = at, at.Add(restoreGrace)
+	return true
+}
+
 // removalAt returns the revision of the removal of an entry that a listing of a revision lacks.
 // If the entry is of an earlier era, it is missing since the start of this one, as far as is
 // known.
--- a/internal/fleet/jmdirectory/restore_test.go
+++ b/internal/fleet/jmdirectory/restore_test.go
@@ -316,3 +316,26 @@
 		require.False(t, u.ListedSince.Before(now))
 	})
 }
+
+// TestListIsCompleteAfterRestore covers from when a view counts as complete: some time after
+// the restore, which a process that has started since learns from a peer.
+func TestListIsCompleteAfterRestore(t *testing.T) {
+	restored := upstreamEntry(1, jasminemoor.NewRevision(1, 2))
+	running := loaded(t, startTime, upstreamEntry(1, 2))
+	require.Zero(t, running.View(startTime).CompleteAt)
+	read(running, startTime, true, restored)
+	require.Equal(t, startTime.Add(restoreGrace), running.View(startTime).CompleteAt)
+
+	now := startTime.Add(time.Second)
+	started := loaded(t, now, restored)
+	require.Equal(t, now.Add(historyAsks*historyAskInterval), started.View(now).CompleteAt, "until peers were asked")
+	alone := loaded(t, now, restored)
+	require.False(t, learn(t, now, started, alone).HasNewView, "a peer that does not know either")
+	require.True(t, learn(t, now, started, running).HasNewView)
+	require.Equal(t, startTime.Add(restoreGrace), started.View(now).CompleteAt)
+	require.False(t, learn(t, now, running, started).HasNewView)
+
+	first := &Machine{Self: agentAddr(9), Rand: rand.New(rand.NewPCG(1, 1))}
+	learn(t, now, first, running)
+	require.Equal(t, startTime.Add(restoreGrace), first.View(now).CompleteAt)
+}
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -21,6 +21,9 @@
 	// zero value says that all versions are known.
 	RoutesKnownSince time.Time
 	Services         map[string]*Service
+	// CompleteAt is from when the view lists all upstreams that live: their entries may have
+	// been lost as the platform was restored. It is zero if the platform never was.
+	CompleteAt time.Time
 	// Upstreams holds the newest entry of each address.
 	Upstreams map[netip.AddrPort]*Upstream
 	// Agents holds the newest entry of each agent's address.
@@ -123,6 +126,7 @@
 		EndingCount: r.endings.count,
 
 		RoutesKnownSince: r.routesKnownSince,
+		CompleteAt:       r.completeAt,
 		Routes:           make(map[netip.AddrPort]*Route, len(r.routes)),
 		Services:         make(map[string]*Service),
 		Upstreams:        make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -122,8 +122,8 @@
 	return u.IsRemoved && u.State == jasminemoor.UpstreamLeaving && now.Sub(u.RemovedAt) >= lapseGrace
 }
 
-// isListComplete reports whether the view lists all upstreams that may hold a flow. The
-// first view may lack entries that lapsed during an outage of the platform's store. Such
+// isListComplete reports whether the view lists all upstreams that may hold a flow. It may
+// not for a while after the platform was restored from a copy. The first view may lack entries that lapsed during an outage of the platform's store. Such
 // upstreams return within lapseGrace. They hold no flows if all upstreams have just
 // started, as after a power failure. The own one may have ended instead. If the past of the
 // routes is not known, all services count, at most maxSearchedServices.
@@ -132,6 +132,9 @@
 	if len(services) > maxSearchedServices && !a.isPastKnown(now) {
 		return false
 	}
+	if now.Before(a.snapshot.CompleteAt) {
+		return false
+	}
 	if a.IsFirstStart || now.Sub(a.firstView) >= lapseGrace {
 		return true
 	}
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -32,6 +32,22 @@
 	young    []*directoryCopy     // of agents that have started lately
 	// dataCentres are those of the upstreams.
 	dataCentres []string
+	past        []pastListing // by step
+	rewrites    []rewrite     // that are due after the platform was restored
+}
+
+// pastListing is what the platform listed at a time.
+type pastListing struct {
+	at       time.Time
+	revision jasminemoor.Revision
+	entries  map[string]jasminemoor.Entry
+	config   jasminemoor.Entry
+}
+
+// rewrite is what the owner of an entry does after the platform was restored.
+type rewrite struct {
+	at time.Time
+	do func()
 }
 
 // listingChange is a change of an entry.
@@ -104,23 +120,31 @@
 // changeEvacuation lets the evacuation of a data centre begin or end, with a low
 // probability.
 func (l *listing) changeEvacuation(dataCentre string) {
-	key := "evacuate/" + dataCentre
-	_, isActive := l.entries[key]
+	_, isActive := l.entries["evacuate/"+dataCentre]
 	if !isActive && l.rand.IntN(60) != 0 || isActive && l.rand.IntN(15) != 0 {
 		return
 	}
+	l.setEvacuation(dataCentre, !isActive)
+}
+
+// setEvacuation lets an evacuation begin or end, unless it has.
+func (l *listing) setEvacuation(dataCentre string, isActive bool) {
+	key := "evacuate/" + dataCentre
+	if _, wasActive := l.entries[key]; wasActive == isActive {
+		return
+	}
 	l.revision++
-	e := jasminemoor.Entry{Key: key, Revision: l.revision, Evacuation: &jasminemoor.Evacuation{DataCentre: dataCentre, IsOver: isActive}}
+	e := jasminemoor.Entry{Key: key, Revision: l.revision, Evacuation: &jasminemoor.Evacuation{DataCentre: dataCentre, IsOver: !isActive}}
 	if isActive {
-		delete(l.entries, key)
-	} else {
 		l.entries[key] = e
+	} else {
+		delete(l.entries, key)
 	}
 	l.history = append(l.history, listingChange{l.now, e})
 }
 
 // load makes a copy as a process does that has just started. Every other one then gets
-// the answer of a peer.
+// the answer of a peer, and each one after a restore.
 func (l *listing) load(upstream netip.AddrPort, lag time.Duration) *directoryCopy {
 	c := &directoryCopy{seen: len(l.history), lag: lag, loaded: l.now}
 	c.machine.Self, c.machine.Upstream, c.machine.Rand = upstream.Addr(), upstream, l.rand
@@ -128,7 +152,7 @@
 	changes.Entries = append(changes.Entries, l.config)
 	_ = c.machine.HandleRead(l.now, jmdirectory.Read{IsLoad: true}, &changes, nil)
 	addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
-	if len(addrs) > 0 && l.rand.IntN(2) == 0 {
+	if len(addrs) > 0 && (l.rand.IntN(2) == 0 || l.revision.Era() > 0) {
 		peer := l.lives[addrs[l.rand.IntN(len(addrs))]].copy
 		l.update(peer)
 		request := c.machine.PullRequest()
@@ -142,12 +166,13 @@
 // listing, which has only the newest of the versions of the configuration.
 func (l *listing) update(c *directoryCopy) {
 	changes := jasminemoor.DirectoryChanges{Revision: c.machine.Revision()}
-	for c.seen < len(l.history) && l.now.Sub(l.history[c.seen].at) >= c.lag {
+	isRestored := c.machine.Revision().Era() < l.revision.Era()
+	for !isRestored && c.seen < len(l.history) && l.now.Sub(l.history[c.seen].at) >= c.lag {
 		changes.Entries = append(changes.Entries, l.history[c.seen].entry)
 		changes.Revision = l.history[c.seen].entry.Revision
 		c.seen++
 	}
-	read := jmdirectory.Read{Since: c.machine.Revision(), IsLoad: l.rand.IntN(10) == 0}
+	read := jmdirectory.Read{Since: c.machine.Revision(), IsLoad: isRestored || l.rand.IntN(10) == 0}
 	if read.IsLoad {
 		changes = jasminemoor.DirectoryChanges{Revision: l.revision, Entries: append(slices.Collect(maps.Values(l.entries)), l.config)}
 		c.seen = len(l.history)
@@ -205,8 +230,9 @@
 // TestSearchIncludesHolder runs random histories of two services: upstreams crash with or
 // without their agents and start again, at times for the other service, all lose power,
 // entries lapse and return, others join and leave, the route moves between the services,
-// is split over both or dropped, data centres are evacuated and taken back, and each agent's
-// copy of the directory lags by up to half a second, and by as much as it misses steps.
+// is split over both or dropped, data centres are evacuated and taken back, the platform is
+// restored from a copy in every other history, and each agent's copy of the directory lags by
+// up to half a second, and by as much as it misses steps.
 // Agents take flows as the rule lets them. Then agents old and new must find each flow's
 // holder among the possible holders, or ask their own upstream.
 func TestSearchIncludesHolder(t *testing.T) {
@@ -230,6 +256,11 @@
 	}
 	for step := range 150 {
 		l.now = l.now.Add(holderStep)
+		l.past = append(l.past, pastListing{l.now, l.revision, maps.Clone(l.entries), l.config})
+		if seed%2 == 1 && (step == 60 || step == 110+l.rand.IntN(20)) {
+			l.restore(lapsed)
+		}
+		l.rewrite()
 		l.removeDead(died)
 		addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
 		for _, addr := range addrs {
@@ -266,6 +297,77 @@
 	}
 }
 
+// restore returns the platform to what it listed up to 9 s ago. Owners write what was lost
+// again: the operator soon, upstreams with their next heartbeat. Entries of others lapse.
+func (l *listing) restore(lapsed map[*life]time.Time) {
+	const heartbeat = 1200 * time.Millisecond
+	config, evacuated := l.config, make(map[string]bool)
+	for _, name := range l.dataCentres {
+		_, evacuated[name] = l.entries["evacuate/"+name]
+	}
+	past := l.past[len(l.past)-1-l.rand.IntN(45)]
+	era := l.revision.Era() + 1
+	l.revision = jasminemoor.NewRevision(era, past.revision.Change())
+	l.entries, l.config = maps.Clone(past.entries), past.config
+	for key, e := range l.entries {
+		e.Revision = jasminemoor.NewRevision(era, e.Revision.Change())
+		l.entries[key] = e
+	}
+	l.config.Revision = jasminemoor.NewRevision(era, l.config.Revision.Change())
+
+	later := func(limit time.Duration, do func()) {
+		l.rewrites = append(l.rewrites, rewrite{l.now.Add(l.duration(limit)), do})
+	}
+	later(holderStep, func() {
+		if config.Routing.Version <= l.config.Routing.Version {
+			return
+		}
+		l.revision++
+		config.Revision = l.revision
+		l.config = config
+		l.history = append(l.history, listingChange{l.now, config})
+	})
+	for _, name := range l.dataCentres {
+		later(holderStep, func() { l.setEvacuation(name, evacuated[name]) })
+	}
+	owned := make(map[string]bool)
+	for _, addr := range slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare) {
+		x := l.lives[addr]
+		if _, isLapsed := lapsed[x]; isLapsed || !x.isAlive {
+			continue
+		}
+		owned[x.key] = true
+		later(heartbeat, func() {
+			e, found := l.entries[x.key]
+			if x.isAlive && (!found || e.Upstream.Born != x.upstream.Born || e.Upstream.State != x.upstream.State) {
+				l.write(x.key, &x.upstream)
+			}
+		})
+	}
+	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
+		if e := l.entries[key]; e.Upstream != nil && !owned[key] {
+			l.rewrites = append(l.rewrites, rewrite{l.now.Add(3 * heartbeat), func() {
+				if l.entries[key].Revision == e.Revision {
+					l.write(key, nil)
+				}
+			}})
+		}
+	}
+}
+
+// rewrite does what is due since the platform was restored.
+func (l *listing) rewrite() {
+	due := l.rewrites
+	l.rewrites = nil
+	for _, r := range due {
+		if r.at.After(l.now) {
+			l.rewrites = append(l.rewrites, r)
+		} else {
+			r.do()
+		}
+	}
+}
+
 // powerOff ends all upstreams and agents. They start again at once.
 func (l *listing) powerOff(died map[*life]time.Time) {
 	for _, addr := range slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare) {
