Settings: revisions are ordered by the platform's era in the own interface too

What operators would see: after their configuration service is restored from a copy, a revision that is published comes into force only once its number is above the lost ones; no line says why.

Change: the API that the platform publishes may say how many times it was restored, and in which era a subtree changed last. The client makes one number of era and counter, so that all that is built on it stays; status and explain print it as era/counter. A platform without these fields is read as before.

Evidence: TestChangeAfterPlatformRestored failed: the change with the revision of the lost one was not in force after the limit; it passes, and TestPlatformStale as before.

--- a/internal/operate/jmoperator/explain.go
+++ b/internal/operate/jmoperator/explain.go
@@ -146,7 +146,7 @@
 
 // Print writes the explanation for people.
 func (x *Explanation) Print(out io.Writer) error {
-	_, _ = fmt.Fprintf(out, "service %s, number %d, at %s, settings revision %d\n", x.Service, x.Number, x.Address, x.Revision)
+	_, _ = fmt.Fprintf(out, "service %s, number %d, at %s, settings revision %v\n", x.Service, x.Number, x.Address, jasminemoor.Revision(x.Revision))
 	_, _ = fmt.Fprintf(out, "%s\n", x.Reason)
 	if x.First != "" {
 		_, _ = fmt.Fprintf(out, "a flow with the first connection ID %s goes to %s", x.ID, x.First)
--- a/internal/operate/jmoperator/status.go
+++ b/internal/operate/jmoperator/status.go
@@ -132,7 +132,7 @@
 		_, _ = fmt.Fprintln(out, "watches the platform for its data centre")
 	}
 	for _, path := range slices.Sorted(maps.Keys(s.Revisions)) {
-		_, _ = fmt.Fprintf(out, "settings %s: revision %d in force\n", path, s.Revisions[path])
+		_, _ = fmt.Fprintf(out, "settings %s: revision %v in force\n", path, jasminemoor.Revision(s.Revisions[path]))
 	}
 	for _, fault := range s.Faults {
 		_, _ = fmt.Fprintf(out, "fault: %s\n", fault)
--- a/internal/settings/jmwatch/client.go
+++ b/internal/settings/jmwatch/client.go
@@ -30,22 +30,54 @@
 
 var _ jasminemoor.Platform = (*Client)(nil)
 
+// revisions is the body of an answer with the revisions. The eras are missing from a service
+// that was never restored from a copy.
+type revisions struct {
+	At       uint64
+	Era      uint64 // of the service
+	Subtrees map[string]uint64
+	Eras     map[string]uint64 // of the last changes of subtrees
+}
+
+func (r *revisions) translate() jasminemoor.Revisions {
+	t := jasminemoor.Revisions{At: revisionOf(r.Era, r.At), Subtrees: make(map[string]uint64, len(r.Subtrees))}
+	for path, change := range r.Subtrees {
+		t.Subtrees[path] = revisionOf(r.Eras[path], change)
+	}
+	return t
+}
+
+func revisionOf(era, change uint64) uint64 { return uint64(jasminemoor.NewRevision(era, change)) }
+
 // Revisions implements jasminemoor.Platform.
 func (c *Client) Revisions(ctx context.Context) (r jasminemoor.Revisions, err error) {
-	err = c.get(ctx, "/v1/revisions", nil, &r)
-	return r, err
+	var body revisions
+	err = c.get(ctx, "/v1/revisions", nil, &body)
+	return body.translate(), err
 }
 
 // Read implements jasminemoor.Platform.
 func (c *Client) Read(ctx context.Context, path string) (s jasminemoor.Subtree, err error) {
-	err = c.get(ctx, "/v1/subtree", url.Values{"path": {path}}, &s)
+	var body struct {
+		jasminemoor.Subtree
+		Era uint64 // of the last change
+	}
+	err = c.get(ctx, "/v1/subtree", url.Values{"path": {path}}, &body)
+	s = body.Subtree
+	s.Revision = revisionOf(body.Era, s.Revision)
 	return s, err
 }
 
 // Watch implements jasminemoor.Platform.
 func (c *Client) Watch(ctx context.Context, since uint64) (r jasminemoor.Revisions, err error) {
-	err = c.get(ctx, "/v1/watch", url.Values{"since": {strconv.FormatUint(since, 10)}}, &r)
-	return r, err
+	var body revisions
+	from := jasminemoor.Revision(since)
+	query := url.Values{"since": {strconv.FormatUint(from.Change(), 10)}}
+	if from.Era() > 0 {
+		query.Set("era", strconv.FormatUint(from.Era(), 10))
+	}
+	err = c.get(ctx, "/v1/watch", query, &body)
+	return body.translate(), err
 }
 
 // get decodes the JSON response of a GET request into target.
--- a/internal/standin/jmlab/settings_test.go
+++ b/internal/standin/jmlab/settings_test.go
@@ -211,6 +211,38 @@
 	l.finish()
 }
 
+// TestChangeAfterPlatformRestored restores the platform from a copy. A change after that comes
+// into force, though its revision was given out before, and the lost one stays until then.
+func TestChangeAfterPlatformRestored(t *testing.T) {
+	lab := startLab(t, 57)
+	service := lab.Layout.Services[0]
+	change := func(weight uint32) uint64 {
+		service.Upstreams[0].Weight = weight
+		documents, err := lab.Layout.Documents()
+		require.NoError(t, err)
+		return lab.Platform.Put("Teams/rangla", service.Name, documents["Teams/rangla"][service.Name])
+	}
+	inForce := func(weight uint32) bool {
+		for _, n := range nodes(lab) {
+			s, found := n.View().Config.Services[service.Number]
+			if !found || s.Upstreams[0].Weight != weight {
+				return false
+			}
+		}
+		return true
+	}
+	backup := lab.Platform.Backup()
+	lost := change(8)
+	require.Eventually(t, func() bool { return inForce(8) }, inForceLimit, 10*time.Millisecond)
+	lab.Platform.Restore(backup)
+	time.Sleep(time.Second)
+	require.True(t, inForce(8), "the restored revision is older")
+	require.Equal(t, lost, change(9), "the same revision")
+	require.Eventually(t, func() bool { return inForce(9) }, inForceLimit, 10*time.Millisecond)
+	change(7)
+	require.Eventually(t, func() bool { return inForce(7) }, inForceLimit, 10*time.Millisecond)
+}
+
 // TestStartWithoutPlatform restarts an agent and a balancer while the platform is
 // down: they get all settings from their peers.
 func TestStartWithoutPlatform(t *testing.T) {
--- a/internal/standin/jmplatform/platform.go
+++ b/internal/standin/jmplatform/platform.go
@@ -1,6 +1,6 @@
 // Package jmplatform is a stand-in for the platform's configuration service,
 // for tests and the demo. It keeps the settings tree in memory, counts the calls,
-// and can be made slow, stale or unavailable.
+// and can be made slow, stale or unavailable, and be restored from a copy.
 package jmplatform
 
 import (
@@ -25,19 +25,51 @@
 
 	calls atomic.Uint64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	content
+	stale   *content // what reads return, nil if the platform is not stale
+	isDown  bool
+	delay   time.Duration
+	changed chan struct{} // closed at the next change, nil before the first
+}
+
+// content is a state of the tree.
+type content struct {
+	era      uint64 // how many times the platform has been restored
 	revision uint64 // of the latest change
-	subtrees map[string]jasminemoor.Subtree
-	stale    *snapshot // what reads return, nil if the platform is not stale
-	isDown   bool
-	delay    time.Duration
-	changed  chan struct{} // closed at the next change, nil before the first
+	subtrees map[string]subtree
+}
+
+// subtree is a subtree with the era of its last change, as it is on the wire.
+type subtree struct {
+	jasminemoor.Subtree
+	Era uint64 `json:",omitempty"`
+}
+
+// revisions is the revisions of all subtrees, as they are on the wire.
+type revisions struct {
+	jasminemoor.Revisions
+	Era  uint64            `json:",omitempty"`
+	Eras map[string]uint64 `json:",omitempty"` // of the last changes of subtrees, without 0
 }
 
-// snapshot is the state of the tree that a stale platform returns.
-type snapshot struct {
-	revision uint64
-	subtrees map[string]jasminemoor.Subtree
+// Backup is a copy of the tree.
+type Backup struct{ content }
+
+// Backup returns a copy of the present tree.
+func (p *Platform) Backup() Backup {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Backup{content{revision: p.revision, subtrees: maps.Clone(p.subtrees)}}
+}
+
+// Restore returns the platform to a copy and begins a new era. Later changes are lost, and
+// their revisions are given out again.
+func (p *Platform) Restore(b Backup) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.content = content{era: p.era + 1, revision: b.revision, subtrees: maps.Clone(b.subtrees)}
+	p.wakeLocked()
 }
 
 // Put sets one document, as an operator would, and returns the subtree's new
@@ -60,7 +92,7 @@
 // held.
 func (p *Platform) putLocked(path string, values map[string]string) uint64 {
 	if p.subtrees == nil {
-		p.subtrees = make(map[string]jasminemoor.Subtree)
+		p.subtrees = make(map[string]subtree)
 	}
 	next := maps.Clone(p.subtrees[path].Values)
 	if next == nil {
@@ -68,7 +100,7 @@
 	}
 	maps.Copy(next, values)
 	p.revision++
-	p.subtrees[path] = jasminemoor.Subtree{Path: path, Revision: p.revision, Values: next}
+	p.subtrees[path] = subtree{jasminemoor.Subtree{Path: path, Revision: p.revision, Values: next}, p.era}
 	p.wakeLocked()
 	return p.revision
 }
@@ -96,7 +128,7 @@
 	defer p.mu.Unlock()
 	p.stale = nil
 	if isStale {
-		p.stale = &snapshot{revision: p.revision, subtrees: maps.Clone(p.subtrees)}
+		p.stale = &content{era: p.era, revision: p.revision, subtrees: maps.Clone(p.subtrees)}
 	}
 	p.wakeLocked()
 }
@@ -151,8 +183,7 @@
 }
 
 func (p *Platform) serveSubtree(w http.ResponseWriter, r *http.Request) {
-	_, subtrees := p.tree()
-	s, found := subtrees[r.URL.Query().Get("path")]
+	s, found := p.tree().subtrees[r.URL.Query().Get("path")]
 	if !found {
 		http.NotFound(w, r)
 		return
@@ -166,6 +197,13 @@
 		http.Error(w, "since is not a number", http.StatusBadRequest)
 		return
 	}
+	era := uint64(0)
+	if text := r.URL.Query().Get("era"); text != "" {
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			http.Error(w, "era is not a number", http.StatusBadRequest)
+			return
+		}
+	}
 	limit := time.After(p.watchLimit())
 	for {
 		p.mu.Lock()
@@ -176,7 +214,7 @@
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		if revisions := p.revisions(); revisions.At > since {
+		if revisions := p.revisions(); revisions.At > since || revisions.Era != era {
 			writeJSON(w, revisions)
 			return
 		}
@@ -198,21 +236,27 @@
 	return p.WatchLimit
 }
 
-// tree returns the latest revision and the subtrees as reads return them.
-func (p *Platform) tree() (revision uint64, subtrees map[string]jasminemoor.Subtree) {
+// tree returns the content that reads return.
+func (p *Platform) tree() content {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stale != nil {
-		return p.stale.revision, p.stale.subtrees
+		return *p.stale
 	}
-	return p.revision, maps.Clone(p.subtrees)
+	return content{era: p.era, revision: p.revision, subtrees: maps.Clone(p.subtrees)}
 }
 
-func (p *Platform) revisions() jasminemoor.Revisions {
-	revision, subtrees := p.tree()
-	r := jasminemoor.Revisions{At: revision, Subtrees: make(map[string]uint64, len(subtrees))}
-	for path, s := range subtrees {
+func (p *Platform) revisions() revisions {
+	c := p.tree()
+	r := revisions{
+		Revisions: jasminemoor.Revisions{At: c.revision, Subtrees: make(map[string]uint64, len(c.subtrees))},
+		Era:       c.era, Eras: make(map[string]uint64),
+	}
+	for path, s := range c.subtrees {
 		r.Subtrees[path] = s.Revision
+		if s.Era > 0 {
+			r.Eras[path] = s.Era
+		}
 	}
 	return r
 }
--- a/ports.go
+++ b/ports.go
@@ -12,7 +12,8 @@
 type Subtree struct {
 	// Path is "Fleet" or "Teams/<team>".
 	Path string
-	// Revision grows with each change to the subtree.
+	// Revision grows with each change to the subtree, also after the platform was restored
+	// from a copy: it is the number of a type Revision with the era of the change.
 	Revision uint64
 	// Values maps names to documents, each JSON with comments.
 	Values map[string]string
@@ -20,7 +21,7 @@
 
 // Revisions holds the revisions of all subtrees on the platform at one time.
 type Revisions struct {
-	// At is the platform's change counter.
+	// At is the platform's change counter, as the number of a type Revision with its era.
 	At uint64
 	// Subtrees maps the path of each subtree to its newest revision.
 	Subtrees map[string]uint64
@@ -34,8 +35,8 @@
 	// Read returns one subtree.
 	Read(ctx context.Context, path string) (s Subtree, err error)
 	// Watch waits until the platform's change counter, Revisions.At, is above
-	// since, or until the platform's own timeout. It returns the same as the
-	// method Revisions.
+	// since, its era is another one, or its own timeout has passed. It returns the
+	// same as the method Revisions.
 	Watch(ctx context.Context, since uint64) (r Revisions, err error)
 }
 
