--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -69,6 +69,7 @@
 // soak runs balancers and agents as real processes, injects faults by signals and
 // through the stand-ins, and checks the guarantees as callers and upstreams see them.
 type soak struct {
+	seed   uint64
 	t      *testing.T
 	rng    *rand.Rand
 	binary string
@@ -289,6 +290,7 @@
 		})
 	}
 	injectors.Go(func() { s.runChanges(ctx) })
+	injectors.Go(func() { s.runRestores(ctx) })
 	injectors.Wait()
 	s.settle()
 	stop()
@@ -350,7 +352,8 @@
 // for the given time.
 func newSoak(t *testing.T, seed uint64, binary string, work time.Duration) *soak {
 	s := &soak{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), binary: binary, dir: t.TempDir(), store: &jmstore.Store{}, work: work,
+		seed: seed,
+		t:    t, rng: rand.New(rand.NewPCG(seed, seed)), binary: binary, dir: t.TempDir(), store: &jmstore.Store{}, work: work,
 		processes: make(map[string]*jmprocess.Process), faulty: make(map[string]bool), storePaths: make(map[string]*jmproxy.Proxy),
 	}
 	t.Cleanup(func() {
--- a/internal/standin/jmprocess/soakfaults_test.go
+++ b/internal/standin/jmprocess/soakfaults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"syscall"
 	"time"
@@ -180,3 +181,20 @@
 	time.Sleep(f.duration)
 	path.Set(jmproxy.Pass)
 }
+
+// runRestores restores the store from a copy again and again, if the seed is odd. The faults
+// have other random numbers, so that a seed keeps them. Owners write what was lost again.
+func (s *soak) runRestores(ctx context.Context) {
+	if s.seed%2 == 0 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(s.seed, 3))
+	for ctx.Err() == nil {
+		backup := s.store.Backup()
+		time.Sleep(time.Duration(1000+rng.IntN(4000)) * time.Millisecond)
+		s.recordFault("store restored from a copy")
+		lost := s.store.Restore(backup)
+		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+		s.store.Rewrite(backup, lost)
+	}
+}
--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -139,15 +139,41 @@
 
 // Restore returns the store to the content of a copy and begins a new era. Later changes
 // are lost, and their revisions are given out again. Waiting watches fail with status 410.
-func (s *Store) Restore(b Backup) {
+// Restore returns the content that was lost.
+func (s *Store) Restore(b Backup) (lost Backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost = Backup{rev: s.rev, items: s.items, history: s.history}
 	s.era++
 	s.rev, s.items, s.history = b.rev, maps.Clone(b.items), slices.Clone(b.history)
 	if s.changed != nil {
 		close(s.changed)
 	}
 	s.changed = nil
+	return lost
+}
+
+// Rewrite writes what was lost since a copy again, as its owners would, except for keys that
+// have been written since the restore.
+func (s *Store) Rewrite(b, lost Backup) {
+	for key, i := range lost.items {
+		if s.isSince(b, key) || i.Value == b.items[key].Value {
+			continue
+		}
+		s.write(item{Key: key, Value: i.Value})
+	}
+	for key := range b.items {
+		if _, found := lost.items[key]; !found && !s.isSince(b, key) {
+			s.Remove(key)
+		}
+	}
+}
+
+// isSince reports whether a key has been written since the store was restored from a copy.
+func (s *Store) isSince(b Backup, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key] != b.items[key]
 }
 
 // SetFault sets the fault of the calls of one instance or, if the address is not
