--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -296,20 +296,7 @@
 	if m.isDeputy && b.Age < StaleAfter && readerScore(b.Reader) > readerScore(m.Self) && slices.Contains(m.agents, b.Reader) {
 		m.isDeputy = false
 	}
-	isCurrent := m.isLoaded && b.Revision <= m.replica.revision
-	canApply := m.isLoaded && b.Since <= m.replica.revision && b.Revision.Era() == m.replica.revision.Era()
-	switch {
-	case (isCurrent || canApply) && m.replica.canApplyRoutes(b.News):
-		isNew := m.replica.mergeRoutes(now, b.News, false)
-		if !isCurrent {
-			isNew = m.replica.merge(now, b.News, b.Revision, false) || isNew
-		}
-		if isNew {
-			out.HasNewView = true
-			m.updateAgents(now)
-		}
-		m.advanceAsOf(now.Add(-b.Age))
-	case now.Sub(m.pullBegun) > pullTimeout:
+	if !m.mergeBeacon(out, now, b) && now.Sub(m.pullBegun) > pullTimeout {
 		// The beacon is forwarded after the pull, when this process can answer
 		// the pulls of those that receive it.
 		m.pullBegun, m.pendingBeacon, m.pendingFrom = now, b, from
@@ -319,6 +306,27 @@
 	m.forward(out, now, b, from)
 }
 
+// mergeBeacon merges the changes in a beacon. It reports whether the copy is then as new as the
+// sender's.
+func (m *Machine) mergeBeacon(out *Output, now time.Time, b *Beacon) bool {
+	r := &m.replica
+	isCurrent := b.Revision <= r.revision
+	canApply := b.Since <= r.revision && b.Revision.Era() == r.revision.Era()
+	if !m.isLoaded || !isCurrent && !canApply || !r.canApplyRoutes(b.News) {
+		return false
+	}
+	isNew := r.mergeRoutes(now, b.News, false)
+	if !isCurrent {
+		isNew = r.merge(now, b.News, b.Revision, false) || isNew
+	}
+	if isNew {
+		out.HasNewView = true
+		m.updateAgents(now)
+	}
+	m.advanceAsOf(now.Add(-b.Age))
+	return true
+}
+
 // CatchUp pulls the missing changes from a peer with a newer copy, unless an
 // exchange is in flight.
 func (m *Machine) CatchUp(now time.Time, peer netip.Addr) (out Output) {
--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -127,13 +127,7 @@
 		err = errFormerEra
 	}
 	if err != nil {
-		least, most := m.backoffBounds()
-		m.backoff = min(max(m.backoff*2, least), most)
-		m.nextReadAt = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
-		m.mustLoad = m.mustLoad || isHistoryGone(err)
-		if isHistoryGone(err) {
-			m.nextReadAt = now
-		}
+		m.planRetry(now, err)
 		return out
 	}
 	m.backoff = 0
@@ -171,6 +165,16 @@
 	return out
 }
 
+// planRetry plans the next call after one that has failed.
+func (m *Machine) planRetry(now time.Time, err error) {
+	least, most := m.backoffBounds()
+	m.backoff = min(max(m.backoff*2, least), most)
+	m.nextReadAt = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
+	if isHistoryGone(err) {
+		m.mustLoad, m.nextReadAt = true, now
+	}
+}
+
 func (m *Machine) backoffBounds() (least, most time.Duration) {
 	switch {
 	case !m.isLoaded && slices.Contains(m.Seeds, m.Self):
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -117,6 +117,12 @@
 	l.history = append(l.history, listingChange{l.now, l.config})
 }
 
+func (l *listing) changeEvacuations() {
+	for _, name := range l.dataCentres {
+		l.changeEvacuation(name)
+	}
+}
+
 // changeEvacuation lets the evacuation of a data centre begin or end, with a low
 // probability.
 func (l *listing) changeEvacuation(dataCentre string) {
@@ -256,19 +262,13 @@
 	}
 	for step := range 150 {
 		l.now = l.now.Add(holderStep)
-		l.past = append(l.past, pastListing{l.now, l.revision, maps.Clone(l.entries), l.config})
-		if seed%2 == 1 && (step == 60 || step == 110+l.rand.IntN(20)) {
-			l.restore(lapsed)
-		}
-		l.rewrite()
+		l.changeEra(seed, step, lapsed)
 		l.removeDead(died)
 		addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
 		for _, addr := range addrs {
 			l.change(l.lives[addr], died, lapsed)
 		}
-		for _, name := range l.dataCentres {
-			l.changeEvacuation(name)
-		}
+		l.changeEvacuations()
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
@@ -297,10 +297,19 @@
 	}
 }
 
+// changeEra restores the platform at some steps of every other history, and has owners write
+// again what was lost.
+func (l *listing) changeEra(seed uint64, step int, lapsed map[*life]time.Time) {
+	l.past = append(l.past, pastListing{l.now, l.revision, maps.Clone(l.entries), l.config})
+	if seed%2 == 1 && (step == 60 || step == 110+l.rand.IntN(20)) {
+		l.restore(lapsed)
+	}
+	l.rewrite()
+}
+
 // restore returns the platform to what it listed up to 9 s ago. Owners write what was lost
 // again: the operator soon, upstreams with their next heartbeat. Entries of others lapse.
 func (l *listing) restore(lapsed map[*life]time.Time) {
-	const heartbeat = 1200 * time.Millisecond
 	config, evacuated := l.config, make(map[string]bool)
 	for _, name := range l.dataCentres {
 		_, evacuated[name] = l.entries["evacuate/"+name]
@@ -315,10 +324,7 @@
 	}
 	l.config.Revision = jasminemoor.NewRevision(era, l.config.Revision.Change())
 
-	later := func(limit time.Duration, do func()) {
-		l.rewrites = append(l.rewrites, rewrite{l.now.Add(l.duration(limit)), do})
-	}
-	later(holderStep, func() {
+	l.later(holderStep, func() {
 		if config.Routing.Version <= l.config.Routing.Version {
 			return
 		}
@@ -328,8 +334,20 @@
 		l.history = append(l.history, listingChange{l.now, config})
 	})
 	for _, name := range l.dataCentres {
-		later(holderStep, func() { l.setEvacuation(name, evacuated[name]) })
+		l.later(holderStep, func() { l.setEvacuation(name, evacuated[name]) })
 	}
+	l.rewriteUpstreams(lapsed)
+}
+
+// later does something within a time after a restore.
+func (l *listing) later(limit time.Duration, do func()) {
+	l.rewrites = append(l.rewrites, rewrite{l.now.Add(l.duration(limit)), do})
+}
+
+// rewriteUpstreams has the upstreams that live write their entries again, and the others'
+// lapse.
+func (l *listing) rewriteUpstreams(lapsed map[*life]time.Time) {
+	const heartbeat = 1200 * time.Millisecond
 	owned := make(map[string]bool)
 	for _, addr := range slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare) {
 		x := l.lives[addr]
@@ -337,7 +355,7 @@
 			continue
 		}
 		owned[x.key] = true
-		later(heartbeat, func() {
+		l.later(heartbeat, func() {
 			e, found := l.entries[x.key]
 			if x.isAlive && (!found || e.Upstream.Born != x.upstream.Born || e.Upstream.State != x.upstream.State) {
 				l.write(x.key, &x.upstream)
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -172,7 +172,7 @@
 func (c *Control) apply(ctx context.Context, now time.Time, out jmdirectory.Output) {
 	if isReader := c.machine.IsReader(); isReader != c.isReader {
 		c.isReader = isReader
-		c.Log.WithFields(logrus.Fields{"IsReader": isReader, "AgeMs": now.Sub(c.machine.AsOf()).Milliseconds()}).
+		c.Log.WithFields(logrus.Fields{"IsReader": isReader, fieldAge: now.Sub(c.machine.AsOf()).Milliseconds()}).
 			Info("directory: role as reader of the platform has changed")
 	}
 	if s := c.snapshot.Load(); out.HasNewView || s == nil && c.machine.IsLoaded() || s != nil && c.machine.AsOf().After(s.AsOf) {
@@ -228,7 +228,7 @@
 	if old != nil && old.Version == next.Version {
 		return
 	}
-	c.Log.WithFields(logrus.Fields{"Version": next.Version, "Era": next.Revision.Era(), "Revision": next.Revision.Change(), "Routes": len(next.Routes)}).
+	c.Log.WithFields(logrus.Fields{fieldVersion: next.Version, fieldEra: next.Revision.Era(), fieldRevision: next.Revision.Change(), "Routes": len(next.Routes)}).
 		Info("directory: new version of the routes in force")
 }
 
@@ -301,8 +301,8 @@
 // a new era, a change counter behind that of the copy, and configurations.
 func (c *Control) logRead(now time.Time, read jmdirectory.Read, changes *jasminemoor.DirectoryChanges) {
 	log := c.Log.WithFields(logrus.Fields{
-		"Era": changes.Revision.Era(), "Revision": changes.Revision.Change(), "OwnRevision": c.machine.Revision().String(),
-		"IsLoad": read.IsLoad, "AgeMs": now.Sub(c.machine.AsOf()).Milliseconds(),
+		fieldEra: changes.Revision.Era(), fieldRevision: changes.Revision.Change(), "OwnRevision": c.machine.Revision().String(),
+		"IsLoad": read.IsLoad, fieldAge: now.Sub(c.machine.AsOf()).Milliseconds(),
 	})
 	if c.machine.IsLoaded() && changes.Revision.Era() > c.machine.Revision().Era() {
 		log.Warn("directory: platform was restored from a copy")
@@ -312,7 +312,7 @@
 	}
 	for i := range changes.Entries {
 		if e := &changes.Entries[i]; e.Routing != nil && c.machine.IsLoaded() {
-			log.WithFields(logrus.Fields{"Version": e.Routing.Version, "VersionInForce": c.Snapshot().Version, "EntryRevision": e.Revision.String()}).
+			log.WithFields(logrus.Fields{fieldVersion: e.Routing.Version, "VersionInForce": c.Snapshot().Version, "EntryRevision": e.Revision.String()}).
 				Info("directory: configuration read from the platform")
 		}
 	}
--- a/internal/flow/jmpassnode/evacuation.go
+++ b/internal/flow/jmpassnode/evacuation.go
@@ -17,7 +17,7 @@
 		before = old.Evacuated
 	}
 	fields := func(name string) logrus.Fields {
-		return logrus.Fields{"DataCentre": name, "Era": next.Revision.Era(), "Revision": next.Revision.Change(), "AgeMs": time.Since(next.AsOf).Milliseconds()}
+		return logrus.Fields{"DataCentre": name, fieldEra: next.Revision.Era(), fieldRevision: next.Revision.Change(), fieldAge: time.Since(next.AsOf).Milliseconds()}
 	}
 	hasChanged := false
 	for _, name := range next.Evacuated {
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -30,8 +30,12 @@
 	readBatch = 32
 )
 
-// Field keys of the log lines on flows, which package jmtrace reads.
+// Field keys of the log lines on flows, which package jmtrace reads, and on the directory.
 const (
+	fieldAge      = "AgeMs" // of the copy of the directory
+	fieldEra      = "Era"
+	fieldRevision = "Revision"
+	fieldVersion  = "Version"
 	fieldInstance = "Instance"
 	fieldFlow     = "Flow"
 	fieldRequest  = "Request"
@@ -219,11 +223,11 @@
 		fields["IsOpening"] = true
 	}
 	if s := p.control.Snapshot(); s != nil {
-		fields["Version"], fields["Revision"] = s.Version, s.Revision.Change()
+		fields[fieldVersion], fields[fieldRevision] = s.Version, s.Revision.Change()
 		if era := s.Revision.Era(); era > 0 {
-			fields["Era"] = era
+			fields[fieldEra] = era
 		}
-		fields["AgeMs"] = now.Sub(s.AsOf).Milliseconds()
+		fields[fieldAge] = now.Sub(s.AsOf).Milliseconds()
 	}
 	if m != nil && m.Kind != 0 {
 		if m.Header.Age > 0 {
