Stand-in of the store: what was removed since a restore is not written again

The operator took the evacuation back 0.24 s after a restore had lost it, and Rewrite then wrote the lost key again, as it took only present keys for written since. The store had the evacuation, so the processes were right; balancer-1's log shows it active in the new era. Rewrite now knows each key that was written or removed since. The checks are unchanged.

--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -44,8 +44,9 @@
 type Store struct {
 	mu      sync.Mutex
 	rev     uint64
-	era     uint64 // how often it was restored
-	floor   uint64 // the history up to this revision was dropped
+	era     uint64          // how often it was restored
+	written map[string]bool // keys that were written or removed since it was restored
+	floor   uint64          // the history up to this revision was dropped
 	items   map[string]item
 	history []item
 	changed chan struct{} // closed at the next change; nil if no watch waits
@@ -97,6 +98,9 @@
 	defer s.mu.Unlock()
 	s.rev++
 	i.Rev = s.rev
+	if s.written != nil {
+		s.written[i.Key] = true
+	}
 	if s.items == nil {
 		s.items = make(map[string]item)
 	}
@@ -145,6 +149,7 @@
 	defer s.mu.Unlock()
 	lost = Backup{rev: s.rev, items: s.items, history: s.history}
 	s.era++
+	s.written = make(map[string]bool)
 	s.rev, s.items, s.history = b.rev, maps.Clone(b.items), slices.Clone(b.history)
 	if s.changed != nil {
 		close(s.changed)
@@ -154,26 +159,25 @@
 }
 
 // Rewrite writes what was lost since a copy again, as its owners would, except for keys that
-// have been written since the restore.
+// have been written or removed since the restore.
 func (s *Store) Rewrite(b, lost Backup) {
 	for key, i := range lost.items {
-		if s.isSince(b, key) || i.Value == b.items[key].Value {
-			continue
+		if i.Value != b.items[key].Value && !s.isWritten(key) {
+			s.write(item{Key: key, Value: i.Value})
 		}
-		s.write(item{Key: key, Value: i.Value})
 	}
 	for key := range b.items {
-		if _, found := lost.items[key]; !found && !s.isSince(b, key) {
+		if _, found := lost.items[key]; !found && !s.isWritten(key) {
 			s.Remove(key)
 		}
 	}
 }
 
-// isSince reports whether a key has been written since the store was restored from a copy.
-func (s *Store) isSince(b Backup, key string) bool {
+// isWritten reports whether a key has been written or removed since the store was restored.
+func (s *Store) isWritten(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.items[key] != b.items[key]
+	return s.written[key]
 }
 
 // SetFault sets the fault of the calls of one instance or, if the address is not
