Directory: the revision of a view advances with that of the copy

What callers would see: after a restore, when owners write entries again as they were, packets of a process that had been running carry an older revision than those of one that has just started. It takes the other for ahead, pulls from it with each further packet, and meanwhile resets no lost flow; callers of those wait.

Cause: a change that leaves the entries as they are advances the copy's revision, but the view with the revision for packets was built anew only for other changes. Found by reading the change.

Change: a view's revision is advanced by a copy of the view; a new era builds it anew.

The older configuration's absence in TestConfirmedConfigAfterRestore is now watched for the whole second.

--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -34,6 +34,13 @@
 	Evacuated []string
 }
 
+// WithRevision returns a view that differs only in its revision.
+func (v *View) WithRevision(revision jasminemoor.Revision) *View {
+	next := *v
+	next.Revision = revision
+	return &next
+}
+
 // Route is a route and the services that may hold its flows.
 type Route struct {
 	jasminemoor.Route
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -175,7 +175,9 @@
 		c.Log.WithFields(logrus.Fields{"IsReader": isReader, fieldAge: now.Sub(c.machine.AsOf()).Milliseconds()}).
 			Info("directory: role as reader of the platform has changed")
 	}
-	if s := c.snapshot.Load(); out.HasNewView || s == nil && c.machine.IsLoaded() || s != nil && c.machine.AsOf().After(s.AsOf) {
+	s := c.snapshot.Load()
+	isOutdated := s != nil && (s.Revision != c.machine.Revision() || c.machine.AsOf().After(s.AsOf))
+	if out.HasNewView || isOutdated || s == nil && c.machine.IsLoaded() {
 		c.publish(now, out.HasNewView)
 	}
 	for _, s := range out.Sends {
@@ -187,21 +189,25 @@
 }
 
 // publish stores a new snapshot and passes it to OnSnapshot. The view is built anew
-// only if it has changed.
+// only if it has changed. Changes of other entries advance just its revision.
 func (c *Control) publish(now time.Time, hasNewView bool) {
 	if !c.machine.IsLoaded() {
 		return
 	}
 	old := c.snapshot.Load()
 	next := &jmpass.Snapshot{AsOf: c.machine.AsOf()}
-	if old == nil || hasNewView {
+	revision := c.machine.Revision()
+	switch {
+	case old == nil || hasNewView || old.Revision.Era() != revision.Era():
 		next.View = c.machine.View(now)
 		if old == nil {
 			c.logFirstView(now, next)
 		}
 		c.logView(old, next)
 		c.logEvacuations(old, next)
-	} else {
+	case old.Revision != revision:
+		next.View = old.WithRevision(revision)
+	default:
 		next.View = old.View
 	}
 	c.snapshot.Store(next)
--- a/internal/flow/jmpassnode/restore_test.go
+++ b/internal/flow/jmpassnode/restore_test.go
@@ -58,9 +58,10 @@
 			for range tc.rewritten {
 				s.publish(version, old)
 			}
-			time.Sleep(time.Second)
-			require.True(t, s.eachControl(func(p *process) bool { return p.control().Snapshot().Version >= uint64(version) }),
-				"the restored version is older, and must not come into force")
+			isOlder := func() bool {
+				return !s.eachControl(func(p *process) bool { return p.control().Snapshot().Version >= uint64(version) })
+			}
+			require.Never(t, isOlder, time.Second, 5*time.Millisecond, "the restored version is older, and must not come into force")
 			calls := s.store.Calls()
 			s.publish(version+1, withNew)
 			s.awaitVersion(uint64(version) + 1)
@@ -70,3 +71,34 @@
 		})
 	}
 }
+
+// TestRevisionAdvancesWithoutChanges writes entries again as they are, as their owners do after a
+// restore. Packets must carry the revision of the copy, or peers with a newer view take the
+// process for one that is behind.
+func TestRevisionAdvancesWithoutChanges(t *testing.T) {
+	s := newSite(t)
+	isCurrent := func() bool {
+		return s.eachControl(func(p *process) bool { return s.store.Revision() == p.control().Snapshot().Revision.Change() })
+	}
+	require.Eventually(t, isCurrent, configBound, 5*time.Millisecond)
+	for i := 1; i <= 3; i++ {
+		s.register(i, "shop", "ready")
+	}
+	s.publish(1, map[netip.AddrPort]string{shop: "shop", desk: "desk"})
+	require.Eventually(t, isCurrent, configBound, 5*time.Millisecond)
+
+	s.startBalancer(3, false)
+	require.Eventually(t, isCurrent, configBound, 5*time.Millisecond)
+	exchanges := func() (n uint64) {
+		s.eachControl(func(p *process) bool { n += p.control().Counters.Exchanges.Load(); return true })
+		return n
+	}
+	time.Sleep(1500 * time.Millisecond) // the new process asks three peers for the routes' history
+	before := exchanges()
+	for range 20 {
+		_, err := s.serve(shop, "request")
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Equal(t, before, exchanges(), "pulls without a change")
+}
--- a/internal/standin/jmstore/store.go
+++ b/internal/standin/jmstore/store.go
@@ -127,6 +127,13 @@
 	s.floor, s.history = s.rev, nil
 }
 
+// Revision returns the change counter of the store.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
 // Backup is a copy of a store's content.
 type Backup struct {
 	rev     uint64
