Review case 4: eight large entries of another writer freeze the directory of all processes

A watch asks for all keys and its answer is cut off after 8 MB. Once the changes since the copy's revision are larger, it fails, and is asked for again with the same revision, in every process. CONFIG: a dropped route is used until the store drops its history.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 	cases := map[string]func(l *lab, hasTrouble bool) error{
 		"foreign-address": runForeignAddress,
 		"foreign-service": runForeignService,
+		"large-entries":   runLargeEntries,
 	}
 	runCase := cases[*name]
 	if runCase == nil {
