--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -11,9 +11,10 @@
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
 )
 
+// Addresses of the routes. They are only in the headers of packets: nothing is sent there.
 var (
-	shop = netip.MustParseAddrPort("198.18.0.1:8443")
-	desk = netip.MustParseAddrPort("198.18.0.2:8443")
+	shop = netip.MustParseAddrPort("127.198.0.1:8443")
+	desk = netip.MustParseAddrPort("127.198.0.2:8443")
 )
 
 const (
--- a/review/standin/large.go
+++ b/review/standin/large.go
@@ -9,7 +9,7 @@
 )
 
 // oldAddress is the address of the route that the second configuration drops.
-var oldAddress = netip.MustParseAddrPort("198.18.0.3:8443")
+var oldAddress = netip.MustParseAddrPort("127.198.0.3:8443")
 
 // runLargeEntries puts entries that can't be read into the store, each as large as the
 // store takes, and then a configuration that drops a route. No flow of that route may be
