Review case 3: a crash of one backend has open flows of others reset

An agent that was restarted lately takes 40 ms without a bounce as proof that its backend holds a flow. If the backend has just crashed, it claims flows of other backends, and resets them with its own once it finds that out.

--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -21,21 +21,21 @@
 	shopName      = "shop"
 	deskName      = "desk"
 	balancerCount = 3
-	shopCount     = 4 // the upstreams of the service "shop" are 1 to shopCount
-	deskUpstream  = 5
+	shopCount     = 4                // upstreams of the service "shop" in most cases
 	deadline      = 4 * time.Second  // of a request
 	settleTime    = 10 * time.Second // from the start of the machines to that of the traffic
 )
 
-// startDeployment starts three balancers, four upstreams of one service and one of another.
-func startDeployment(l *lab) error {
+// startDeployment starts three balancers, n upstreams of one service, from 1 on, and then one
+// of another.
+func startDeployment(l *lab, n int) error {
 	l.publish(1, map[netip.AddrPort]string{shop: shopName, desk: deskName})
-	for i := 1; i <= shopCount; i++ {
+	for i := 1; i <= n; i++ {
 		if err := l.addUpstream(i, shopName); err != nil {
 			return err
 		}
 	}
-	if err := l.addUpstream(deskUpstream, deskName); err != nil {
+	if err := l.addUpstream(n+1, deskName); err != nil {
 		return err
 	}
 	for i := 1; i <= balancerCount; i++ {
@@ -64,7 +64,7 @@
 // Of the requests sent later than recovery after the processes are back, a quarter must be
 // answered.
 func runForeignAddress(l *lab, hasTrouble bool) error {
-	if err := startDeployment(l); err != nil {
+	if err := startDeployment(l, shopCount); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
@@ -212,7 +212,7 @@
 		stopRound = 8
 		warmUp    = 66 * time.Second
 	)
-	if err := startDeployment(l); err != nil {
+	if err := startDeployment(l, shopCount); err != nil {
 		return err
 	}
 	// The deployment has run for longer than flows may last, as it has on nearly all days.
--- a/review/standin/large.go
+++ b/review/standin/large.go
@@ -24,7 +24,7 @@
 		length     = 15 * time.Second
 		interval   = 50 * time.Millisecond // between two requests
 	)
-	if err := startDeployment(l); err != nil {
+	if err := startDeployment(l, shopCount); err != nil {
 		return err
 	}
 	l.publish(2, map[netip.AddrPort]string{shop: shopName, desk: deskName, oldAddress: shopName})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 		"foreign-address": runForeignAddress,
 		"foreign-service": runForeignService,
 		"large-entries":   runLargeEntries,
+		"crash":           runCrash,
 	}
 	runCase := cases[*name]
 	if runCase == nil {
