--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 	echo "not built"
 	exit 2
 fi
-exec target/review-standin -case large-entries -record review/4/record.txt
+exec target/review-standin -case foreign-service -record review/4/record.txt
