Logs: what an agent decides by, and to whom an address belongs

Now - a decision's line has the agent's service, HasCopy, and for what is passed on the service and the upstream that the copy lists there; - flows taken without a copy have a reason of their own, unchecked, which is notable and counted in jm_pass_decisions_total; - the start of a process names its service and upstream, the first copy its age and the time since the start; - an address whose upstream is of another service than before is logged. No decision changes. go test ./internal/flow/... ./cmd/jasminemoor ./internal/operate/...: passed.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -70,7 +70,7 @@
 func runPassthrough(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry) error {
 	store := &jmadapter.Store{Log: log}
 	store.SetAddress(s.Platform.Address.String())
-	log.WithField("Role", name).Info("process: started")
+	log.WithFields(startFields(name, s)).Info("process: started")
 	decisions := &jmdecision.Log{Log: log.Logger}
 	var r role
 	onReload := func(next *jmlocal.Settings) { store.SetAddress(next.Platform.Address.String()) }
@@ -102,6 +102,15 @@
 	return err
 }
 
+// startFields returns the fields of the line that a process logs when it starts.
+func startFields(name jmlocal.Role, s *jmlocal.Settings) (fields logrus.Fields) {
+	fields = logrus.Fields{"Role": name, "Address": s.Address, "DataCentre": s.DataCentre, "IsFirstStart": s.IsFirstStart}
+	if name == jmlocal.RoleAgent {
+		fields["Service"], fields["Upstream"] = s.Service, s.Upstream
+	}
+	return fields
+}
+
 // settingsInterval is how often the settings file is read again, since it may
 // change without a signal.
 const settingsInterval = 3 * time.Second
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -176,6 +176,9 @@
 	if h.Hops > 0 {
 		a.sendHolder(h.Origin, key)
 	}
+	if a.snapshot.View == nil {
+		return ReasonUnchecked
+	}
 	return ReasonHeld
 }
 
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -204,6 +204,7 @@
 			c.logFirstView(now, next)
 		}
 		c.logView(old, next)
+		c.logOwners(old, next)
 		c.logEvacuations(old, next)
 	case old.Revision != revision:
 		next.View = old.WithRevision(revision)
@@ -226,8 +227,24 @@
 			startKnown++
 		}
 	}
-	c.Log.WithFields(logrus.Fields{"Upstreams": len(first.Upstreams), "ListedBefore": listedBefore, "StartKnown": startKnown}).
-		Info("directory: first copy")
+	c.Log.WithFields(logrus.Fields{
+		"Upstreams": len(first.Upstreams), "ListedBefore": listedBefore, "StartKnown": startKnown,
+		"AfterMs": now.Sub(c.started).Milliseconds(), fieldAge: now.Sub(first.AsOf).Milliseconds(),
+	}).Info("directory: first copy")
+}
+
+// logOwners logs the addresses that now belong to an upstream of another service.
+func (c *Control) logOwners(old, next *jmpass.Snapshot) {
+	if old == nil {
+		return
+	}
+	for addr, u := range next.Upstreams {
+		if former := old.Upstreams[addr]; former != nil && former.Service != u.Service {
+			c.Log.WithFields(logrus.Fields{
+				"Address": addr, fieldService: u.Service, fieldUpstream: u.ID, "FormerService": former.Service, "FormerUpstream": former.ID,
+			}).Info("directory: owner of an address has changed")
+		}
+	}
 }
 
 func (c *Control) logView(old, next *jmpass.Snapshot) {
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -41,6 +41,8 @@
 	fieldRequest  = "Request"
 	fieldReason   = "Reason"
 	fieldOutcome  = "Outcome"
+	fieldService  = "Service"
+	fieldUpstream = "Upstream"
 )
 
 // process is the part that balancers and agents have in common.
@@ -222,7 +224,12 @@
 	if packet.Flags.Has(jasminemoor.FlagOpen) {
 		fields["IsOpening"] = true
 	}
-	if s := p.control.Snapshot(); s != nil {
+	if p.settings.Service != "" {
+		fields[fieldService] = p.settings.Service
+	}
+	s := p.control.Snapshot()
+	fields["HasCopy"] = s != nil
+	if s != nil {
 		fields[fieldVersion], fields[fieldRevision] = s.Version, s.Revision.Change()
 		if era := s.Revision.Era(); era > 0 {
 			fields[fieldEra] = era
@@ -236,6 +243,9 @@
 		fields[fieldOutcome] = m.Kind.String()
 		if m.To.IsValid() {
 			fields["To"] = m.To
+			if s != nil && s.Agents[m.To] != nil {
+				fields["ToService"], fields["ToUpstream"] = s.Agents[m.To].Service, s.Agents[m.To].ID
+			}
 		}
 		if m.Holder.IsValid() {
 			fields["Holder"], fields["IsConfirmed"] = m.Holder, m.IsConfirmed
