--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -48,6 +48,7 @@
 	agents    map[int]*process
 	upstreams map[int]*jmpackets.Upstream
 	caller    *jmpackets.Caller
+	seeds     []netip.AddrPort // of processes that start
 	hook      *logtest.Hook
 	log       *logrus.Logger
 }
@@ -124,7 +125,7 @@
 func (s *site) settings(kind, i int, isFirstStart bool) *jmlocal.Settings {
 	return &jmlocal.Settings{
 		Name: fmt.Sprintf("%d-%d", kind, i), Address: addr(kind, i, 0).Addr(), DataCentre: "here",
-		FirstPort: peerPort, LastPort: peerPort + 15, IsFirstStart: isFirstStart,
+		FirstPort: peerPort, LastPort: peerPort + 15, IsFirstStart: isFirstStart, Seeds: s.seeds,
 		Packets: addr(kind, i, packetsPort), Ready: addr(kind, i, readyPort),
 		Outbound: addr(kind, i, outboundPort), Upstream: addr(2, i, upstreamPort),
 	}
