Agent: new flows wait for the first copy of the directory

Cause: an agent without a copy of the directory accepted every new flow and relied on the balancer's placement. A balancer lists the address of a crashed upstream until its entry lapses, and two seconds after the crash the address may belong to another service, with a new agent that has no copy yet: for 40 to 70 ms if the store answers at once, for as long as it is away otherwise. The agent also reported itself as open, so balancers that held the address for silent placed there again.

Change: an agent that knows no routes gives its upstream no new flow. It keeps opening packets for 200 ms, as the caller then sends the next one and the balancer another upstream, decides on them once it has a copy, and reports that it is starting, by which balancers place elsewhere if they can. The settings name the agent's service, so any copy, however old, tells whether a route is for it.

The reason unchecked is gone with the decision that it counted.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -59,6 +59,10 @@
 	searches     map[jasminemoor.FlowKey]*search
 	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
 	handedOn     map[jasminemoor.FlowKey]nextHop
+	// openings are the opening packets that wait for the first copy of the directory.
+	openings []keptOpening
+	// hasReportedStarting is set while balancers may know that there is no copy.
+	hasReportedStarting bool
 	// searchBudget limits the rate of packets that ask other agents for a flow's
 	// holder, and reportBudget that of reports to balancers that send no new flows.
 	// nextReport is the index of the balancer at which the round robin of these
@@ -110,7 +114,7 @@
 	case h.Kind == jmhop.KindAsk:
 		reason = a.handleAsk(now, from, h, p, packet)
 	case p.Flags.Has(jasminemoor.FlagOpen):
-		reason = a.handleOpen(now, from, h, p)
+		reason = a.handleOpen(now, from, h, p, packet)
 	default:
 		reason = a.handleForward(now, h, p, packet)
 	}
@@ -137,13 +141,18 @@
 }
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
-// flow, the packet is forwarded to another agent.
-func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
+// flow, the packet is forwarded to another agent. Without a copy of the directory the
+// packet waits for it.
+func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	at := a.recordBalancer(now, h)
 	a.balancers[at].isDue = true
 	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
 		a.sendReport(now, &a.balancers[at])
 	}
+	if !a.knowsRoutes() {
+		a.keepOpening(now, from, h, p, packet)
+		return ReasonNoView
+	}
 	key := p.Key()
 	if reason := a.refusalReason(p); reason != ReasonNone {
 		a.forwardOpening(now, key, p, h, nil)
@@ -176,19 +185,12 @@
 	if h.Hops > 0 {
 		a.sendHolder(h.Origin, key)
 	}
-	if a.snapshot.View == nil {
-		return ReasonUnchecked
-	}
 	return ReasonHeld
 }
 
 // refusalReason returns why a new flow must not go to the own upstream, ReasonNone
 // if it may.
 func (a *Agent) refusalReason(p *jasminemoor.Packet) Reason {
-	if a.snapshot.View == nil {
-		// Without a view of the directory, rely on the balancer's placement.
-		return ReasonNone
-	}
 	route := a.snapshot.Routes[p.Destination]
 	if route == nil || !route.Allows(a.Service) {
 		return ReasonOtherService
@@ -395,6 +397,7 @@
 	a.begin(now)
 	a.table.stall.recordTick(now)
 	a.advanceCold(now)
+	a.releaseOpenings(now)
 	a.sendDueReports(now)
 	a.advanceFlowProbes(now)
 	a.advanceSearches(now)
--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -142,7 +142,7 @@
 
 // advanceCold keeps the limits up to date. It is called at each tick.
 func (a *Agent) advanceCold(now time.Time) {
-	if rate := a.serviceColdRate(); rate > 0 || a.hasUnknownColdRate() {
+	if rate := a.serviceColdRate(); rate > 0 {
 		a.setColdLimits(rate)
 		a.cold.hard.Advance(now)
 	}
@@ -187,9 +187,6 @@
 // other upstream, it is reset. If the upstream has got a copy of its opening packet, it is
 // left alone, since it may be about to open.
 func (a *Agent) handleColdOpening(now time.Time, from netip.Addr, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header) (reason Reason, isRefused bool) {
-	if a.hasUnknownColdRate() {
-		return ReasonNoView, !a.allowUnlisted(now)
-	}
 	warm := func() bool {
 		_, isWarm := a.coldAlternative(now, key, from, int(h.Hops))
 		return isWarm && h.Hops < maxHops
--- a/internal/flow/jmpass/handon.go
+++ b/internal/flow/jmpass/handon.go
@@ -21,9 +21,6 @@
 // handOnIfBusy hands a new flow on to another agent, or back to the one that it came
 // from, if that is expected to answer earlier. It reports whether it did.
 func (a *Agent) handOnIfBusy(now time.Time, from netip.Addr, key jasminemoor.FlowKey, h *jmhop.Header) bool {
-	if a.snapshot.View == nil {
-		return false
-	}
 	expected := a.expectedAnswerTime(now, key)
 	header := *h
 	var to netip.Addr
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -117,7 +117,6 @@
 	ReasonCold
 	ReasonColdRefused
 	ReasonEvacuated
-	ReasonUnchecked
 	reasonCount
 )
 
@@ -153,7 +152,6 @@
 	ReasonCold:              {"cold", "upstream warms up and has got as many new flows as it bears, flow handed on"},
 	ReasonColdRefused:       {"cold_refused", "no upstream found that can take the flow while it warms up"},
 	ReasonEvacuated:         {"evacuated", "data centre is being evacuated, flow handed on"},
-	ReasonUnchecked:         {"unchecked", "upstream holds the flow, whose service was not checked without a copy of the directory"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/flow/jmpass/opening.go
+++ b/internal/flow/jmpass/opening.go
@@ -21,9 +21,8 @@
 	b.reports = b.reports[:0]
 	for _, c := range candidates {
 		a := &b.agents[c.agent]
-		b.reports = append(b.reports, jmopening.Report{
-			At: a.reported, Wait: a.report.Wait, TakesNoFlows: a.report.State != jmhop.ReportOpen,
-		})
+		takesNoFlows := a.report.State == jmhop.ReportLeaving || a.report.State == jmhop.ReportUpstreamDown
+		b.reports = append(b.reports, jmopening.Report{At: a.reported, Wait: a.report.Wait, TakesNoFlows: takesNoFlows})
 	}
 	return jmopening.IsHopeless(now, b.reports, route.Timeout)
 }
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -147,6 +147,8 @@
 		r.State = jmhop.ReportLeaving
 	case a.upstream.isDown || a.upstream.isSilent:
 		r.State = jmhop.ReportUpstreamDown
+	case !a.knowsRoutes():
+		r.State, a.hasReportedStarting = jmhop.ReportStarting, true
 	}
 	a.out = append(a.out, Message{Kind: ToPeer, To: b.addr, Header: jmhop.Header{Kind: jmhop.KindReport, Revision: a.revision()}, Report: r})
 }
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -241,12 +241,7 @@
 			fields["RequestAgeMs"] = m.Header.Age.Milliseconds()
 		}
 		fields[fieldOutcome] = m.Kind.String()
-		if m.To.IsValid() {
-			fields["To"] = m.To
-			if s != nil && s.Agents[m.To] != nil {
-				fields["ToService"], fields["ToUpstream"] = s.Agents[m.To].Service, s.Agents[m.To].ID
-			}
-		}
+		addRecipient(fields, s, m.To)
 		if m.Holder.IsValid() {
 			fields["Holder"], fields["IsConfirmed"] = m.Holder, m.IsConfirmed
 		}
@@ -257,6 +252,18 @@
 	return fields
 }
 
+// addRecipient adds the agent that a packet is passed on to, with the upstream that the copy of
+// the directory lists there.
+func addRecipient(fields logrus.Fields, s *jmpass.Snapshot, to netip.Addr) {
+	if !to.IsValid() {
+		return
+	}
+	fields["To"] = to
+	if s != nil && s.Agents[to] != nil {
+		fields["ToService"], fields["ToUpstream"] = s.Agents[to].Service, s.Agents[to].ID
+	}
+}
+
 // last returns the last message, which is the outcome of the packet, or nil.
 func last(messages []jmpass.Message) *jmpass.Message {
 	if len(messages) == 0 {
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -200,6 +200,7 @@
 	ReportOpen         ReportState = iota // the agent accepts new flows
 	ReportUpstreamDown                    // the agent's upstream does not answer
 	ReportLeaving                         // the agent is shutting down
+	ReportStarting                        // the agent has no copy of the directory yet
 )
 
 // Append appends the report's encoding to b.
