Directory: a process without a copy pulls that of any peer that has one

What callers saw: flows through instances that started while the store was away got no answer: a restarted agent did not deliver the open flows of its upstream, and a restarted balancer stayed out of rotation, until the store answered them, though all their peers had a copy.

Cause: a process without a copy learns of its peers' copies by beacons only, and a reader sends one with each answer of the platform. Without a platform there are none. Who has no copy ignored the revisions in the headers of its peers' datagrams.

Control datagrams show it as well, and a subscriber that shows none is told at once that there is a copy here, at most 20 a second: each of them pulls it, and seeds can be small instances.

TestEvacuation relied on the fault: it waited for the store's return by waiting for a balancer that had no copy.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -91,6 +91,9 @@
 	IsSubscribe bool
 	// Endings are sent in messages of their own.
 	Endings []Ending `msgpack:"-"`
+	// HasCopy is set by the receiver if the sender has a copy of the directory, by the
+	// header of its datagram. Earlier releases never show one.
+	HasCopy bool `msgpack:"-"`
 }
 
 // PullRequest asks a peer for all changes since a revision, and all routes that have changed
@@ -167,6 +170,8 @@
 	seen            map[seenBeacon]bool
 	seenOrder       []seenBeacon
 	subscribers     map[netip.Addr]*subscription
+	offers          int // sent since offersSince, which is at most a second ago
+	offersSince     time.Time
 	lastSubscribe   time.Time
 	lastSeedRequest time.Time
 	seedRequests    int
@@ -278,6 +283,9 @@
 func (m *Machine) Handle(now time.Time, from netip.Addr, message *Message) (out Output) {
 	if message.IsSubscribe {
 		m.renewSubscription(now, from)
+		if !message.HasCopy {
+			m.offerCopy(&out, now, from)
+		}
 	}
 	if message.Beacon != nil {
 		m.handleBeacon(&out, now, from, message.Beacon)
--- a/internal/fleet/jmdirectory/subscription.go
+++ b/internal/fleet/jmdirectory/subscription.go
@@ -42,3 +42,19 @@
 	}
 	return peers
 }
+
+// maxOffers bounds the subscribers without a copy that are told of this one within a second.
+// Each of them then pulls it.
+const maxOffers = 20
+
+// offerCopy tells a subscriber without a copy that there is one here, which it sees by the
+// header of the datagram. Beacons come only while a reader reaches the platform.
+func (m *Machine) offerCopy(out *Output, now time.Time, peer netip.Addr) {
+	if now.Sub(m.offersSince) >= time.Second {
+		m.offersSince, m.offers = now, 0
+	}
+	if m.isLoaded && m.offers < maxOffers {
+		m.offers++
+		out.Sends = append(out.Sends, Send{To: peer, Message: &Message{}})
+	}
+}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -180,7 +180,7 @@
 	a.control.CheckRevision(ctx, now, from, &h)
 	switch h.Kind {
 	case jmhop.KindControl:
-		a.control.Receive(ctx, from, body)
+		a.control.Receive(ctx, from, &h, body)
 	case jmhop.KindPoll:
 		s.send(a.machine.HandlePoll(now, from), nil)
 	case jmhop.KindAbsent, jmhop.KindHolder:
--- a/internal/flow/jmpassnode/balancer.go
+++ b/internal/flow/jmpassnode/balancer.go
@@ -172,7 +172,7 @@
 		b.control.CheckRevision(ctx, now, from, &h)
 		switch h.Kind {
 		case jmhop.KindControl:
-			b.control.Receive(ctx, from, body)
+			b.control.Receive(ctx, from, &h, body)
 		case jmhop.KindReport:
 			b.handleReport(now, from, body)
 		case jmhop.KindHolder, jmhop.KindFlowReset:
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -134,16 +134,22 @@
 
 // CheckRevision compares the revision of a peer's copy, from a datagram's header,
 // with that of this copy. If this copy stays behind for catchUpDelay, it pulls the
-// changes from the peer. It is cheap if the peer has no newer copy.
+// changes from the peer. A process that has had no copy for as long since its start
+// pulls that of the first peer that has one. It is cheap if the peer has no newer copy.
 func (c *Control) CheckRevision(ctx context.Context, now time.Time, from netip.Addr, h *jmhop.Header) {
 	s := c.snapshot.Load()
+	since, seen := c.behindSince.Load(), int64(now.Sub(c.started))
 	if s == nil {
-		return // the first copy is requested from the seeds and the platform already
+		isDue := seen > int64(catchUpDelay) && (since == 0 || seen-since > int64(catchUpDelay))
+		if h.Revision != 0 && isDue {
+			c.behindSince.Store(seen)
+			c.enqueue(func(now time.Time) { c.apply(ctx, now, c.machine.CatchUp(now, from)) })
+		}
+		return
 	}
 	if !h.IsAhead(jmhop.NewRevisionCode(s.Revision)) {
 		return
 	}
-	since, seen := c.behindSince.Load(), int64(now.Sub(c.started))
 	switch {
 	case since == 0 || seen-since > int64(behindExpiry):
 		c.behindSince.Store(seen)
@@ -157,13 +163,14 @@
 // arrived since.
 const behindExpiry = time.Second
 
-// Receive handles the body of a control datagram.
-func (c *Control) Receive(ctx context.Context, from netip.Addr, body []byte) {
+// Receive handles the header and the body of a control datagram.
+func (c *Control) Receive(ctx context.Context, from netip.Addr, h *jmhop.Header, body []byte) {
 	message := &jmdirectory.Message{}
 	if err := msgpack.Unmarshal(body, message); err != nil {
 		c.Counters.Dropped.Add(1)
 		return
 	}
+	message.HasCopy = h.Revision != 0
 	c.enqueue(func(now time.Time) { c.apply(ctx, now, c.machine.Handle(now, from, message)) })
 }
 
@@ -258,6 +265,9 @@
 func (c *Control) send(to netip.Addr, message *jmdirectory.Message) {
 	datagram := make([]byte, jmhop.HeaderSize, maxControlSize)
 	header := jmhop.Header{Kind: jmhop.KindControl}
+	if c.machine.IsLoaded() {
+		header.Revision = jmhop.NewRevisionCode(c.machine.Revision())
+	}
 	header.Marshal(datagram)
 	body, err := msgpack.Marshal(message)
 	if err != nil {
--- a/internal/flow/jmpassnode/evacuation_test.go
+++ b/internal/flow/jmpassnode/evacuation_test.go
@@ -46,6 +46,22 @@
 	}, 500*time.Millisecond, 5*time.Millisecond)
 }
 
+// awaitCurrent waits until the copy of each process is of a time after the given one. Calls that
+// the store has left without an answer end only with their timeouts.
+func (s *site) awaitCurrent(after time.Time) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool {
+		for _, all := range []map[int]*process{s.balancers, s.agents} {
+			for _, p := range all {
+				if c := p.control(); c == nil || c.Snapshot() == nil || c.Snapshot().AsOf.Before(after) {
+					return false
+				}
+			}
+		}
+		return true
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 // TestEvacuation evacuates a data centre, and the other one as well for a while, restarts a
 // balancer while the store is down, and takes the data centre back.
 func TestEvacuation(t *testing.T) {
@@ -91,6 +107,7 @@
 	s.startBalancer(1, false)
 	serveElsewhere("balancer started while the store is down-")
 	s.store.SetFault(netip.Addr{}, jmstore.FaultNone)
+	s.awaitCurrent(time.Now())
 	require.Eventually(t, func() bool { return len(s.rotation()) == 2 }, 5*time.Second, 10*time.Millisecond)
 	serveElsewhere("balancer back-")
 	_, err = s.do(f, "on the open flow")
