Agent: a flow of a route that only peers know is not reset

What callers see: a flow of a route that was just added is refused if the agent that gets it is behind the balancer.

Cause: the same as of the flows before the first copy, the other way round: an agent took what its copy lacks for what does not exist, although the header of the packet showed that the sender's copy is newer.

Change: such an opening packet waits for the copy that is about to come, as one before the first copy does, and a missing route is proof only while no peer is known to be ahead.

TestRouteThatOnlyPeersKnow: without the change four of its six cases fail.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -141,15 +141,15 @@
 }
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
-// flow, the packet is forwarded to another agent. Without a copy of the directory the
-// packet waits for it.
+// flow, the packet is forwarded to another agent. It waits for a copy of the directory
+// that has its route.
 func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	at := a.recordBalancer(now, h)
 	a.balancers[at].isDue = true
 	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
 		a.sendReport(now, &a.balancers[at])
 	}
-	if !a.knowsRoutes() {
+	if a.mustWait(h, p) {
 		a.keepOpening(now, from, h, p, packet)
 		return ReasonNoView
 	}
@@ -212,14 +212,15 @@
 }
 
 // forwardOpening forwards an opening packet to another agent, at most maxHops
-// times. If the directory is recent and has no route for it, the flow is reset.
+// times. If the directory is recent, no peer has a newer one, and it has no route for the
+// packet, the flow is reset.
 func (a *Agent) forwardOpening(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header, packet []byte) {
 	if a.snapshot.View == nil || h.Hops >= maxHops {
 		return
 	}
 	route := a.snapshot.Routes[p.Destination]
 	if route == nil {
-		if a.snapshot.isFresh(now) {
+		if a.snapshot.isFresh(now) && !a.isBehind(now) {
 			a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		}
 		return
--- a/internal/flow/jmpass/firstcopy.go
+++ b/internal/flow/jmpass/firstcopy.go
@@ -11,7 +11,8 @@
 
 // An agent that has just started has no copy of the directory and can't tell whether a new
 // flow is for its service: the balancer may still list the address as that of a former
-// upstream. It keeps opening packets until it has a copy.
+// upstream. It keeps opening packets until it has a copy, as it does for a route that only the
+// sender's newer copy has.
 
 const (
 	// openingWait is how long an opening packet is kept. After that its caller has repeated
@@ -21,7 +22,7 @@
 	maxKeptOpenings = 512
 )
 
-// keptOpening is an opening packet that came before the first copy of the directory.
+// keptOpening is an opening packet that waits for a copy of the directory.
 type keptOpening struct {
 	at     time.Time
 	from   netip.Addr
@@ -33,6 +34,12 @@
 // knowsRoutes reports whether the agent has a copy of the directory with a configuration.
 func (a *Agent) knowsRoutes() bool { return a.snapshot.View != nil && a.snapshot.Version != 0 }
 
+// mustWait reports whether an opening packet can't be decided on by the present copy of the
+// directory, but by one that is about to come.
+func (a *Agent) mustWait(h *jmhop.Header, p *jasminemoor.Packet) bool {
+	return !a.knowsRoutes() || a.snapshot.Routes[p.Destination] == nil && h.IsAhead(a.revision())
+}
+
 // keepOpening keeps an opening packet, unless maxKeptOpenings are kept already.
 func (a *Agent) keepOpening(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) {
 	if len(a.openings) < maxKeptOpenings {
@@ -40,28 +47,33 @@
 	}
 }
 
-// releaseOpenings decides on the opening packets that were kept, once there is a copy of the
-// directory, and tells the balancers that the agent now takes new flows. It drops the packets
-// that were kept for openingWait.
+// releaseOpenings decides on the opening packets that were kept, as far as the copy of the
+// directory now allows, and drops those that were kept for openingWait. With the first copy it
+// tells the balancers that the agent takes new flows.
 func (a *Agent) releaseOpenings(now time.Time) {
-	a.openings = slices.DeleteFunc(a.openings, func(k keptOpening) bool { return now.Sub(k.at) >= openingWait })
-	if !a.knowsRoutes() {
-		return
-	}
-	if a.hasReportedStarting {
+	if a.hasReportedStarting && a.knowsRoutes() {
 		a.hasReportedStarting = false
 		a.sendReports(now)
 	}
-	for i := range a.openings {
-		k := &a.openings[i]
-		k.packet.Age += now.Sub(k.at)
-		first := len(a.out)
-		a.Counts[a.handleOpen(now, k.from, &k.header, &k.packet, k.bytes)]++
-		for j := first; j < len(a.out); j++ {
-			if m := &a.out[j]; m.Packet == nil && (m.Kind == ToUpstream || m.HasPacket) {
-				m.Packet = k.bytes
-			}
+	a.openings = slices.DeleteFunc(a.openings, func(k keptOpening) bool {
+		if now.Sub(k.at) >= openingWait {
+			return true
+		}
+		if a.mustWait(&k.header, &k.packet) {
+			return false
+		}
+		a.releaseOpening(now, &k)
+		return true
+	})
+}
+
+func (a *Agent) releaseOpening(now time.Time, k *keptOpening) {
+	k.packet.Age += now.Sub(k.at)
+	first := len(a.out)
+	a.Counts[a.handleOpen(now, k.from, &k.header, &k.packet, k.bytes)]++
+	for i := first; i < len(a.out); i++ {
+		if m := &a.out[i]; m.Packet == nil && (m.Kind == ToUpstream || m.HasPacket) {
+			m.Packet = k.bytes
 		}
 	}
-	a.openings = nil
 }
--- a/internal/flow/jmpass/firstcopy_test.go
+++ b/internal/flow/jmpass/firstcopy_test.go
@@ -117,3 +117,49 @@
 	require.Equal(t, ReasonPlaced, reason)
 	require.Zero(t, m.Header.Flags&jmhop.FlagFull)
 }
+
+// TestRouteThatOnlyPeersKnow sends an agent the opening packet of a flow whose route its copy
+// lacks. It must not reset the flow while a peer has a newer copy.
+func TestRouteThatOnlyPeersKnow(t *testing.T) {
+	const older, newer = 4, 5
+	withRoute := snapshot(2)
+	withRoute.Revision = newer
+	withoutRoute := snapshot(2, func(v *jmdirectory.View) { delete(v.Routes, shop) })
+	withoutRoute.Revision = older
+	removed := snapshot(2, func(v *jmdirectory.View) { delete(v.Routes, shop) })
+	removed.Revision = newer
+	cases := map[string]struct {
+		revision jmhop.RevisionCode
+		peer     jmhop.RevisionCode // seen in an earlier datagram of another process
+		next     Snapshot
+		at, want Kind // right away, and with the next copy
+	}{
+		"sender is ahead, new route":      {revision: newer, next: withRoute, want: ToUpstream},
+		"sender is ahead, no route":       {revision: newer, next: removed, want: Reset},
+		"sender is ahead, no news":        {revision: newer, next: withoutRoute},
+		"another peer is ahead":           {revision: older, peer: newer, next: withRoute},
+		"no peer is ahead":                {revision: older, next: withRoute, at: Reset},
+		"sender is behind, no peer ahead": {revision: older - 1, next: withRoute, at: Reset},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAgent(true, withoutRoute)
+			a.recordPeerRevision(startTime, &jmhop.Header{Revision: tc.peer})
+			h := forwardHeader(0)
+			h.Revision = tc.revision
+			outcome := func(out []Message) Kind {
+				for _, kind := range []Kind{ToUpstream, Reset} {
+					if find(out, kind) != nil {
+						return kind
+					}
+				}
+				return Dropped
+			}
+			out, _ := a.HandlePeer(startTime, balancerAddr, h, openingPacket(shop), []byte("opening"))
+			require.Equal(t, tc.at, outcome(out))
+			a.SetSnapshot(tc.next)
+			out, _ = a.Tick(startTime.Add(50 * time.Millisecond))
+			require.Equal(t, tc.want, outcome(out))
+		})
+	}
+}
