Agent: a changed service of its upstream takes effect without a restart

The file may change without a signal; the agent logged that Service takes effect only after a restart, and went on giving its upstream flows of the former service.

New flows now go by the new service; open ones, and those that a search asks for, by both.

TestServiceOfUpstreamChanges is new with the function that it calls.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -49,6 +49,8 @@
 	OnOverload func(episode *jmoverload.Episode)
 
 	snapshot Snapshot
+	// formerServices are those that the agent had before Service.
+	formerServices []string
 	// newestPeer is the header with the newest revision of the directory that a
 	// peer has sent, and newestPeerAt when it arrived.
 	newestPeer   jmhop.Header
@@ -105,6 +107,14 @@
 	}
 }
 
+// SetService replaces the service of the agent's upstream. Open flows of the former one go on.
+func (a *Agent) SetService(service string) {
+	if service != a.Service {
+		a.formerServices = append(a.formerServices, a.Service)
+		a.Service = service
+	}
+}
+
 // HandlePeer decides on a caller's packet that a balancer or another agent
 // forwarded.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
--- a/internal/flow/jmpass/firstcopy_test.go
+++ b/internal/flow/jmpass/firstcopy_test.go
@@ -163,3 +163,25 @@
 		})
 	}
 }
+
+// TestServiceOfUpstreamChanges gives an agent another service, as its settings may do while it
+// runs. Its upstream gets no new flow of the former one, and open flows go on.
+func TestServiceOfUpstreamChanges(t *testing.T) {
+	a := newAgent(false, snapshot(2))
+	openFlow(t, a)
+	a.SetService("desk")
+	p := openingFrom(1)
+	out, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, nil)
+	require.Equal(t, ReasonOtherService, reason)
+	require.Nil(t, find(out, ToUpstream))
+	p.Destination = desk
+	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, nil)
+	require.NotNil(t, find(out, ToUpstream))
+	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(jmhop.FlagKnown), dataPacket(callerSequence+1, 10), nil)
+	require.NotNil(t, find(out, ToUpstream))
+	// The upstream may hold flows from before the agent's start.
+	p = dataPacket(callerSequence+1, 10)
+	p.Source = netip.MustParseAddrPort("100.64.0.8:1025")
+	_, reason = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	require.Equal(t, ReasonProbed, reason)
+}
--- a/internal/flow/jmpass/routepast.go
+++ b/internal/flow/jmpass/routepast.go
@@ -58,7 +58,9 @@
 // flow's route when the flow was opened.
 func (a *Agent) mayBeOfService(now time.Time, key jasminemoor.FlowKey) bool {
 	route := a.snapshot.Routes[key.Service()]
-	return route != nil && slices.Contains(a.searchedServices(now, route), a.Service)
+	return route != nil && slices.ContainsFunc(a.searchedServices(now, route), func(service string) bool {
+		return service == a.Service || slices.Contains(a.formerServices, service)
+	})
 }
 
 // isOfOtherService reports whether the own upstream's service was not among those of a
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -78,7 +78,10 @@
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
-	a.onDecision = a.addLimit
+	a.onDecision = func(fields logrus.Fields, reason jmpass.Reason, flow jasminemoor.FlowKey) {
+		fields[fieldService] = a.machine.Service
+		a.addLimit(fields, reason, flow)
+	}
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
@@ -127,6 +130,14 @@
 	}
 }
 
+// SetService replaces the service of the upstream, after its settings have changed. It may be
+// called at any time.
+func (a *Agent) SetService(service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.machine.SetService(service)
+}
+
 // Count returns how many decisions were made for a reason.
 func (a *Agent) Count(reason jmpass.Reason) uint64 {
 	a.mu.Lock()
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -224,9 +224,6 @@
 	if packet.Flags.Has(jasminemoor.FlagOpen) {
 		fields["IsOpening"] = true
 	}
-	if p.settings.Service != "" {
-		fields[fieldService] = p.settings.Service
-	}
 	s := p.control.Snapshot()
 	fields["HasCopy"] = s != nil
 	if s != nil {
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -195,7 +195,6 @@
 	appendIf("Outbound", s.Outbound != next.Outbound)
 	appendIf("Ready", s.Ready != next.Ready)
 	appendIf("Upstream", s.Upstream != next.Upstream)
-	appendIf("Service", s.Service != next.Service)
 	appendIf("MaxFlowAge", s.MaxFlowAge != next.MaxFlowAge)
 	appendIf("ColdOverrun", s.ColdOverrun != next.ColdOverrun)
 	appendIf("ColdSlack", s.ColdSlack != next.ColdSlack)
