Directory: a beacon that comes during the first pull waits for it

The revision in a beacon's own datagram started a pull, so the beacon was forwarded at once by a process that could not answer the pulls that it led to, and not again after the pull.

TestBeaconDuringFirstPull fails without the change, as the beacon is sent at once.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -304,12 +304,18 @@
 	if m.isDeputy && b.Age < StaleAfter && readerScore(b.Reader) > readerScore(m.Self) && slices.Contains(m.agents, b.Reader) {
 		m.isDeputy = false
 	}
-	if !m.mergeBeacon(out, now, b) && now.Sub(m.pullBegun) > pullTimeout {
+	if !m.mergeBeacon(out, now, b) {
 		// The beacon is forwarded after the pull, when this process can answer
 		// the pulls of those that receive it.
-		m.pullBegun, m.pendingBeacon, m.pendingFrom = now, b, from
-		out.Pulls = append(out.Pulls, from)
-		return
+		if now.Sub(m.pullBegun) > pullTimeout {
+			m.pullBegun, m.pendingBeacon, m.pendingFrom = now, b, from
+			out.Pulls = append(out.Pulls, from)
+			return
+		}
+		if !m.isLoaded && m.pendingBeacon == nil {
+			m.pendingBeacon, m.pendingFrom = b, from
+			return
+		}
 	}
 	m.forward(out, now, b, from)
 }
--- a/internal/fleet/jmdirectory/subscription_test.go
+++ b/internal/fleet/jmdirectory/subscription_test.go
@@ -40,3 +40,18 @@
 		})
 	}
 }
+
+// TestBeaconDuringFirstPull has a beacon arrive while a process pulls its first copy. It forwards
+// the beacon once it can answer the pulls of those that receive it.
+func TestBeaconDuringFirstPull(t *testing.T) {
+	m := &Machine{Self: balancerAddr(1)}
+	m.Handle(startTime, balancerAddr(2), &Message{IsSubscribe: true})
+	now := startTime.Add(time.Second)
+	require.Len(t, m.CatchUp(now, agentAddr(1)).Pulls, 1)
+	out := m.Handle(now, agentAddr(1), &Message{Beacon: &Beacon{Reader: agentAddr(1), Number: 1, Revision: 4}})
+	require.Empty(t, out.Sends)
+	require.Empty(t, out.Pulls)
+	out = m.HandlePullReply(now, &PullRequest{}, &PullReply{Revision: 4, IsWhole: true})
+	require.Len(t, out.Sends, 1)
+	require.Equal(t, balancerAddr(2), out.Sends[0].To)
+}
