Agent: no flow for an upstream that the directory lists for another service

Service is taken over only while Upstream stays, and a flow is also refused if the entry of the own address is of another service. Balancers with such a copy place nothing of the agent's service there, so nothing is lost while an entry of a former upstream has not lapsed.

TestUpstreamListedForOtherService fails without the change. TestServiceOfUpstreamChanges now has the flow of the new service wait for the entry, which is stricter.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -87,7 +87,7 @@
 		onReload = func(next *jmlocal.Settings) {
 			setAddress(next)
 			a.SetShares(next.Shares)
-			a.SetService(next.Service)
+			a.SetService(next)
 		}
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 	}
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -206,6 +206,9 @@
 		return ReasonOtherService
 	}
 	own := a.snapshot.Upstreams[a.Upstream]
+	if own != nil && !own.IsRemoved && own.Service != a.Service {
+		return ReasonOtherService
+	}
 	if own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
 		return ReasonLeaving
 	}
--- a/internal/flow/jmpass/firstcopy_test.go
+++ b/internal/flow/jmpass/firstcopy_test.go
@@ -176,6 +176,9 @@
 	require.Nil(t, find(out, ToUpstream))
 	p.Destination = desk
 	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, nil)
+	require.Nil(t, find(out, ToUpstream), "the directory still lists the upstream of the shop")
+	a.SetSnapshot(snapshot(2, func(v *jmdirectory.View) { v.Upstreams[upstreamAddr(1)].Service = "desk" }))
+	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, nil)
 	require.NotNil(t, find(out, ToUpstream))
 	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(jmhop.FlagKnown), dataPacket(callerSequence+1, 10), nil)
 	require.NotNil(t, find(out, ToUpstream))
@@ -185,3 +188,16 @@
 	_, reason = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
 	require.Equal(t, ReasonProbed, reason)
 }
+
+// TestUpstreamListedForOtherService sends flows to an agent whose copy lists its upstream's
+// address for another service: an upstream that follows, or the former one.
+func TestUpstreamListedForOtherService(t *testing.T) {
+	listed := func(v *jmdirectory.View) { v.Upstreams[upstreamAddr(1)].Service = "desk" }
+	a := newAgent(true, snapshot(2, listed))
+	out, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+	require.Equal(t, ReasonOtherService, reason)
+	require.Equal(t, agentAddr(2), find(out[len(out)-1:], ToPeer).To)
+	a = newAgent(true, snapshot(2, listed, removed(1)))
+	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
+	require.NotNil(t, find(out, ToUpstream), "an entry that was removed says nothing")
+}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -130,12 +130,14 @@
 	}
 }
 
-// SetService replaces the service of the upstream, after its settings have changed. It may be
-// called at any time.
-func (a *Agent) SetService(service string) {
+// SetService replaces the service of the upstream, after the settings have changed. It does
+// nothing if they name another upstream, which takes a restart. It may be called at any time.
+func (a *Agent) SetService(next *jmlocal.Settings) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.machine.SetService(service)
+	if next.Upstream == a.Settings.Upstream {
+		a.machine.SetService(next.Service)
+	}
 }
 
 // Count returns how many decisions were made for a reason.
