Agent: openings that the checks before the first copy left out

Found in the review: - a packet that opens a flow, sent as a question for a holder, reached the upstream without a check of its service. No process of ours sends one; - a flow whose route has moved to the agent's service, by the sender's newer copy, was handed to the former service, whose agent may be behind as well (CONFIG, by reading). It waits now as one of a new route does; - an opening that the upstream returned was reset by a copy without a configuration. TestOpeningInQuestionIsChecked, TestRouteThatOnlyPeersKnow (route moved) and TestReturnedOpeningBeforeRoutes fail without the change.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -121,7 +121,7 @@
 	a.begin(now)
 	a.recordPeerRevision(now, h)
 	switch {
-	case h.Kind == jmhop.KindAsk:
+	case h.Kind == jmhop.KindAsk && !p.Flags.Has(jasminemoor.FlagOpen):
 		reason = a.handleAsk(now, from, h, p, packet)
 	case p.Flags.Has(jasminemoor.FlagOpen):
 		reason = a.handleOpen(now, from, h, p, packet)
@@ -228,7 +228,7 @@
 // times. If the directory is recent, no peer has a newer one, and it has no route for the
 // packet, the flow is reset.
 func (a *Agent) forwardOpening(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header, packet []byte) {
-	if a.snapshot.View == nil || h.Hops >= maxHops {
+	if !a.knowsRoutes() || h.Hops >= maxHops {
 		return
 	}
 	route := a.snapshot.Routes[p.Destination]
--- a/internal/flow/jmpass/firstcopy.go
+++ b/internal/flow/jmpass/firstcopy.go
@@ -11,8 +11,8 @@
 
 // An agent that has just started has no copy of the directory and can't tell whether a new
 // flow is for its service: the balancer may still list the address as that of a former
-// upstream. It keeps opening packets until it has a copy, as it does for a route that only the
-// sender's newer copy has.
+// upstream. It keeps opening packets until it has a copy, as it does if only the sender's newer
+// copy may have a route for its service.
 
 const (
 	// openingWait is how long an opening packet is kept. After that its caller has repeated
@@ -37,7 +37,11 @@
 // mustWait reports whether an opening packet can't be decided on by the present copy of the
 // directory, but by one that is about to come.
 func (a *Agent) mustWait(h *jmhop.Header, p *jasminemoor.Packet) bool {
-	return !a.knowsRoutes() || a.snapshot.Routes[p.Destination] == nil && h.IsAhead(a.revision())
+	if !a.knowsRoutes() {
+		return true
+	}
+	route := a.snapshot.Routes[p.Destination]
+	return (route == nil || !route.Allows(a.Service)) && h.IsAhead(a.revision())
 }
 
 // keepOpening keeps an opening packet, unless maxKeptOpenings are kept already.
--- a/internal/flow/jmpass/firstcopy_test.go
+++ b/internal/flow/jmpass/firstcopy_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
@@ -128,12 +129,16 @@
 	withoutRoute.Revision = older
 	removed := snapshot(2, func(v *jmdirectory.View) { delete(v.Routes, shop) })
 	removed.Revision = newer
+	moved := snapshot(2, func(v *jmdirectory.View) { v.Routes[shop] = v.Routes[desk] })
+	moved.Revision = older
 	cases := map[string]struct {
+		before   Snapshot
 		revision jmhop.RevisionCode
 		peer     jmhop.RevisionCode // seen in an earlier datagram of another process
 		next     Snapshot
 		at, want Kind // right away, and with the next copy
 	}{
+		"sender is ahead, route moved":    {before: moved, revision: newer, next: withRoute, want: ToUpstream},
 		"sender is ahead, new route":      {revision: newer, next: withRoute, want: ToUpstream},
 		"sender is ahead, no route":       {revision: newer, next: removed, want: Reset},
 		"sender is ahead, no news":        {revision: newer, next: withoutRoute},
@@ -143,7 +148,10 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := newAgent(true, withoutRoute)
+			if tc.before.View == nil {
+				tc.before = withoutRoute
+			}
+			a := newAgent(true, tc.before)
 			a.recordPeerRevision(startTime, &jmhop.Header{Revision: tc.peer})
 			h := forwardHeader(0)
 			h.Revision = tc.revision
@@ -201,3 +209,23 @@
 	out, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
 	require.NotNil(t, find(out, ToUpstream), "an entry that was removed says nothing")
 }
+
+// TestOpeningInQuestionIsChecked sends an agent a packet that opens a flow as a question for the
+// flow's holder.
+func TestOpeningInQuestionIsChecked(t *testing.T) {
+	a := newAgent(false, snapshot(2))
+	h := &jmhop.Header{Kind: jmhop.KindAsk, Origin: balancerAddr}
+	out, reason := a.HandlePeer(startTime, agentAddr(2), h, openingPacket(desk), []byte("opening"))
+	require.Equal(t, ReasonOtherService, reason)
+	require.Nil(t, find(out, ToUpstream))
+}
+
+// TestReturnedOpeningBeforeRoutes returns an opening packet to an agent whose copy has no
+// configuration yet.
+func TestReturnedOpeningBeforeRoutes(t *testing.T) {
+	a := newAgent(false, snapshot(2, func(v *jmdirectory.View) { v.Version, v.Routes = 0, nil }))
+	p := openingPacket(shop)
+	p.Flags |= jasminemoor.FlagReturned
+	out, _ := a.HandleUpstream(startTime, p, []byte("opening"), false)
+	require.Empty(t, out)
+}
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -125,7 +125,7 @@
 
 var reasons = [reasonCount]struct{ name, text string }{
 	ReasonNone:              {"none", "no decision"},
-	ReasonNoView:            {"no_view", "directory is not known yet"},
+	ReasonNoView:            {"no_view", "directory, or a change of it that the sender has, is not known yet"},
 	ReasonNoRoute:           {"no_route", "no route for the address"},
 	ReasonNoUpstream:        {"no_upstream", "no upstream is ready"},
 	ReasonPlaced:            {"placed", "new flow placed"},
