Balancer: a flow of a route that agents know is not reset

A route is added, a flow opens through one balancer, and the router moves it to another whose copy is behind.

TestBalancerLacksRouteThatAgentsKnow fails without the change.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -51,16 +51,13 @@
 	snapshot Snapshot
 	// formerServices are those that the agent had before Service.
 	formerServices []string
-	// newestPeer is the header with the newest revision of the directory that a
-	// peer has sent, and newestPeerAt when it arrived.
-	newestPeer   jmhop.Header
-	newestPeerAt time.Time
-	table        table
-	refused      map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
-	flowProbes   map[jasminemoor.FlowKey]flowProbe
-	searches     map[jasminemoor.FlowKey]*search
-	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
-	handedOn     map[jasminemoor.FlowKey]nextHop
+	peers          peerRevision
+	table          table
+	refused        map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
+	flowProbes     map[jasminemoor.FlowKey]flowProbe
+	searches       map[jasminemoor.FlowKey]*search
+	lostFlows      map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
+	handedOn       map[jasminemoor.FlowKey]nextHop
 	// openings are the opening packets that wait for the first copy of the directory.
 	openings []keptOpening
 	// hasReportedStarting is set while balancers may know that there is no copy.
@@ -119,7 +116,7 @@
 // forwarded.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
 	a.begin(now)
-	a.recordPeerRevision(now, h)
+	a.peers.record(now, h, a.revision())
 	switch {
 	case h.Kind == jmhop.KindAsk && !p.Flags.Has(jasminemoor.FlagOpen):
 		reason = a.handleAsk(now, from, h, p, packet)
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -42,6 +42,7 @@
 	Counts [ReasonCount]uint64
 
 	snapshot       Snapshot
+	peers          peerRevision
 	firstDecision  time.Time // when the first packet came for which there was a view
 	current        map[jasminemoor.FlowKey]balancerFlow
 	previous       map[jasminemoor.FlowKey]balancerFlow
@@ -124,11 +125,11 @@
 	return b.forward(flow, to, 0), ReasonUnknown
 }
 
-// refuse resets a flow that can't be served. If the view is stale, it drops the packet
-// instead, since a newer view may have an upstream for the flow. A reset is dropped as
-// well.
+// refuse resets a flow that can't be served. If the view is stale, or an agent has a newer
+// one, it drops the packet instead, since a newer view may have a route or an upstream for the
+// flow. A reset is dropped as well.
 func (b *Balancer) refuse(now time.Time, flow jasminemoor.FlowKey, p *jasminemoor.Packet) (m Message) {
-	if !b.snapshot.isFresh(now) || p.Flags.Has(jasminemoor.FlagReset) {
+	if !b.snapshot.isFresh(now) || b.isBehind(now) || p.Flags.Has(jasminemoor.FlagReset) {
 		return m
 	}
 	return Message{Kind: Reset, Flow: flow, Sequence: p.Acknowledged}
@@ -282,6 +283,7 @@
 		return
 	}
 	b.markSeen(now, at)
+	b.peers.record(now, &jmhop.Header{Revision: jmhop.NewRevisionCode(r.Revision)}, b.snapshot.code())
 	b.agents[at].reported = now
 	b.agents[at].report = *r
 	b.agents[at].placed = 0
--- a/internal/flow/jmpass/firstcopy_test.go
+++ b/internal/flow/jmpass/firstcopy_test.go
@@ -12,6 +12,9 @@
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
+// newRoute is the address of a route that snapshots lack.
+var newRoute = netip.MustParseAddrPort("198.18.0.3:8443")
+
 func newStartingAgent() *Agent {
 	return &Agent{Self: agentAddr(1), Upstream: upstreamAddr(1), Service: "shop"}
 }
@@ -152,7 +155,7 @@
 				tc.before = withoutRoute
 			}
 			a := newAgent(true, tc.before)
-			a.recordPeerRevision(startTime, &jmhop.Header{Revision: tc.peer})
+			a.peers.record(startTime, &jmhop.Header{Revision: tc.peer}, a.revision())
 			h := forwardHeader(0)
 			h.Revision = tc.revision
 			outcome := func(out []Message) Kind {
@@ -210,6 +213,31 @@
 	require.NotNil(t, find(out, ToUpstream), "an entry that was removed says nothing")
 }
 
+// TestBalancerLacksRouteThatAgentsKnow sends packets of a route that the balancer's copy lacks
+// while an agent has a newer one. Neither a new nor an open flow may be reset.
+func TestBalancerLacksRouteThatAgentsKnow(t *testing.T) {
+	b := &Balancer{Self: balancerAddr, DataCentre: "a"}
+	b.SetSnapshot(snapshot(2))
+	packets := []*jasminemoor.Packet{openingPacket(newRoute), dataPacket(callerSequence+1, 10)}
+	packets[1].Destination = newRoute
+	b.HandleHolder(startTime, agentAddr(1), packets[1].Key())
+	for _, p := range packets {
+		m, _ := b.Handle(startTime, p)
+		require.Equal(t, Reset, m.Kind, "no agent is ahead")
+	}
+	b.HandleReport(startTime, agentAddr(1), &jmhop.Report{Revision: 9})
+	for _, p := range packets {
+		m, reason := b.Handle(startTime, p)
+		require.Equal(t, ReasonNoRoute, reason)
+		require.Equal(t, Dropped, m.Kind)
+	}
+	next := snapshot(2)
+	next.Revision = 9
+	b.SetSnapshot(next)
+	m, _ := b.Handle(startTime, packets[0])
+	require.Equal(t, Reset, m.Kind, "its own copy is as new")
+}
+
 // TestOpeningInQuestionIsChecked sends an agent a packet that opens a flow as a question for the
 // flow's holder.
 func TestOpeningInQuestionIsChecked(t *testing.T) {
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -225,7 +225,7 @@
 // HandleAbsent handles an agent's answer that it does not hold a flow.
 func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []Message {
 	a.begin(now)
-	a.recordPeerRevision(now, h)
+	a.peers.record(now, h, a.revision())
 	s := a.searches[key]
 	if s == nil || s.notHolders[from] {
 		return a.out
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -306,7 +306,7 @@
 // process has.
 func TestForgedRevisionDoesNotStopResets(t *testing.T) {
 	a := newAgent(true, snapshot(2))
-	a.recordPeerRevision(startTime, &jmhop.Header{Revision: 1 << 30})
+	a.peers.record(startTime, &jmhop.Header{Revision: 1 << 30}, a.revision())
 	require.True(t, a.isBehind(startTime))
 	require.False(t, a.isBehind(startTime.Add(newerRevisionTTL)))
 }
