Agent: what became of an opening that waited is logged

Found in the review: a flow that was released to the upstream after the first copy left no line. TestReleasedOpeningIsLogged failed before, as it found only no_view.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -44,6 +44,9 @@
 	// OnSearchTimeout, if not nil, is called with the agents that may hold a flow and have
 	// not answered by the end of a search for it.
 	OnSearchTimeout func(flow jasminemoor.FlowKey, unanswered []netip.Addr)
+	// OnRelease, if not nil, is called with each decision on an opening packet that has waited
+	// for a copy of the directory. m is the last message that results, nil for none.
+	OnRelease func(now time.Time, reason Reason, p *jasminemoor.Packet, packet []byte, m *Message)
 	// OnOverload, if not nil, is called with nil when an overload of the upstream begins,
 	// and with what became of its requests when it ends.
 	OnOverload func(episode *jmoverload.Episode)
--- a/internal/flow/jmpass/firstcopy.go
+++ b/internal/flow/jmpass/firstcopy.go
@@ -74,10 +74,19 @@
 func (a *Agent) releaseOpening(now time.Time, k *keptOpening) {
 	k.packet.Age += now.Sub(k.at)
 	first := len(a.out)
-	a.Counts[a.handleOpen(now, k.from, &k.header, &k.packet, k.bytes)]++
+	reason := a.handleOpen(now, k.from, &k.header, &k.packet, k.bytes)
+	a.Counts[reason]++
 	for i := first; i < len(a.out); i++ {
 		if m := &a.out[i]; m.Packet == nil && (m.Kind == ToUpstream || m.HasPacket) {
 			m.Packet = k.bytes
 		}
 	}
+	if a.OnRelease == nil {
+		return
+	}
+	m := (*Message)(nil)
+	if len(a.out) > first {
+		m = &a.out[len(a.out)-1]
+	}
+	a.OnRelease(now, reason, &k.packet, k.bytes, m)
 }
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -83,6 +83,7 @@
 		a.addLimit(fields, reason, flow)
 	}
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
+	a.machine.OnRelease = a.logDecision
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
--- a/internal/flow/jmpassnode/firstcopy_test.go
+++ b/internal/flow/jmpassnode/firstcopy_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// TestReleasedOpeningIsLogged opens flows while an agent waits for its first copy, and expects a
+// line of what became of one that had to wait.
+func TestReleasedOpeningIsLogged(t *testing.T) {
+	s := newSite(t)
+	s.store.SetDelay(100 * time.Millisecond)
+	s.agents[9].kill()
+	s.startAgent(9, "desk", false)
+	_, err := s.serve(desk, "waits")
+	require.NoError(t, err)
+	var reasons []string
+	for _, e := range s.hook.AllEntries() {
+		if e.Data["IsOpening"] == true && e.Data["Service"] == "desk" {
+			reasons = append(reasons, fmt.Sprint(e.Data["Reason"], " ", e.Data["HasCopy"]))
+		}
+	}
+	require.Contains(t, reasons, "no_view false")
+	require.Contains(t, reasons, "held true")
+}
+
 // TestAgentRestartsWithoutStore restarts the agents of a service in turn while the store is away.
 // Their open flows go on, and they take new flows by what their peers know.
 func TestAgentRestartsWithoutStore(t *testing.T) {
