jmdirectory: after a load, peers drop entries that were removed meanwhile

A process may go on placing flows at an upstream that is gone, or keep a data centre evacuated, until a later whole pull or the next change of that entry.

Cause: a reader that loads everything (the platform has dropped its history, or first copy) sent its own changes as all since its former revision. A listing omits entries that were added and removed since then. A peer that had such an entry from another reader has a revision between the two, so it took the news as complete, moved on to the new revision and kept the entry.

Evidence: TestLoadMissesRemoval. Without the fix: machine_test.go:423: Error: Should be true (the upstream that was removed at revision 6 is still listed at revision 7).

Fix: the beacon of a load has no news, as already in a new era, so peers that are behind pull. The reader's removalsSince is the revision of the listing, so the answer is the whole copy, and what it doesn't list is removed. The return value of recordMissed has no other use and goes.

The other places that merge changes are sound: a watch tells of removals also for keys that the reader never had, and a pull from a revision below removalsSince is answered with the whole copy.

Ruled out: a mark that only copies of exactly the former revision may apply the news. It needs a field on the wire and a list of such revisions in each copy, for a case that is rare.

--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -396,3 +397,29 @@
 	m.Handle(now, agentAddr(1), &Message{Beacon: &Beacon{Reader: agentAddr(1), Number: 1, Revision: 4, Since: 4, Age: 3 * time.Second}})
 	require.Equal(t, now.Add(-3*time.Second), m.AsOf())
 }
+
+// TestLoadMissesRemoval checks that a process drops an entry that it has had from another
+// reader, and that was removed before the present reader loaded everything.
+func TestLoadMissesRemoval(t *testing.T) {
+	entries := []jasminemoor.Entry{routingEntry(1, 1, 1), upstreamEntry(1, 2), upstreamEntry(2, 3)}
+	reader, peer := loaded(t, startTime, entries...), loaded(t, startTime, entries...)
+	peer.Self = agentAddr(2)
+	read(peer, startTime, false, upstreamEntry(3, 4), evacuationEntry("a", 5, false))
+
+	// Both were removed at revision 6.
+	c := &jasminemoor.DirectoryChanges{Revision: 7, Entries: append(entries, upstreamEntry(4, 7))}
+	now := startTime.Add(time.Second)
+	out := reader.HandleRead(now, Read{IsLoad: true}, c, nil)
+	at := slices.IndexFunc(out.Sends, func(s Send) bool { return s.To == peer.Self })
+	require.GreaterOrEqual(t, at, 0)
+	out = peer.Handle(now, reader.Self, out.Sends[at].Message)
+	for range out.Pulls {
+		learn(t, now, peer, reader)
+	}
+
+	v := peer.View(now)
+	require.Equal(t, jasminemoor.Revision(7), v.Revision)
+	require.Contains(t, v.Upstreams, upstreamEntry(4, 0).Upstream.Address)
+	require.True(t, v.Upstreams[upstreamEntry(3, 0).Upstream.Address].IsRemoved)
+	require.Empty(t, v.Evacuated)
+}
--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -142,7 +142,7 @@
 		// platform answers this one.
 		m.isDeputy = m.Upstream.IsValid()
 	}
-	since, version, era := m.replica.revision, m.replica.version, m.replica.revision.Era()
+	since, version := m.replica.revision, m.replica.version
 	changes := m.replica.applyEntries(now, c, read.IsLoad)
 	news := changes
 	if !m.isLoaded {
@@ -150,11 +150,10 @@
 	}
 	if read.IsLoad {
 		m.mustLoad, m.isLoaded = false, true
-		if m.replica.recordMissed(now, version) || m.replica.revision.Era() > era {
-			// Peers that pull the changes learn since when the routes are known, and in a
-			// new era all revisions.
-			news, since = nil, m.replica.revision
-		}
+		m.replica.recordMissed(now, version)
+		// A listing omits removals of entries that only peers have had, so they have to pull
+		// the whole copy.
+		news, since = nil, m.replica.revision
 	}
 	m.advanceAsOf(now)
 	out = m.sendBeacon(now, news, since)
--- a/internal/fleet/jmdirectory/routehistory.go
+++ b/internal/fleet/jmdirectory/routehistory.go
@@ -73,13 +73,11 @@
 // recordMissed updates routesKnownSince after a change that may have left out versions of
 // the routes: a listing of the platform, or a peer's answer, which have the newest one only.
 // Watches and the news in beacons leave out none. The numbers of versions grow by any steps,
-// so only two that follow each other have none in between. It reports whether versions
-// may be missing since before.
-func (r *replica) recordMissed(now time.Time, before uint64) (isMissed bool) {
-	if isMissed = r.version > before+1; isMissed {
+// so only two that follow each other have none in between.
+func (r *replica) recordMissed(now time.Time, before uint64) {
+	if r.version > before+1 {
 		r.routesKnownSince = now
 	}
-	return isMissed
 }
 
 // routeHistory returns what the copy knows of the past of the routes.
