jmdirectory: a beacon with two versions of the routes brings both

When the operator writes two configurations within one answer of the platform (about 150 ms), a process that has the first one already handles new flows by it until the next beacon, up to 1.2 s later, and counts its copy as current meanwhile: CONFIG is at risk if the second one was the faster to be confirmed.

Cause: commonOf takes the first configuration among the news. A peer that has it ignored all routes, those of the second one included, and still moved on to the beacon's revision. A peer that has neither applied the routes of both as the first version, with its idle timeout, and pulled at the next beacon.

Evidence: TestTwoConfigurationsInAnswer.

Fix: the items of a peer are split before each further common part, and the versions are applied in order, each if it follows the copy's (Since). What peers know of the past of the routes is then what the reader knows. The wire stays as it is, so beacons of earlier releases are split as well. Pulls have one configuration, for which nothing changes.

--- a/internal/fleet/jmdirectory/routehistory_test.go
+++ b/internal/fleet/jmdirectory/routehistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -210,3 +211,31 @@
 	require.Equal(t, uint64(3), reply.Revision)
 	require.NotEmpty(t, reply.Items)
 }
+
+// TestTwoConfigurationsInAnswer has a reader get two versions of the routes in one answer.
+// Its beacon brings the newer one to peers that have neither, or only the first.
+func TestTwoConfigurationsInAnswer(t *testing.T) {
+	agents := []jasminemoor.Entry{upstreamEntry(1, 1), upstreamEntry(2, 1), routeTo(1, 2, "shop")}
+	first, second := routeTo(3, 3, "desk"), routeTo(6, 4, "cart")
+	second.Routing.IdleTimeout = time.Minute
+	for name, had := range map[string][]jasminemoor.Entry{"neither": nil, "the first": {first}} {
+		t.Run(name, func(t *testing.T) {
+			now := startTime.Add(time.Second)
+			reader, peer := loaded(t, startTime, agents...), loaded(t, startTime, agents...)
+			peer.Self = agentAddr(2)
+			if had != nil {
+				read(peer, now, false, had...)
+			}
+			c := &jasminemoor.DirectoryChanges{Revision: 4, Entries: []jasminemoor.Entry{first, second}}
+			out := reader.HandleRead(now, Read{Since: 2}, c, nil)
+			at := slices.IndexFunc(out.Sends, func(s Send) bool { return s.To == peer.Self })
+			require.GreaterOrEqual(t, at, 0)
+			out = peer.Handle(now, reader.Self, out.Sends[at].Message)
+			require.Empty(t, out.Pulls)
+			v, want := peer.View(now), reader.View(now)
+			require.Equal(t, want.Version, v.Version)
+			require.Equal(t, want.IdleTimeout, v.IdleTimeout)
+			require.Equal(t, want.Routes, v.Routes)
+		})
+	}
+}
--- a/internal/fleet/jmdirectory/routing.go
+++ b/internal/fleet/jmdirectory/routing.go
@@ -81,17 +81,50 @@
 	return &items[at]
 }
 
-// canApplyRoutes reports whether the routes among the items of a beacon, if they are of a newer
-// version, are the changes since this copy's.
+// configurations splits the items of a peer into parts with one configuration each. The routes
+// of a configuration follow its common part.
+func configurations(items []Item) (parts [][]Item) {
+	hasCommon, start := false, 0
+	for i := range items {
+		if items[i].Common == nil {
+			continue
+		}
+		if hasCommon {
+			parts, start = append(parts, items[start:i]), i
+		}
+		hasCommon = true
+	}
+	return append(parts, items[start:])
+}
+
+// canApplyRoutes reports whether the routes among the items of a beacon, if they are of newer
+// versions, are the changes since this copy's.
 func (r *routing) canApplyRoutes(items []Item) bool {
-	common := commonOf(items)
-	return common == nil || common.Common.Version <= r.version || common.Since == 0 || common.Since == r.version
+	version := r.version
+	for _, part := range configurations(items) {
+		common := commonOf(part)
+		if common == nil || common.Common.Version <= version {
+			continue
+		}
+		if common.Since != 0 && common.Since != version {
+			return false
+		}
+		version = common.Common.Version
+	}
+	return true
 }
 
-// mergeRoutes applies the routes among a peer's items if their version is newer than the
-// copy's, and reports whether it was. They must be all of the peer's or those that have
+// mergeRoutes applies the routes among a peer's items whose version is newer than the copy's,
+// and reports whether there were any. They must be all of the peer's or those that have
 // changed since this copy's version.
 func (r *routing) mergeRoutes(now time.Time, items []Item, isWhole bool) (isNew bool) {
+	for _, part := range configurations(items) {
+		isNew = r.mergeConfiguration(now, part, isWhole) || isNew
+	}
+	return isNew
+}
+
+func (r *routing) mergeConfiguration(now time.Time, items []Item, isWhole bool) (isNew bool) {
 	common := commonOf(items)
 	if common == nil || common.Common.Version <= r.version {
 		return r.mergeLimits(items)
