jasminemoor: catch signals before anything else in balancers and agents

A process that gets SIGHUP, by which the platform says that the settings file has changed, in its first milliseconds ends by it. SIGTERM ended it as well, without exit code 0. Processes of the own interface ended by SIGHUP at any time.

Cause: SIGHUP was caught by the goroutine that reads the settings again, and SIGTERM once the role was set up, both after the settings had been read and the log line of the start. The own interface didn't catch SIGHUP at all.

Fix: a role's command catches its signals first and passes their channels on. A signal that comes early waits there: SIGHUP has the settings read again, SIGTERM has the role leave gracefully once it runs. On processes of the own interface, whose settings come from the platform, SIGHUP has no effect.

What remains: the start of Go's runtime and of the packages, before main.

--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -24,6 +24,8 @@
 		FlagSet:    flags,
 		Options:    parseOptions(),
 		Exec: func(ctx context.Context, _ []string) error {
+			signals := catchSignals()
+			defer signals.release()
 			if err := f.check(); err != nil {
 				return err
 			}
@@ -40,7 +42,7 @@
 				}
 				a.Certificate = &pair
 			}
-			return f.runRole(ctx, log, a, &jmoperator.Server{
+			return f.runRole(ctx, signals, log, a, &jmoperator.Server{
 				Metrics:   jmoperator.AgentMetrics(a),
 				Status:    func() *jmoperator.Status { return jmoperator.AgentStatus(a) },
 				Explainer: func() *jmoperator.Explainer { return jmoperator.AgentExplainer(a) },
--- a/cmd/jasminemoor/balancer.go
+++ b/cmd/jasminemoor/balancer.go
@@ -21,6 +21,8 @@
 		FlagSet:    flags,
 		Options:    parseOptions(),
 		Exec: func(ctx context.Context, _ []string) error {
+			signals := catchSignals()
+			defer signals.release()
 			if err := f.check(); err != nil {
 				return err
 			}
@@ -36,7 +38,7 @@
 				Node:       node,
 				Log:        log,
 			}
-			return f.runRole(ctx, log, b, &jmoperator.Server{
+			return f.runRole(ctx, signals, log, b, &jmoperator.Server{
 				Metrics:   jmoperator.BalancerMetrics(b),
 				Status:    func() *jmoperator.Status { return jmoperator.BalancerStatus(b) },
 				Explainer: func() *jmoperator.Explainer { return jmoperator.BalancerExplainer(b) },
--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -47,6 +45,8 @@
 		FlagSet:    flags,
 		Options:    parseOptions(),
 		Exec: func(ctx context.Context, _ []string) error {
+			signals := catchSignals()
+			defer signals.release()
 			if *path == "" {
 				return &exitError{code: exitUsage, text: "-settings is missing"}
 			}
@@ -60,14 +60,14 @@
 			if err != nil {
 				return err
 			}
-			return runPassthrough(ctx, *path, name, settings, log.WithField("Instance", settings.Name))
+			return runPassthrough(ctx, signals, *path, name, settings, log.WithField("Instance", settings.Name))
 		},
 	}
 }
 
 // runPassthrough runs a balancer or an agent of pass-through flows until it is
 // stopped.
-func runPassthrough(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry) error {
+func runPassthrough(ctx context.Context, signals *roleSignals, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry) error {
 	store := &jmadapter.Store{Log: log}
 	store.SetAddress(s.Platform.Address.String())
 	log.WithField("Role", name).Info("process: started")
@@ -91,13 +91,13 @@
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 	}
 	tasks := []func(context.Context) error{func(ctx context.Context) error {
-		reloadSettings(ctx, path, name, s, onReload, log)
+		reloadSettings(ctx, signals.reload, path, name, s, onReload, log)
 		return nil
 	}}
 	if s.Operator.IsValid() {
 		tasks = append(tasks, operator.Run)
 	}
-	err := runUntilStopped(ctx, log, r, tasks...)
+	err := runUntilStopped(ctx, signals.stop, log, r, tasks...)
 	log.WithField("Role", name).Info("process: stopped")
 	return err
 }
@@ -106,13 +106,10 @@
 // change without a signal.
 const settingsInterval = 3 * time.Second
 
-// reloadSettings reads the settings file again after a SIGHUP and at each
+// reloadSettings reads the settings file again after a signal and at each
 // settingsInterval, and calls onReload with those that have changed. A file with faults is
 // logged and otherwise ignored.
-func reloadSettings(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, onReload func(next *jmlocal.Settings), log logrus.FieldLogger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func reloadSettings(ctx context.Context, signals <-chan os.Signal, path string, name jmlocal.Role, s *jmlocal.Settings, onReload func(next *jmlocal.Settings), log logrus.FieldLogger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -86,8 +86,28 @@
 	Drained() <-chan struct{}
 }
 
-// runRole runs a role with its operator endpoint until it is stopped.
-func (f *roleFlags) runRole(ctx context.Context, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
+// roleSignals are the signals that a role has received.
+type roleSignals struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+// catchSignals is called before anything else, as uncaught signals end the process.
+func catchSignals() *roleSignals {
+	s := &roleSignals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func (s *roleSignals) release() {
+	signal.Stop(s.stop)
+	signal.Stop(s.reload)
+}
+
+// runRole runs a role with its operator endpoint until it is stopped. SIGHUP has no effect, as
+// the settings come from the platform.
+func (f *roleFlags) runRole(ctx context.Context, signals *roleSignals, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.partition.path != "" {
@@ -98,17 +118,14 @@
 		operator.Address = f.operator
 		tasks = append(tasks, operator.Run)
 	}
-	return runUntilStopped(ctx, log, r, tasks...)
+	return runUntilStopped(ctx, signals.stop, log, r, tasks...)
 }
 
-// runUntilStopped runs a role and further tasks beside it. On the first SIGTERM
-// or SIGINT the role leaves gracefully, and on the second it ends at once.
-func runUntilStopped(ctx context.Context, log logrus.FieldLogger, r role, tasks ...func(context.Context) error) error {
+// runUntilStopped runs a role and further tasks beside it. On the first signal the role
+// leaves gracefully, and on the second it ends at once.
+func runUntilStopped(ctx context.Context, signals <-chan os.Signal, log logrus.FieldLogger, r role, tasks ...func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	isForced := false
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	p.Go(func(ctx context.Context) error {
