jmpass: an overdue request that the upstream has acknowledged keeps its place

What callers saw: slower answers.

Cause: an agent gave up a request without an answer after 1 s, or 10 times the mean of the work, and admitted another one, also if the upstream still had the request and answered others meanwhile.

Evidence: TestRequestPassedOver. Without the fix its first case fails: overdue_test.go:193: expected: false, actual: true, at most 4 requests (3 are allowed). The five others show what must free the place, and pass before as well.

What upstreams say: each end acknowledges every second packet. So they are a sign of the upstream's own that it has a request.

Fix: the place of an acknowledged request is free with its answer, with the reset or the end of the flow, or if the upstream is known to have started again: its port refused, a flow in use was lost, or the directory lists another run. An answer that is lost on the way comes again after 200 ms. The bound is that of stalls: 4 s more than a request may take, when callers have left. A request that was not acknowledged may be lost, and gives its place up after 1 s as before (TestLostRequestsDontBlockOthers is unchanged).

For callers: a restart that the agent misses while all places are taken by acknowledged requests may now block them until the callers end their flows, a flow is lost, or the new entry is there, instead of 1 s.

The stand-in of the upstream acknowledges every second packet now, as the platform's do. TestOverload keeps the logs of a run with failures; its bounds are the same.

Weighed: keeping every overdue request until its caller's deadline (a lost request would block its place for seconds); sending the upstream a packet of the flow again, to see whether it is returned (the agent keeps no packets of requests in flight).

--- a/internal/flow/jmpass/capacity_test.go
+++ b/internal/flow/jmpass/capacity_test.go
@@ -57,6 +57,13 @@
 	return out
 }
 
+// acknowledge has the upstream acknowledge the first n bytes of the latest request.
+func (e *exchange) acknowledge(now time.Time, n int) {
+	p := upstreamPacket(jasminemoor.FlagAck, 0)
+	p.Destination, p.Sequence, p.Acknowledged = e.caller, e.answered, e.request-10+uint32(n)
+	_, _ = e.agent.HandleUpstream(now, p, nil, false)
+}
+
 // TestWorkIsMeasured gives an upstream of two slots as many requests as it may have. The
 // third one waits there for the first answer, which is no part of its work.
 func TestWorkIsMeasured(t *testing.T) {
--- a/internal/flow/jmpass/overdue_test.go
+++ b/internal/flow/jmpass/overdue_test.go
@@ -5,17 +5,21 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminemoor/jasminemoor"
 )
 
 // stalledUpstream is an upstream of two slots, with its agent, that does no work for a time
 // and then all of it, in the order in which it has got the requests.
 type stalledUpstream struct {
-	t       *testing.T
-	agent   *Agent
-	flows   []*exchange
-	held    []int // requests that it holds, by their flow
-	most    int
-	answers int
+	t     *testing.T
+	agent *Agent
+	flows []*exchange
+	held  []int // requests that it holds, by their flow
+	// passedOver counts those that it holds as well and does not work on.
+	passedOver int
+	most       int
+	answers    int
 	// isRepeated is set if each caller sends its next request with the answer.
 	isRepeated bool
 }
@@ -26,7 +30,7 @@
 			u.held = append(u.held, int(out[i].Packet[0]))
 		}
 	}
-	u.most = max(u.most, len(u.held))
+	u.most = max(u.most, len(u.held)+u.passedOver)
 }
 
 // stallWork is how long two requests of a stalledUpstream take at a time.
@@ -142,3 +146,56 @@
 	_, inFlight = a.Flows()
 	require.Equal(t, 2, inFlight)
 }
+
+// TestRequestPassedOver has an upstream of two slots answer all requests but one. It gets no
+// other request in place of one that it has acknowledged, unless that is known to be lost or
+// its caller has left.
+func TestRequestPassedOver(t *testing.T) {
+	const callers = 6
+	cases := map[string]struct {
+		acknowledged int // bytes of the request
+		d            time.Duration
+		after        func(u *stalledUpstream, now time.Time) // called after a while
+		wantMore     bool
+	}{
+		"acknowledged":                     {acknowledged: 10, d: 2400 * time.Millisecond},
+		"not acknowledged":                 {d: 2400 * time.Millisecond, wantMore: true},
+		"acknowledged in part":             {acknowledged: 9, d: 2400 * time.Millisecond, wantMore: true},
+		"for longer than its caller waits": {acknowledged: 10, d: minRequestTimeout + maxOverdue + sweepInterval + stallWork, wantMore: true},
+		"another run is listed": {acknowledged: 10, d: 2400 * time.Millisecond, wantMore: true, after: func(u *stalledUpstream, _ time.Time) {
+			u.agent.SetSnapshot(snapshot(1, run(7)))
+		}},
+		"another flow was lost": {acknowledged: 10, d: 2400 * time.Millisecond, wantMore: true, after: func(u *stalledUpstream, now time.Time) {
+			lost := newExchange(u.agent, now, callers)
+			_ = lost.askPacket(now, nil)
+			p := dataPacket(callerSequence+1, 10)
+			p.Source, p.Flags = lost.caller, p.Flags|jasminemoor.FlagReturned
+			out, _ := u.agent.HandleUpstream(now, p, nil, false)
+			u.take(out)
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAgent(true, snapshot(1, run(5)))
+			u := &stalledUpstream{t: t, agent: a, isRepeated: true}
+			for i := range callers {
+				u.flows = append(u.flows, newExchange(a, startTime, i))
+				u.take(u.flows[i].askPacket(startTime, []byte{byte(i)}))
+			}
+			u.held, u.passedOver = u.held[1:], 1
+			u.flows[0].acknowledge(startTime, tc.acknowledged)
+			now := startTime.Add(200 * time.Millisecond)
+			u.run(startTime, now, false, nil)
+			if tc.after != nil {
+				tc.after(u, now)
+			}
+			u.run(now, startTime.Add(tc.d), false, nil)
+			require.Equal(t, tc.wantMore, u.most > 2+spareRequests, "at most %d requests", u.most)
+			now = startTime.Add(tc.d)
+			u.take(u.flows[0].answer(now))
+			u.passedOver = 0
+			_, inFlight := a.Flows()
+			require.Equal(t, 2+spareRequests, inFlight)
+		})
+	}
+}
--- a/internal/flow/jmpass/stall.go
+++ b/internal/flow/jmpass/stall.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxStall is how long a request keeps its place at most while the upstream stalls. Its
-// caller has left then, as defaultTimeout has passed.
-const maxStall = defaultTimeout - minRequestTimeout
+// maxOverdue is how long an overdue request keeps its place at most. Its caller has left then,
+// as defaultTimeout has passed.
+const maxOverdue = defaultTimeout - minRequestTimeout
 
 // agentStall is the time between two of its ticks from which the agent itself has stalled,
 // so that answers may wait for it. What keeps it from running may keep the upstream.
@@ -57,8 +57,5 @@
 
 // keeps reports whether a request that was sent at a time and is overdue keeps its place.
 func (s *stall) keeps(now, requestedAt time.Time, limit time.Duration) bool {
-	if now.Sub(requestedAt) > limit+maxStall {
-		return false
-	}
 	return s.isOngoing(now, limit) || s.endedAt.After(requestedAt) && now.Sub(s.endedAt) <= limit
 }
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -19,7 +19,7 @@
 	// minRequestTimeout, or requestTimeoutFactor times the mean time of the upstream's work
 	// if that is longer, is how long a request without an answer counts as load. After that
 	// its caller may have left, or the answer may be lost. It counts for longer if the
-	// upstream stalls.
+	// upstream has acknowledged it, or stalls.
 	minRequestTimeout    = time.Second
 	requestTimeoutFactor = 10
 	// answerAfterEnd is how long after the end of its flow an answer may arrive, as
@@ -35,6 +35,7 @@
 	isConfirmed        bool // the upstream has sent a packet of the flow
 	hasRequestInFlight bool // the upstream has not begun to answer a request
 	isOverdue          bool // the answer to that request is overdue
+	isAcknowledged     bool // the upstream has acknowledged the caller's newest data
 	hasOpenReply       bool // the upstream has replied to the opening packet
 	ended              endFlags
 	openReply          uint32 // sequence number of that reply
@@ -64,6 +65,10 @@
 	inFlight int
 	capacity capacity
 	stall    stall
+	run      upstreamRun // that the directory lists
+	// lostAt is when the upstream was last found to have started again. Requests of before
+	// are lost.
+	lostAt time.Time
 }
 
 func (t *table) get(key jasminemoor.FlowKey) *flow { return t.flows[key] }
@@ -112,6 +117,7 @@
 
 // startRequest counts a request as in flight.
 func (t *table) startRequest(now time.Time, f *flow) {
+	f.isAcknowledged = false
 	// There is no answer to wait for on a flow that one end has closed.
 	if !f.hasRequestInFlight && f.ended == 0 {
 		f.hasRequestInFlight, f.isOverdue, f.requestedAt = true, false, now
@@ -130,6 +136,9 @@
 // an answer, it returns the answer time, otherwise 0.
 func (t *table) recordUpstream(now time.Time, f *flow, p *jasminemoor.Packet) (took time.Duration) {
 	f.lastUsed, f.isConfirmed = now, true
+	if p.Flags.Has(jasminemoor.FlagAck) && int32(p.Acknowledged-f.dataEnd) >= 0 {
+		f.isAcknowledged = true
+	}
 	if f.isNewAnswer(p) {
 		f.answerEnd = p.Sequence + uint32(p.Length)
 		if f.hasRequestInFlight {
@@ -159,7 +168,7 @@
 }
 
 // endOverdueRequests ends the requests in flight whose answer is overdue, unless the
-// upstream has stalled, and returns the number of those that have become overdue.
+// upstream still has them, and returns the number of those that have become overdue.
 func (t *table) endOverdueRequests(now time.Time) (overdue int) {
 	limit := t.requestTimeout(now)
 	for _, f := range t.flows {
@@ -174,13 +183,33 @@
 			f.isOverdue = true
 			overdue++
 		}
-		if hasEnded || !t.stall.keeps(now, f.requestedAt, limit) {
+		if hasEnded || !t.keepsPlace(now, f, limit) {
 			t.endRequest(f)
 		}
 	}
 	return overdue
 }
 
+// keepsPlace reports whether a request that is overdue keeps its place, since the upstream has
+// it or, if it stalls, may have it.
+func (t *table) keepsPlace(now time.Time, f *flow, limit time.Duration) bool {
+	if now.Sub(f.requestedAt) > limit+maxOverdue {
+		return false
+	}
+	return f.isAcknowledged && f.requestedAt.After(t.lostAt) || t.stall.keeps(now, f.requestedAt, limit)
+}
+
+// recordRun records the run of the upstream that the directory lists.
+func (t *table) recordRun(now time.Time, run upstreamRun) {
+	if run == t.run || run == (upstreamRun{}) {
+		return
+	}
+	if t.run != (upstreamRun{}) {
+		t.lostAt = now
+	}
+	t.run = run
+}
+
 // evict removes the flows that are closed, idle for too long, or were never answered.
 func (t *table) evict(now time.Time, idle time.Duration) {
 	if idle <= 0 {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -145,6 +145,12 @@
 // failOverdueRequests ends the requests whose answer is overdue, and counts them as
 // failures.
 func (a *Agent) failOverdueRequests(now time.Time) {
+	if a.snapshot.View != nil {
+		a.table.recordRun(now, runOf(a.snapshot.Upstreams[a.Upstream]))
+	}
+	if a.cold.restartedAt.After(a.table.lostAt) {
+		a.table.lostAt = a.cold.restartedAt
+	}
 	shouldReport := false
 	for range a.table.endOverdueRequests(now) {
 		shouldReport = a.failureRate.add(now, true) || shouldReport
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -36,6 +36,7 @@
 	// byte to receive.
 	sequence, expected uint32
 	isOpen             bool
+	received           int    // packets since the opening one
 	lastAnswer         []byte // to the latest request; nil while it runs
 }
 
@@ -146,8 +147,14 @@
 	if len(p.Data) > 0 {
 		u.serve(f, &p)
 	}
+	if f.received++; f.received%acknowledgeEvery == 0 {
+		u.send(&Packet{Source: p.Destination, Destination: p.Source, Flags: Ack, Sequence: f.sequence, Ack: f.expected})
+	}
 }
 
+// acknowledgeEvery is how many packets an end acknowledges at once.
+const acknowledgeEvery = 2
+
 // serve runs a request and answers it after ServiceTime. For a retransmission it sends
 // the last answer again, if there is one yet.
 func (u *Upstream) serve(f *upstreamFlow, p *Packet) {
--- a/internal/standin/jmprocess/overload_test.go
+++ b/internal/standin/jmprocess/overload_test.go
@@ -55,6 +55,9 @@
 	}
 	wg.Wait()
 	s.checkGuarantees()
+	if len(s.failures) > 0 {
+		s.keepLogs()
+	}
 	require.Empty(t, s.failures)
 	capacity := float64(soakSlots**soakAgents) * duration.Seconds() / work.Seconds()
 	t.Logf("%d requests answered, capacity %.0f", answered.Load(), capacity)
