jmbatch: skip datagrams that the socket's address family can't send

An IPv6 address at an IPv4 socket made netip.Addr.As4 panic in Writer.setAddr, in the goroutine that reads the callers' packets. conc.WaitGroup kept the panic, and the process went on without that goroutine. Such a datagram is now refused by the kernel, for lack of an address, and skipped like any other that can't be sent. Addresses of peers and upstreams come from outside the process, so the writer can't rely on their family.

Before: TestWriteSkipsOtherFamily/[::1]:9 ends with "panic: As4 called on IPv6 address". TestWriteSkipsRefused stays as it was; both share their body.

--- a/internal/wire/jmbatch/batch.go
+++ b/internal/wire/jmbatch/batch.go
@@ -158,7 +158,8 @@
 	m.headers[i].Name = (*byte)(unsafe.Pointer(&m.addrs[i]))
 }
 
-// setAddr writes an address in the form of the socket's family and returns its size.
+// setAddr writes an address in the form of the socket's family and returns its size, 0 if
+// it has no such form.
 func (w *Writer) setAddr(sockaddr *unix.RawSockaddrInet6, addr netip.AddrPort) (length uint32) {
 	port := (*[2]byte)(unsafe.Pointer(&sockaddr.Port))
 	port[0], port[1] = byte(addr.Port()>>8), byte(addr.Port())
@@ -167,9 +168,13 @@
 		sockaddr.Addr = addr.Addr().As16()
 		return unix.SizeofSockaddrInet6
 	}
+	to := addr.Addr().Unmap()
+	if !to.Is4() {
+		return 0 // the kernel refuses the datagram
+	}
 	v4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(sockaddr))
 	v4.Family = unix.AF_INET
-	v4.Addr = addr.Addr().Unmap().As4()
+	v4.Addr = to.As4()
 	return unix.SizeofSockaddrInet4
 }
 
--- a/internal/wire/jmbatch/batch_test.go
+++ b/internal/wire/jmbatch/batch_test.go
@@ -68,13 +68,24 @@
 // TestWriteSkipsRefused writes a batch with an address in the middle that the
 // kernel refuses: the datagrams after it must still be sent.
 func TestWriteSkipsRefused(t *testing.T) {
+	testWriteSkips(t, netip.MustParseAddrPort("255.255.255.255:9"))
+}
+
+// TestWriteSkipsOtherFamily does the same with an IPv6 address, and with none, at an IPv4 socket.
+func TestWriteSkipsOtherFamily(t *testing.T) {
+	for _, addr := range []netip.AddrPort{netip.MustParseAddrPort("[::1]:9"), {}} {
+		t.Run(addr.String(), func(t *testing.T) { testWriteSkips(t, addr) })
+	}
+}
+
+func testWriteSkips(t *testing.T, refused netip.AddrPort) {
 	from, to := listen(t, "udp4", "127.0.0.1:0"), listen(t, "udp4", "127.0.0.1:0")
 	w, err := jmbatch.NewWriter(from)
 	require.NoError(t, err)
 	addr := netip.MustParseAddrPort(to.LocalAddr().String())
 	batch := []jmbatch.Datagram{
 		{Buffer: []byte("one"), Addr: addr},
-		{Buffer: []byte("two"), Addr: netip.MustParseAddrPort("255.255.255.255:9")},
+		{Buffer: []byte("two"), Addr: refused},
 		{Buffer: []byte("three"), Addr: addr},
 	}
 	require.NoError(t, w.Write(batch))
