--- a/internal/flow/jmpassnode/evacuation_test.go
+++ b/internal/flow/jmpassnode/evacuation_test.go
@@ -16,7 +16,8 @@
 // registerThere moves an upstream to another data centre.
 func (s *site) registerThere(i int) {
 	s.store.Put(fmt.Sprintf("servers/i-%d", i), map[string]any{
-		"service": "shop", "address": addr(2, i, upstreamPort).String(), "zone": "there", "max_concurrency": 5, "state": "ready", "born": 1,
+		"service": "shop", "address": addr(2, i, upstreamPort).String(), "zone": "there", "version": "v1", "max_concurrency": 5, "state": "ready",
+		"cold_left_ms": 0, "seq": 2, "born": 1,
 	})
 }
 
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -117,7 +117,8 @@
 
 func (s *site) register(i int, service, state string) {
 	s.store.Put(fmt.Sprintf("servers/i-%d", i), map[string]any{
-		"service": service, "address": addr(2, i, upstreamPort).String(), "zone": "here", "max_concurrency": 5, "state": state, "born": 1,
+		"service": service, "address": addr(2, i, upstreamPort).String(), "zone": "here", "version": "v1", "max_concurrency": 5, "state": state,
+		"cold_left_ms": 0, "seq": 1, "born": 1,
 	})
 }
 
--- a/internal/flow/jmpassnode/refusal_test.go
+++ b/internal/flow/jmpassnode/refusal_test.go
@@ -27,7 +27,8 @@
 	require.NoError(s.t, u.Start(context.Background()))
 	s.t.Cleanup(u.Crash)
 	s.store.Put("servers/lab", map[string]any{
-		"service": "lab", "address": u.Address.String(), "zone": "here", "max_concurrency": 1, "state": "ready", "born": 1,
+		"service": "lab", "address": u.Address.String(), "zone": "here", "version": "v1", "max_concurrency": 1, "state": "ready",
+		"cold_left_ms": 0, "seq": 1, "born": 1,
 	})
 	settings := s.settings(2, lab, true)
 	settings.Service = "lab"
--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -156,7 +156,7 @@
 	defer s.mu.Unlock()
 	s.store.Put(fmt.Sprintf("servers/i-%d-%d", i, s.crashes[i-1]), map[string]any{
 		"service": soakService(i), "address": soakAddr(addrAgent, i, soakUpstreamPort).String(), "zone": s.changes.dataCentre(i), "max_concurrency": soakSlots, "state": state,
-		"born": s.born[i-1].UnixMilli(), "cold_left_ms": max(time.Until(s.coldUntil[i-1]), 0).Milliseconds(),
+		"version": "v1", "seq": 1, "born": s.born[i-1].UnixMilli(), "cold_left_ms": max(time.Until(s.coldUntil[i-1]), 0).Milliseconds(),
 	})
 }
 
