--- a/internal/flow/jmpassnode/control_test.go
+++ b/internal/flow/jmpassnode/control_test.go
@@ -30,6 +30,8 @@
 	return c, ctx.Err()
 }
 
+func (*frozenDirectory) Unusable() uint64 { return 0 }
+
 // startAgent runs an agent that loads a copy of a revision from the platform, which
 // reports no changes afterwards.
 func startAgent(t *testing.T, i int, revision jasminemoor.Revision) *jmpassnode.Agent {
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -69,6 +69,7 @@
 	set.NewGauge("jm_directory_sent_bytes_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.BytesSent.Load()) }))
 	set.NewGauge("jm_directory_dropped_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.Dropped.Load()) }))
 	set.NewGauge("jm_directory_exchanges_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.Exchanges.Load()) }))
+	set.NewGauge("jm_directory_unusable_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Directory.Unusable()) }))
 	set.NewGauge("jm_directory_era", value(func(c *jmpassnode.Control) float64 {
 		if s := c.Snapshot(); s != nil {
 			return float64(s.Revision.Era())
--- a/passthrough.go
+++ b/passthrough.go
@@ -222,4 +222,6 @@
 	// ErrHistoryGone, all entries have to be loaded again: the platform no longer has
 	// the changes, or has begun a new era.
 	Watch(ctx context.Context, since Revision, wait time.Duration) (c DirectoryChanges, err error)
+	// Unusable returns how many entries were read that can't be used, counted each time.
+	Unusable() uint64
 }
