jmdirectory: leave out upstreams of services that the configuration does not name

View.add keeps one entry an address, the one that started last, whatever its service. So the service lacked the upstream, searches did not ask its agent, and took the answers of the others as proof that its flows were gone. The entry also replaced the history of the address.

Views now have only upstreams of services that the configuration lists or that its routes have or had, as far as the copy knows; so have the agents that exchange beacons. All other entries stay in the copy, as a later configuration may name their service, and have no part in the histories of addresses. When the named services change, histories of services that are no longer named are dropped, and those of upstreams that enter the views begin then. Peers get the listed services with the routes, as a further field of items, which earlier releases skip; if a copy comes from such a release, all services count as named, as before. Which of two remaining entries holds at an address is decided by isNewer, as before.

A service that a configuration takes out of both its services and its routes while its flows are open is known only to processes that had the former version, or a peer that had.

Entries that are left out are logged once with their key, and counted in jm_directory_unnamed.

TestUnusableEntries has one more entry, and checks views.

--- a/internal/fleet/jmdirectory/history.go
+++ b/internal/fleet/jmdirectory/history.go
@@ -33,10 +33,11 @@
 // recordHistory updates the histories of addresses for a change of an entry, before or
 // after which there may be none.
 func (r *replica) recordHistory(now time.Time, key string, before, after *jasminemoor.ListedUpstream) {
-	if before != nil {
-		wasRemoved := after == nil || after.Address != before.Address ||
-			after.Created != before.Created && after.Created != 0 && before.Created != 0
-		if h := r.histories[before.Address]; h != nil && wasRemoved {
+	if after != nil && !r.isNamed(after.Service) {
+		after = nil
+	}
+	if before != nil && hasLeftAddress(before, after) {
+		if h := r.histories[before.Address]; h != nil && h.service == before.Service {
 			h.remove(r.asOf, key)
 		}
 	}
@@ -66,6 +67,13 @@
 	}
 }
 
+// hasLeftAddress reports whether a change of an entry, after which there may be none, says that
+// the upstream was not listed at its address for a while.
+func hasLeftAddress(before, after *jasminemoor.ListedUpstream) bool {
+	return after == nil || after.Address != before.Address ||
+		after.Created != before.Created && after.Created != 0 && before.Created != 0
+}
+
 // remove removes an entry, which was there at asOf.
 func (h *history) remove(asOf time.Time, key string) {
 	delete(h.ready, key)
@@ -119,7 +127,10 @@
 	first, newest := make(map[netip.AddrPort]int64), make(map[netip.AddrPort]*jasminemoor.ListedUpstream)
 	for key, known := range r.upstreams {
 		u := known.upstream
-		if u == nil || !r.histories[u.Address].ready[key] {
+		if u == nil {
+			continue
+		}
+		if h := r.histories[u.Address]; h == nil || !h.ready[key] {
 			continue
 		}
 		if born, found := first[u.Address]; !found || u.Born < born {
--- a/internal/fleet/jmdirectory/item.go
+++ b/internal/fleet/jmdirectory/item.go
@@ -6,8 +6,8 @@
 )
 
 // itemFields is the number of fields of an Item that each item has on the wire, as the
-// elements of an array. Items with Evacuation or Since have more, which releases before
-// evacuations can't read and later ones ignore.
+// elements of an array. Items with Evacuation, Since or Services have more, which releases
+// before evacuations can't read and later ones ignore.
 const itemFields = 4
 
 var (
@@ -18,12 +18,15 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (i *Item) EncodeMsgpack(e *msgpack.Encoder) (err error) {
 	fields := []any{i.Revision, i.Route, i.Upstream, i.Common}
-	if i.Evacuation != nil || i.Since != 0 {
+	if i.Evacuation != nil || i.Since != 0 || i.Services != nil {
 		fields = append(fields, i.Evacuation)
 	}
-	if i.Since != 0 {
+	if i.Since != 0 || i.Services != nil {
 		fields = append(fields, i.Since)
 	}
+	if i.Services != nil {
+		fields = append(fields, i.Services)
+	}
 	if err = e.EncodeArrayLen(len(fields)); err != nil {
 		return err
 	}
@@ -49,6 +52,8 @@
 			err = d.Decode(&i.Evacuation)
 		case itemFields + 1:
 			err = d.Decode(&i.Since)
+		case itemFields + 2:
+			err = d.Decode(&i.Services)
 		default:
 			err = d.Skip()
 		}
--- a/internal/fleet/jmdirectory/item_test.go
+++ b/internal/fleet/jmdirectory/item_test.go
@@ -28,6 +28,7 @@
 	Common     *CommonItem
 	Evacuation *EvacuationItem
 	Since      uint64
+	Services   []string
 	Other      map[string]int
 }
 
@@ -39,6 +40,8 @@
 	item := Item{Revision: 7, Upstream: upstream}
 	evacuation := Item{Revision: 9, Evacuation: &EvacuationItem{DataCentre: "a", IsActive: true}}
 	common := Item{Revision: 9, Common: &CommonItem{Version: 3}, Since: 2}
+	services := Item{Revision: 9, Common: &CommonItem{Version: 3}, Services: []string{"shop"}}
+	noServices := Item{Revision: 9, Common: &CommonItem{Version: 3}, Since: 2, Services: []string{}}
 	transfer := func(from, to any) error {
 		body, err := msgpack.Marshal(from)
 		require.NoError(t, err)
@@ -46,8 +49,8 @@
 	}
 
 	var got []Item
-	require.NoError(t, transfer([]Item{item, evacuation, common}, &got))
-	require.Equal(t, []Item{item, evacuation, common}, got)
+	require.NoError(t, transfer([]Item{item, evacuation, common, services, noServices}, &got))
+	require.Equal(t, []Item{item, evacuation, common, services, noServices}, got)
 
 	var earlier []earlierItem
 	require.NoError(t, transfer([]Item{item}, &earlier))
--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -445,7 +445,7 @@
 	m.agents, m.isListed = m.agents[:0], false
 	seen := make(map[netip.Addr]bool, len(m.replica.upstreams))
 	for _, known := range m.replica.upstreams {
-		u := known.view(now)
+		u := m.replica.upstreamView(now, known)
 		if u == nil || u.IsRemoved && u.State == jasminemoor.UpstreamLeaving {
 			continue
 		}
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -34,6 +34,9 @@
 	// Since, with Common in a beacon, is the version to which the routes beside it are the
 	// changes. It is 0 from an earlier release.
 	Since uint64
+	// Services, with Common, are those that the configuration lists, nil if that is not
+	// known, as from an earlier release.
+	Services []string
 }
 
 // RouteItem is a route, or the removal of one if Route is nil.
--- a/internal/fleet/jmdirectory/routehistory.go
+++ b/internal/fleet/jmdirectory/routehistory.go
@@ -113,6 +113,9 @@
 		}
 		hasChanged = known.addFormer(FormerService{Service: f.Service, LeftAt: now.Add(-max(f.LeftFor, 0))}) || hasChanged
 	}
+	if hasChanged {
+		r.updateNamed(now)
+	}
 	since := now.Add(-h.KnownFor)
 	isJoined := !ownUntil.IsZero() && !since.After(ownUntil)
 	if isJoined && ownSince.Before(since) {
--- a/internal/fleet/jmdirectory/routing.go
+++ b/internal/fleet/jmdirectory/routing.go
@@ -19,6 +19,10 @@
 	versionRevision jasminemoor.Revision // of the configuration's entry
 	idleTimeout     time.Duration
 	routes          map[netip.AddrPort]*knownRoute
+	// services are those that the configuration lists, nil if that is not known.
+	services []string
+	// named are the services whose upstreams can be used, nil for all: see updateNamed.
+	named map[string]bool
 	// passed are the versions that the copy has had, the latest last. What was removed
 	// since these is known.
 	passed []uint64
@@ -52,7 +56,10 @@
 	if c.Version <= r.version {
 		return nil
 	}
-	changed = []Item{{Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout}, Since: r.version}}
+	changed = []Item{{
+		Revision: e.Revision, Common: &CommonItem{Version: c.Version, IdleTimeout: c.IdleTimeout},
+		Since: r.version, Services: serviceNames(c.Services),
+	}}
 	listed := make(map[netip.AddrPort]bool, len(c.Routes))
 	for i := range c.Routes {
 		route := withLimits(&c.Routes[i], c.Services)
@@ -68,7 +75,7 @@
 			changed = append(changed, Item{Revision: e.Revision, Route: &RouteItem{Address: addr}})
 		}
 	}
-	r.applyVersion(now, changed, changed[0].Common, e.Revision)
+	r.applyVersion(now, changed, &changed[0])
 	return changed
 }
 
@@ -99,7 +106,7 @@
 	if isWhole {
 		items = append(slices.Clone(items), r.unlistedRoutes(items, common.Revision)...)
 	}
-	r.applyVersion(now, items, common.Common, common.Revision)
+	r.applyVersion(now, items, common)
 	return true
 }
 
@@ -119,9 +126,12 @@
 	return removals
 }
 
-// mergeLimits adds limits that this copy's routes lack, since a process of an earlier release
-// has passed them on without.
+// mergeLimits adds services and limits that this copy's configuration lacks, since a process
+// of an earlier release has passed it on without.
 func (r *routing) mergeLimits(items []Item) (isNew bool) {
+	if common := commonOf(items); common != nil && common.Common.Version == r.version && common.Services != nil && r.services == nil {
+		r.services, isNew = common.Services, true
+	}
 	for i := range items {
 		item := items[i].Route
 		if item == nil || !hasLimits(item.Route) {
@@ -134,9 +144,11 @@
 	return isNew
 }
 
-// applyVersion puts the routes among the items in force as a new version.
-func (r *routing) applyVersion(now time.Time, items []Item, common *CommonItem, revision jasminemoor.Revision) {
-	r.version, r.versionRevision, r.idleTimeout = common.Version, revision, common.IdleTimeout
+// applyVersion puts the routes among the items in force as a new version, of which common is
+// the item with the common part.
+func (r *routing) applyVersion(now time.Time, items []Item, common *Item) {
+	r.version, r.versionRevision, r.idleTimeout = common.Common.Version, common.Revision, common.Common.IdleTimeout
+	r.services = common.Services
 	r.passed = append(r.passed, r.version)
 	if len(r.passed) > maxPassedVersions {
 		r.passed = r.passed[1:]
@@ -170,7 +182,8 @@
 		return revision > request.Since
 	}
 	if r.version > 0 && (isWhole || lacks(r.version, r.versionRevision)) {
-		items = append(items, Item{Revision: r.versionRevision, Common: &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout}})
+		common := &CommonItem{Version: r.version, IdleTimeout: r.idleTimeout}
+		items = append(items, Item{Revision: r.versionRevision, Common: common, Services: r.services})
 	}
 	for addr, known := range r.routes {
 		if known.version > 0 && (isWhole || lacks(known.version, known.revision)) {
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -30,6 +30,9 @@
 	Agents map[netip.Addr]*Upstream
 	// EndingCount grows with each upstream that was found to have ended.
 	EndingCount uint64
+	// Unnamed holds the services of the entries that are left out because the configuration
+	// does not name these, by the entries' keys.
+	Unnamed map[string]string
 	// Evacuated are the data centres that are being evacuated, in alphabetical order.
 	Evacuated []string
 }
@@ -129,6 +132,7 @@
 		Revision:    r.revision,
 		Version:     r.version,
 		IdleTimeout: r.idleTimeout,
+		Unnamed:     r.unnamed(),
 		Evacuated:   r.evacuated(now),
 		EndingCount: r.endings.count,
 
@@ -145,7 +149,7 @@
 	}
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for _, known := range r.upstreams {
-		if u := known.view(now); u != nil {
+		if u := r.upstreamView(now, known); u != nil {
 			r.addEvacuation(now, u)
 			r.addHistory(u)
 			u.HasEnded = r.endings.has(&u.ListedUpstream)
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -205,6 +205,7 @@
 		}
 		c.logView(old, next)
 		c.logEvacuations(old, next)
+		c.logUnnamed(old, next)
 	case old.Revision != revision:
 		next.View = old.WithRevision(revision)
 	default:
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -103,7 +103,8 @@
 			"route_type": "idempotent", "timeout_ms": 3000, "target_latency_ms": 200, "priority": 2, "service": service,
 		})
 	}
-	s.store.Put("op/config", map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": 15000}})
+	services := []any{map[string]any{"name": "shop"}, map[string]any{"name": "desk"}, map[string]any{"name": "lab"}}
+	s.store.Put("op/config", map[string]any{"version": version, "routes": list, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000}})
 }
 
 func (s *site) addUpstream(i int, service string) {
@@ -451,8 +452,20 @@
 	s.store.Put("servers/x", "\xff\xfe")
 	s.store.Put("servers/y", `{"service":"shop","address":"`+addr(2, 50, 1).String()+`","state":"asleep"}`)
 	s.store.Put("servers/z", `{"service":"nobody","address":"`+addr(2, 51, 1).String()+`","state":"ready"}`)
+	s.store.Put("servers/other", map[string]any{
+		"service": "nobody", "address": addr(2, 1, upstreamPort).String(), "zone": "here", "version": "v9", "max_concurrency": 1, "state": "ready",
+		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
 	s.store.Put("other/key", "1")
 	time.Sleep(200 * time.Millisecond)
+	for _, all := range []map[int]*process{s.balancers, s.agents} {
+		for _, p := range all {
+			v := p.control().Snapshot()
+			require.Len(t, v.Upstreams, 4)
+			require.Equal(t, "shop", v.Upstreams[addr(2, 1, upstreamPort)].Service)
+			require.Equal(t, map[string]string{"servers/other": "nobody"}, v.Unnamed)
+		}
+	}
 	for i := range 10 {
 		_, err := s.serve(shop, fmt.Sprint("request-", i))
 		require.NoError(t, err)
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -88,6 +88,12 @@
 		}
 		return 0
 	}))
+	set.NewGauge("jm_directory_unnamed", value(func(c *jmpassnode.Control) float64 {
+		if s := c.Snapshot(); s != nil {
+			return float64(len(s.Unnamed))
+		}
+		return 0
+	}))
 	set.NewGauge("jm_directory_age_seconds", value(func(c *jmpassnode.Control) float64 {
 		if s := c.Snapshot(); s != nil {
 			return time.Since(s.AsOf).Seconds()
--- a/passthrough.go
+++ b/passthrough.go
@@ -187,14 +187,16 @@
 
 // Routing is the configuration of all routes.
 type Routing struct {
-	Version  uint64
-	Routes   []Route
+	Version uint64
+	Routes  []Route
+	// Services are all services that the configuration lists, nil if that is not known. An
+	// upstream of a service that is neither here nor in Routes can't be used.
 	Services []ServiceLimits
 	// IdleTimeout is how long a flow may be idle before its state is removed.
 	IdleTimeout time.Duration
 }
 
-// ServiceLimits are the limits that an operator sets for each upstream of a service.
+// ServiceLimits is a service, with the limits that an operator sets for each of its upstreams.
 type ServiceLimits struct {
 	Service string
 	// ColdRate is how many new flows a second an upstream bears while it warms up,
