--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -445,8 +445,8 @@
 	}, 3*time.Second, 10*time.Millisecond)
 }
 
-// TestUnusableEntries puts entries into the store that are malformed, of an unknown
-// state or service, or under another key.
+// TestUnusableEntries puts entries into the store that are malformed, very large, of an
+// unknown state or service, with an address that can't be used, or under another key.
 func TestUnusableEntries(t *testing.T) {
 	s := newSite(t)
 	s.store.Put("servers/x", "\xff\xfe")
@@ -457,6 +457,11 @@
 		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
 	s.store.Put("other/key", "1")
+	s.store.Put("servers/deep", strings.Repeat("[", 100_000))
+	s.store.Put("servers/large", strings.Repeat("\xff", 1<<20))
+	s.store.Put("servers/number", `{"service":"shop","address":"`+addr(2, 52, 1).String()+`","state":"ready","max_concurrency":1e400}`)
+	s.store.Put("servers/v6", `{"service":"shop","address":"[::1]:8080","state":"ready"}`)
+	s.store.Put("op/config", "\xff\xfe")
 	time.Sleep(200 * time.Millisecond)
 	for _, all := range []map[int]*process{s.balancers, s.agents} {
 		for _, p := range all {
