--- a/internal/fleet/jmdirectory/named.go
+++ b/internal/fleet/jmdirectory/named.go
@@ -100,15 +100,3 @@
 	}
 	return u
 }
-
-// unnamed returns the services of the entries that are in no view since the configuration
-// does not name these, by the entries' keys.
-func (r *replica) unnamed() (services map[string]string) {
-	services = make(map[string]string)
-	for key, known := range r.upstreams {
-		if u := known.upstream; u != nil && !r.isNamed(u.Service) {
-			services[key] = u.Service
-		}
-	}
-	return services
-}
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -132,7 +132,7 @@
 		Revision:    r.revision,
 		Version:     r.version,
 		IdleTimeout: r.idleTimeout,
-		Unnamed:     r.unnamed(),
+		Unnamed:     make(map[string]string),
 		Evacuated:   r.evacuated(now),
 		EndingCount: r.endings.count,
 
@@ -148,12 +148,14 @@
 		}
 	}
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
-	for _, known := range r.upstreams {
+	for key, known := range r.upstreams {
 		if u := r.upstreamView(now, known); u != nil {
 			r.addEvacuation(now, u)
 			r.addHistory(u)
 			u.HasEnded = r.endings.has(&u.ListedUpstream)
 			v.add(u)
+		} else if left := known.upstream; left != nil {
+			v.Unnamed[key] = left.Service
 		}
 	}
 	v.addLimits()
