--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -69,6 +69,7 @@
 	set.NewGauge("jm_directory_sent_bytes_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.BytesSent.Load()) }))
 	set.NewGauge("jm_directory_dropped_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.Dropped.Load()) }))
 	set.NewGauge("jm_directory_exchanges_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Counters.Exchanges.Load()) }))
+	set.NewGauge("jm_directory_unusable_total", value(func(c *jmpassnode.Control) float64 { return float64(c.Directory.Unusable()) }))
 	set.NewGauge("jm_directory_era", value(func(c *jmpassnode.Control) float64 {
 		if s := c.Snapshot(); s != nil {
 			return float64(s.Revision.Era())
@@ -87,6 +88,12 @@
 		}
 		return 0
 	}))
+	set.NewGauge("jm_directory_unnamed", value(func(c *jmpassnode.Control) float64 {
+		if s := c.Snapshot(); s != nil {
+			return float64(len(s.Unnamed))
+		}
+		return 0
+	}))
 	set.NewGauge("jm_directory_age_seconds", value(func(c *jmpassnode.Control) float64 {
 		if s := c.Snapshot(); s != nil {
 			return time.Since(s.AsOf).Seconds()
