Pass-through processes: a panic in a goroutine does not hide

Cause: the goroutines ran in a conc.WaitGroup, which recovers from a panic and keeps it until Wait. Only the end of the process calls Wait.

Change: jmguard, used by all goroutines of both roles. A panic while one input is handled (a packet, a message, a tick, an answer of the platform, a batch to write) drops that input, with a log line and jm_panics_total; after more than 16 in 10 s, or a panic elsewhere, the process is not ready any more, logs one line with goroutine, panic and stack, and ends with code 1. The line goes ahead of the queued ones of the decision log, and to standard error if nobody reads it; the end takes half a second at most.

Why inputs are dropped: a process that ends loses what it knows of flows, and a packet that is repeated or an entry that stays would end it again and again. Locks are released by deferred calls. An answer of the platform that can't be applied counts as a failed call, and all entries are loaded again 2 s later, since a part may be applied; a view that can't be built is tried again after 2 s and meanwhile the old one ages, so nothing is concluded from it as from a fresh one. The 16 in 10 s are chosen, not measured: a persistent fault of a tick or of each packet passes them within 0.4 s to 2 s, a caller's repetitions of one packet (4 in 3 s) or a read that fails each 2 s don't.

--- a/cmd/jasminemoor/passstatus_test.go
+++ b/cmd/jasminemoor/passstatus_test.go
@@ -42,7 +42,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = runPassthrough(ctx, path, jmlocal.RoleAgent, settings, log.WithField("Instance", settings.Name))
+		_ = runPassthrough(ctx, path, jmlocal.RoleAgent, settings, log.WithField("Instance", settings.Name), nil)
 	}()
 	defer func() {
 		cancel()
--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpassnode"
 	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
@@ -60,14 +61,20 @@
 			if err != nil {
 				return err
 			}
-			return runPassthrough(ctx, *path, name, settings, log.WithField("Instance", settings.Name))
+			last, err := logs.logger(out.Urgent(t.err))
+			if err != nil {
+				return err
+			}
+			entry := log.WithField("Instance", settings.Name)
+			guard := newGuard(entry, last.WithField("Instance", settings.Name), func() { _ = out.Close() })
+			return runPassthrough(ctx, *path, name, settings, entry, guard)
 		},
 	}
 }
 
 // runPassthrough runs a balancer or an agent of pass-through flows until it is
 // stopped.
-func runPassthrough(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry) error {
+func runPassthrough(ctx context.Context, path string, name jmlocal.Role, s *jmlocal.Settings, log *logrus.Entry, guard *jmguard.Guard) error {
 	store := &jmadapter.Store{Log: log}
 	store.SetAddress(s.Platform.Address.String())
 	log.WithField("Role", name).Info("process: started")
@@ -76,11 +83,11 @@
 	onReload := func(next *jmlocal.Settings) { store.SetAddress(next.Platform.Address.String()) }
 	operator := &jmoperator.Server{Address: s.Operator.String()}
 	if name == jmlocal.RoleBalancer {
-		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions, Guard: guard}
 		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassBalancerStatus(b) }
 	} else {
-		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions}
+		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions, Guard: guard}
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 		setAddress := onReload
@@ -97,7 +104,7 @@
 	if s.Operator.IsValid() {
 		tasks = append(tasks, operator.Run)
 	}
-	err := runUntilStopped(ctx, log, r, tasks...)
+	err := runUntilStopped(ctx, log, guard, r, tasks...)
 	log.WithField("Role", name).Info("process: stopped")
 	return err
 }
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmwatch"
@@ -79,6 +80,14 @@
 	return n
 }
 
+// newGuard returns a guard that flushes the log and ends the process with exitFailed.
+func newGuard(log, last logrus.FieldLogger, flush func()) *jmguard.Guard {
+	return &jmguard.Guard{Log: log, Last: last, Exit: func() {
+		flush()
+		os.Exit(exitFailed)
+	}}
+}
+
 // role is a balancer or an agent.
 type role interface {
 	Run(ctx context.Context) error
@@ -98,12 +107,12 @@
 		operator.Address = f.operator
 		tasks = append(tasks, operator.Run)
 	}
-	return runUntilStopped(ctx, log, r, tasks...)
+	return runUntilStopped(ctx, log, nil, r, tasks...)
 }
 
 // runUntilStopped runs a role and further tasks beside it. On the first SIGTERM
 // or SIGINT the role leaves gracefully, and on the second it ends at once.
-func runUntilStopped(ctx context.Context, log logrus.FieldLogger, r role, tasks ...func(context.Context) error) error {
+func runUntilStopped(ctx context.Context, log logrus.FieldLogger, guard *jmguard.Guard, r role, tasks ...func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -111,14 +120,20 @@
 	defer signal.Stop(signals)
 	isForced := false
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	p.Go(func(ctx context.Context) error {
+	start := func(name string, task func(context.Context) error) {
+		p.Go(func(ctx context.Context) (err error) {
+			guard.Do(name, func() { err = task(ctx) })
+			return err
+		})
+	}
+	start("role", func(ctx context.Context) error {
 		defer cancel()
 		return r.Run(ctx)
 	})
 	for _, task := range tasks {
-		p.Go(task)
+		start("task", task)
 	}
-	p.Go(func(ctx context.Context) error {
+	start("signals", func(ctx context.Context) error {
 		defer cancel()
 		isForced = awaitStop(ctx, log, r, signals)
 		return nil
--- a/internal/fleet/jmdecision/queue_test.go
+++ b/internal/fleet/jmdecision/queue_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -63,3 +64,47 @@
 	<-copied
 	require.Contains(t, out.String(), `"LeftOut":`)
 }
+
+// TestUrgentLineAfterLeftOut checks that an urgent line is neither left out while the queue
+// is full nor written after the queued ones.
+func TestUrgentLineAfterLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		q := jmdecision.NewQueue(writer)
+		for range 10_000 {
+			_, _ = q.Write([]byte("line\n"))
+		}
+		out, fallback := &buffer{}, &buffer{}
+		go func() { _, _ = q.Urgent(fallback).Write([]byte("urgent\n")) }()
+		synctest.Wait()
+		copied := make(chan struct{})
+		go func() {
+			defer close(copied)
+			_, _ = io.Copy(out, reader)
+		}()
+		require.NoError(t, q.Close())
+		_ = writer.Close()
+		<-copied
+		require.Regexp(t, `^line\n{"LeftOut":.*\nurgent\nline\n`, out.String())
+		require.Empty(t, fallback.String())
+	})
+}
+
+// TestUrgentLineOfStalledReader checks that an urgent line goes to the fallback if nobody
+// reads the log.
+func TestUrgentLineOfStalledReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		q := jmdecision.NewQueue(writer)
+		_, _ = q.Write([]byte("line\n"))
+		fallback := &buffer{}
+		start := time.Now()
+		_, err := q.Urgent(fallback).Write([]byte("urgent\n"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(start), 200*time.Millisecond)
+		require.Equal(t, "urgent\n", fallback.String())
+		_ = reader.Close()
+		require.NoError(t, q.Close())
+		require.NoError(t, q.Close())
+	})
+}
--- a/internal/fleet/jmdirectory/read.go
+++ b/internal/fleet/jmdirectory/read.go
@@ -165,13 +165,23 @@
 	return out
 }
 
+// ErrUnusable is the error of a read whose answer can't be applied.
+var ErrUnusable = errors.New("answer of the platform can't be applied")
+
+// unusableInterval is the time after which a read is repeated whose answer can't be applied.
+const unusableInterval = 2 * time.Second
+
 // planRetry plans the next call after one that has failed.
 func (m *Machine) planRetry(now time.Time, err error) {
 	least, most := m.backoffBounds()
 	m.backoff = min(max(m.backoff*2, least), most)
 	m.nextReadAt = now.Add(m.backoff/2 + time.Duration(m.Rand.Int64N(int64(m.backoff/2))))
-	if isHistoryGone(err) {
+	switch {
+	case isHistoryGone(err):
 		m.mustLoad, m.nextReadAt = true, now
+	case errors.Is(err, ErrUnusable):
+		// A part of the answer may be applied already.
+		m.mustLoad, m.nextReadAt = true, now.Add(unusableInterval)
 	}
 }
 
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -12,10 +12,10 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -33,6 +33,12 @@
 	leaveGrace = 30 * time.Millisecond
 )
 
+// Names of the goroutines that only agents have.
+const (
+	goroutineUpstream = "upstream"
+	goroutineProbe    = "probe"
+)
+
 // Agent is the process that runs beside an upstream of pass-through flows. It
 // delivers callers' packets to the upstream, and the upstream's to the callers.
 // The exported fields are set before Run.
@@ -43,6 +49,8 @@
 	Log       logrus.FieldLogger
 	// Decisions logs the decisions on packets, at a bounded rate.
 	Decisions *jmdecision.Log
+	// Guard ends the process if one of its goroutines panics.
+	Guard *jmguard.Guard
 	// OnAnswer, if set, is called with the time to the first byte of each
 	// answer, by one goroutine at a time.
 	OnAnswer func(took time.Duration)
@@ -77,7 +85,7 @@
 	a.machine.ColdOverrun, a.machine.ColdSlack = s.ColdOverrun, s.ColdSlack
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
-	a.settings, a.codec, a.log, a.decisions = s, a.Codec, a.Log, a.Decisions
+	a.settings, a.codec, a.log, a.decisions, a.guard = s, a.Codec, a.Log, a.Decisions, a.Guard
 	a.onDecision = a.addLimit
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
@@ -98,19 +106,19 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: a.Guard}
 	defer wg.Wait()
 	defer cancel()
 	a.runCommon(ctx, &wg)
-	wg.Go(func() {
+	wg.Go(goroutinePeers, func() {
 		a.readLoop(ctx, a.peers, jmhop.HeaderSize+max(a.Codec.MaxSize(), maxControlSize), func(batch []jmbatch.Datagram) {
 			a.handlePeers(ctx, batch, senders[0])
 		})
 	})
-	wg.Go(func() {
+	wg.Go(goroutineUpstream, func() {
 		a.readLoop(ctx, a.outbound, a.Codec.MaxSize(), func(batch []jmbatch.Datagram) { a.handleUpstream(batch, senders[2]) })
 	})
-	a.tickLoop(ctx, &wg, senders[1])
+	a.Guard.Do(goroutineTicks, func() { a.tickLoop(ctx, &wg, senders[1]) })
 	return nil
 }
 
@@ -149,24 +157,28 @@
 }
 
 func (a *Agent) setSnapshot(s jmpass.Snapshot) {
-	a.mu.Lock()
-	a.machine.SetSnapshot(s)
-	a.mu.Unlock()
+	a.applySnapshot(s)
 	if s.Version != 0 && !a.isReady.Swap(true) {
 		a.Log.Info("process: ready")
 	}
 }
 
+func (a *Agent) applySnapshot(s jmpass.Snapshot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.machine.SetSnapshot(s)
+}
+
 func (a *Agent) handlePeers(ctx context.Context, batch []jmbatch.Datagram, s *sender) {
 	now := time.Now()
 	a.mu.Lock()
-	defer s.writer.flush()
+	defer a.flush(goroutinePeers, s.writer)
 	defer a.mu.Unlock()
-	for i := range batch {
+	a.Guard.Each(goroutinePeers, len(batch), func(i int) {
 		if !a.handlePeer(ctx, now, batch[i].Addr.Addr(), batch[i].Buffer[:batch[i].Length], s) {
 			a.Malformed.Add(1)
 		}
-	}
+	})
 }
 
 // handlePeer handles one datagram of another process. It returns false for one that
@@ -212,22 +224,22 @@
 	now := time.Now()
 	var p jasminemoor.Packet
 	a.mu.Lock()
-	for i := range batch {
+	a.Guard.Each(goroutineUpstream, len(batch), func(i int) {
 		packet := batch[i].Buffer[:batch[i].Length]
 		if err := a.Codec.Decode(packet, &p); err != nil {
 			a.Malformed.Add(1)
-			continue
+			return
 		}
 		out, reason := a.machine.HandleUpstream(now, &p, packet, a.Codec.IsFailure(packet))
 		s.send(out, packet)
 		a.logDequeued(out)
 		a.logDecision(now, reason, &p, packet, last(out))
-	}
+	})
 	a.mu.Unlock()
-	s.writer.flush()
+	a.flush(goroutineUpstream, s.writer)
 }
 
-func (a *Agent) tickLoop(ctx context.Context, wg *conc.WaitGroup, s *sender) {
+func (a *Agent) tickLoop(ctx context.Context, wg *jmguard.Group, s *sender) {
 	ticker := time.NewTicker(agentTickInterval)
 	defer ticker.Stop()
 	for {
@@ -244,20 +256,26 @@
 			close(a.drained)
 			return
 		case now := <-ticker.C:
-			a.mu.Lock()
-			out, shouldProbe := a.machine.Tick(now)
-			s.send(out, nil)
-			a.logOutcomes(out)
-			a.logSilentAgents(now)
-			a.mu.Unlock()
-			s.writer.flush()
+			shouldProbe := false
+			a.Guard.Try(goroutineTicks, func() { shouldProbe = a.tick(now, s) })
+			a.flush(goroutineTicks, s.writer)
 			if shouldProbe {
-				wg.Go(func() { a.probe(ctx) })
+				wg.Go(goroutineProbe, func() { a.Guard.Try(goroutineProbe, func() { a.probe(ctx) }) })
 			}
 		}
 	}
 }
 
+func (a *Agent) tick(now time.Time, s *sender) (shouldProbe bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out, shouldProbe := a.machine.Tick(now)
+	s.send(out, nil)
+	a.logOutcomes(out)
+	a.logSilentAgents(now)
+	return shouldProbe
+}
+
 // logOutcomes logs the messages that do not result from a caller's or upstream's
 // packet: resets of flows that no upstream holds, and requests that have left the
 // queue.
@@ -343,12 +361,16 @@
 		a.Log.WithError(err).Error("process: socket can't be set up for writing")
 		return
 	}
+	a.handleProbe(result, s)
+	s.writer.flush()
+}
+
+func (a *Agent) handleProbe(result jmpass.ProbeResult, s *sender) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	out := a.machine.HandleProbe(time.Now(), result)
 	s.send(out, nil)
 	a.logOutcomes(out)
-	a.mu.Unlock()
-	s.writer.flush()
 }
 
 func isTimeout(err error) bool {
--- a/internal/flow/jmpassnode/balancer.go
+++ b/internal/flow/jmpassnode/balancer.go
@@ -10,10 +10,10 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -43,6 +43,8 @@
 	Log       logrus.FieldLogger
 	// Decisions logs the decisions on packets, at a bounded rate.
 	Decisions *jmdecision.Log
+	// Guard ends the process if one of its goroutines panics.
+	Guard *jmguard.Guard
 
 	process
 	// Malformed counts the datagrams dropped as malformed or of an unexpected kind.
@@ -72,7 +74,7 @@
 	b.init()
 	b.started, b.viewLoaded = time.Now(), make(chan struct{})
 	b.machine.Self, b.machine.DataCentre = b.Settings.Address, b.Settings.DataCentre
-	b.settings, b.codec, b.log, b.decisions = b.Settings, b.Codec, b.Log, b.Decisions
+	b.settings, b.codec, b.log, b.decisions, b.guard = b.Settings, b.Codec, b.Log, b.Decisions, b.Guard
 	b.control = &Control{Directory: b.Directory, Log: b.Log, OnSnapshot: b.setSnapshot}
 	if err = b.open(ctx); err != nil {
 		return err
@@ -87,11 +89,11 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: b.Guard}
 	defer wg.Wait()
 	defer cancel()
 	b.runCommon(ctx, &wg)
-	wg.Go(func() {
+	wg.Go(goroutineCallers, func() {
 		// Until the directory is loaded, packets wait in the socket's buffer.
 		select {
 		case <-b.viewLoaded:
@@ -100,10 +102,10 @@
 		}
 		b.readLoop(ctx, b.callers, b.Codec.MaxSize(), func(batch []jmbatch.Datagram) { b.handleCallers(batch, s) })
 	})
-	wg.Go(func() {
+	wg.Go(goroutinePeers, func() {
 		b.readLoop(ctx, b.peers, jmhop.HeaderSize+maxControlSize, func(batch []jmbatch.Datagram) { b.handlePeers(ctx, batch) })
 	})
-	b.tickLoop(ctx)
+	b.Guard.Do(goroutineTicks, func() { b.tickLoop(ctx) })
 	return nil
 }
 
@@ -122,9 +124,7 @@
 }
 
 func (b *Balancer) setSnapshot(s jmpass.Snapshot) {
-	b.mu.Lock()
-	b.machine.SetSnapshot(s)
-	b.mu.Unlock()
+	b.applySnapshot(s)
 	if s.Version == 0 {
 		return
 	}
@@ -138,48 +138,58 @@
 	}
 }
 
+func (b *Balancer) applySnapshot(s jmpass.Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.machine.SetSnapshot(s)
+}
+
 func (b *Balancer) handleCallers(batch []jmbatch.Datagram, s *sender) {
 	now := time.Now()
 	b.lastReceived.Store(int64(now.Sub(b.started)))
 	var p jasminemoor.Packet
 	b.mu.Lock()
-	for i := range batch {
+	b.Guard.Each(goroutineCallers, len(batch), func(i int) {
 		packet := batch[i].Buffer[:batch[i].Length]
 		if err := b.Codec.Decode(packet, &p); err != nil {
 			b.Malformed.Add(1)
-			continue
+			return
 		}
 		m, reason := b.machine.Handle(now, &p)
 		if m.Kind != 0 {
 			s.sendOne(&m, packet)
 		}
 		b.logDecision(now, reason, &p, packet, &m)
-	}
+	})
 	b.mu.Unlock()
-	s.writer.flush()
+	b.flush(goroutineCallers, s.writer)
 }
 
 func (b *Balancer) handlePeers(ctx context.Context, batch []jmbatch.Datagram) {
 	now := time.Now()
+	b.Guard.Each(goroutinePeers, len(batch), func(i int) {
+		b.handlePeer(ctx, now, batch[i].Addr.Addr(), batch[i].Buffer[:batch[i].Length])
+	})
+}
+
+// handlePeer handles one datagram of another process.
+func (b *Balancer) handlePeer(ctx context.Context, now time.Time, from netip.Addr, datagram []byte) {
 	var h jmhop.Header
-	for i := range batch {
-		datagram := batch[i].Buffer[:batch[i].Length]
-		if err := h.Unmarshal(datagram); err != nil {
-			b.Malformed.Add(1)
-			continue
-		}
-		from, body := batch[i].Addr.Addr(), datagram[jmhop.HeaderSize:]
-		b.control.CheckRevision(ctx, now, from, &h)
-		switch h.Kind {
-		case jmhop.KindControl:
-			b.control.Receive(ctx, from, body)
-		case jmhop.KindReport:
-			b.handleReport(now, from, body)
-		case jmhop.KindHolder, jmhop.KindFlowReset:
-			b.handleFlow(now, from, &h, body)
-		default:
-			b.Malformed.Add(1)
-		}
+	if err := h.Unmarshal(datagram); err != nil {
+		b.Malformed.Add(1)
+		return
+	}
+	body := datagram[jmhop.HeaderSize:]
+	b.control.CheckRevision(ctx, now, from, &h)
+	switch h.Kind {
+	case jmhop.KindControl:
+		b.control.Receive(ctx, from, body)
+	case jmhop.KindReport:
+		b.handleReport(now, from, body)
+	case jmhop.KindHolder, jmhop.KindFlowReset:
+		b.handleFlow(now, from, &h, body)
+	default:
+		b.Malformed.Add(1)
 	}
 }
 
@@ -226,12 +236,7 @@
 		case <-leaving:
 			leaving, leavingSince = nil, time.Now()
 		case now := <-ticker.C:
-			b.mu.Lock()
-			polls := b.machine.Tick(now)
-			b.mu.Unlock()
-			for _, agent := range polls {
-				b.control.Send(netip.AddrPortFrom(agent, b.Settings.FirstPort), poll[:])
-			}
+			b.Guard.Try(goroutineTicks, func() { b.tick(now, poll[:]) })
 			if !leavingSince.IsZero() && b.isDrained(now, leavingSince) {
 				close(b.drained)
 				return
@@ -240,6 +245,19 @@
 	}
 }
 
+// tick sends a poll to the agents that are slow to report.
+func (b *Balancer) tick(now time.Time, poll []byte) {
+	for _, agent := range b.agentsToPoll(now) {
+		b.control.Send(netip.AddrPortFrom(agent, b.Settings.FirstPort), poll)
+	}
+}
+
+func (b *Balancer) agentsToPoll(now time.Time) []netip.Addr {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.machine.Tick(now)
+}
+
 // isDrained reports whether a balancer that is leaving may end.
 func (b *Balancer) isDrained(now, leavingSince time.Time) bool {
 	quiet := now.Sub(b.started) - time.Duration(b.lastReceived.Load())
--- a/internal/flow/jmpassnode/control.go
+++ b/internal/flow/jmpassnode/control.go
@@ -14,16 +14,24 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
+// Names of the goroutines of a Control.
+const (
+	goroutineControl  = "control"
+	goroutineCall     = "platform call"
+	goroutinePull     = "pull"
+	goroutineExchange = "exchange"
+)
+
 const (
 	controlTickInterval = 100 * time.Millisecond
 	eventQueueSize      = 256
@@ -53,6 +61,7 @@
 	// OnSnapshot is called with each snapshot, by one goroutine at a time.
 	OnSnapshot func(s jmpass.Snapshot)
 	Log        logrus.FieldLogger
+	Guard      *jmguard.Guard
 
 	Counters ControlCounters
 
@@ -60,9 +69,11 @@
 	snapshot       atomic.Pointer[jmpass.Snapshot]
 	events         chan func(now time.Time)
 	initOnce       sync.Once
-	calls          conc.WaitGroup // calls to the platform, and pulls from peers
-	isPlatformDown bool           // the last call to the platform failed other than with ErrHistoryGone
-	isReader       bool           // this process watches the platform for all others
+	calls          jmguard.Group // calls to the platform, and pulls from peers
+	viewRetryAt    time.Time     // until when no view is built, since building one panicked
+	isViewDue      bool          // the copy has changed since the last view
+	isPlatformDown bool          // the last call to the platform failed other than with ErrHistoryGone
+	isReader       bool          // this process watches the platform for all others
 	// behindSince is when a datagram first showed a newer copy than this one at a
 	// peer, in nanoseconds since started; 0 if none has.
 	behindSince atomic.Int64
@@ -82,6 +93,7 @@
 	c.initOnce.Do(func() {
 		c.events = make(chan func(time.Time), eventQueueSize)
 		c.started = time.Now()
+		c.calls.Guard = c.Guard
 		c.machine.Self, c.machine.Upstream, c.machine.Seeds = c.Self, c.Upstream, c.Seeds
 		c.machine.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	})
@@ -103,20 +115,31 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			now := time.Now()
-			if d := detector.check(now); d > 0 {
-				c.Log.WithField("Seconds", d.Seconds()).Warn("process: instance was suspended")
-				c.machine.HandleSuspension(d)
-				c.publish(now, false)
-			}
-			c.apply(ctx, now, c.machine.Tick(now))
+			c.handle(func(now time.Time) {
+				if d := detector.check(now); d > 0 {
+					c.Log.WithField("Seconds", d.Seconds()).Warn("process: instance was suspended")
+					c.machine.HandleSuspension(d)
+					c.publish(now, false)
+				}
+				c.apply(ctx, now, c.machine.Tick(now))
+			})
 		case event := <-c.events:
-			event(time.Now())
+			c.handle(event)
 		}
 		c.startRead(ctx, time.Now())
 	}
 }
 
+// handle handles one event and reports whether it did so without a panic. After a panic the
+// copy may have changes that no view shows yet.
+func (c *Control) handle(event func(now time.Time)) (ok bool) {
+	ok = c.Guard.Try(goroutineControl, func() { event(time.Now()) })
+	if !ok {
+		c.isViewDue = true
+	}
+	return ok
+}
+
 // enqueue queues an event for the goroutine of Run, or drops it if the queue is
 // full.
 func (c *Control) enqueue(event func(now time.Time)) {
@@ -184,7 +207,7 @@
 		c.send(s.To, s.Message)
 	}
 	for _, peer := range out.Pulls {
-		c.calls.Go(func() { c.pull(ctx, peer) })
+		c.calls.Go(goroutinePull, func() { c.Guard.Try(goroutinePull, func() { c.pull(ctx, peer) }) })
 	}
 }
 
@@ -194,11 +217,16 @@
 	if !c.machine.IsLoaded() {
 		return
 	}
+	c.isViewDue = c.isViewDue || hasNewView
+	if now.Before(c.viewRetryAt) {
+		return
+	}
+	c.viewRetryAt = now.Add(viewRetryInterval)
 	old := c.snapshot.Load()
 	next := &jmpass.Snapshot{AsOf: c.machine.AsOf()}
 	revision := c.machine.Revision()
 	switch {
-	case old == nil || hasNewView || old.Revision.Era() != revision.Era():
+	case old == nil || c.isViewDue || old.Revision.Era() != revision.Era():
 		next.View = c.machine.View(now)
 		if old == nil {
 			c.logFirstView(now, next)
@@ -212,8 +240,13 @@
 	}
 	c.snapshot.Store(next)
 	c.OnSnapshot(*next)
+	c.isViewDue, c.viewRetryAt = false, time.Time{}
 }
 
+// viewRetryInterval is the least time between two views that can't be built or used. In
+// between, the last one grows old.
+const viewRetryInterval = 2 * time.Second
+
 // logFirstView logs what the first copy tells of the past of the upstreams, which decides
 // how many agents a search asks.
 func (c *Control) logFirstView(now time.Time, first *jmpass.Snapshot) {
@@ -267,19 +300,25 @@
 		return
 	}
 	c.Counters.PlatformCalls.Add(1)
-	c.calls.Go(func() {
+	c.calls.Go(goroutineCall, func() {
 		var changes jasminemoor.DirectoryChanges
-		var err error
-		if read.IsLoad {
-			changes, err = c.Directory.Load(ctx)
-		} else {
-			changes, err = c.Directory.Watch(ctx, read.Since, read.Wait)
-		}
+		err := jmdirectory.ErrUnusable
+		c.Guard.Try(goroutineCall, func() {
+			if read.IsLoad {
+				changes, err = c.Directory.Load(ctx)
+			} else {
+				changes, err = c.Directory.Watch(ctx, read.Since, read.Wait)
+			}
+		})
 		if ctx.Err() != nil {
 			return
 		}
 		select {
-		case c.events <- func(now time.Time) { c.handleRead(ctx, now, read, &changes, err) }:
+		case c.events <- func(now time.Time) {
+			if !c.handle(func(now time.Time) { c.handleRead(ctx, now, read, &changes, err) }) {
+				c.handleRead(ctx, now, read, &jasminemoor.DirectoryChanges{}, jmdirectory.ErrUnusable)
+			}
+		}:
 		case <-ctx.Done():
 		}
 	})
@@ -316,9 +355,10 @@
 	if changes.Revision < c.machine.Revision() {
 		log.Info("directory: answer of the platform is behind the copy")
 	}
+	s := c.Snapshot()
 	for i := range changes.Entries {
-		if e := &changes.Entries[i]; e.Routing != nil && c.machine.IsLoaded() {
-			log.WithFields(logrus.Fields{fieldVersion: e.Routing.Version, "VersionInForce": c.Snapshot().Version, "EntryRevision": e.Revision.String()}).
+		if e := &changes.Entries[i]; e.Routing != nil && s != nil {
+			log.WithFields(logrus.Fields{fieldVersion: e.Routing.Version, "VersionInForce": s.Version, "EntryRevision": e.Revision.String()}).
 				Info("directory: configuration read from the platform")
 		}
 	}
@@ -365,7 +405,7 @@
 func (c *Control) serve(ctx context.Context, listener net.Listener) {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: c.Guard}
 	defer wg.Wait()
 	for ctx.Err() == nil {
 		conn, err := listener.Accept()
@@ -376,12 +416,14 @@
 			}
 			continue
 		}
-		wg.Go(func() {
-			defer conn.Close()
-			if err := c.answer(ctx, conn); err != nil {
-				c.Log.WithError(err).Debug("directory: exchange failed")
-			}
-		})
+		wg.Go(goroutineExchange, func() { c.Guard.Try(goroutineExchange, func() { c.serveConn(ctx, conn) }) })
+	}
+}
+
+func (c *Control) serveConn(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	if err := c.answer(ctx, conn); err != nil {
+		c.Log.WithError(err).Debug("directory: exchange failed")
 	}
 }
 
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -12,10 +12,10 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -30,6 +30,13 @@
 	readBatch = 32
 )
 
+// Names of the goroutines, in the log lines on panics.
+const (
+	goroutineCallers = "callers"
+	goroutinePeers   = "peers"
+	goroutineTicks   = "ticks"
+)
+
 // Field keys of the log lines on flows, which package jmtrace reads, and on the directory.
 const (
 	fieldAge      = "AgeMs" // of the copy of the directory
@@ -51,6 +58,7 @@
 	sharedControl atomic.Pointer[Control] // control, for other goroutines, once it is set up
 	log           logrus.FieldLogger
 	decisions     *jmdecision.Log
+	guard         *jmguard.Guard
 	peers         *net.UDPConn // for datagrams from and to other processes
 	tcp           net.Listener // for exchanges that other processes start
 	isReady       atomic.Bool
@@ -100,7 +108,7 @@
 	for _, seed := range p.settings.Seeds {
 		p.control.Seeds = append(p.control.Seeds, seed.Addr())
 	}
-	p.control.Self, p.control.Port = p.settings.Address, p.settings.FirstPort
+	p.control.Self, p.control.Port, p.control.Guard = p.settings.Address, p.settings.FirstPort, p.guard
 	p.control.Send = func(to netip.AddrPort, datagram []byte) {
 		if _, err := p.peers.WriteToUDPAddrPort(datagram, to); err != nil {
 			p.log.WithError(err).Debug("directory: datagram not sent")
@@ -129,7 +137,7 @@
 		Addr:              p.settings.Ready.String(),
 		ReadHeaderTimeout: headerTimeout,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if !p.isReady.Load() {
+			if !p.isReady.Load() || p.guard.HasFailed() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		}),
@@ -166,10 +174,10 @@
 }
 
 // runCommon starts the goroutines that balancers and agents have in common.
-func (p *process) runCommon(ctx context.Context, wg *conc.WaitGroup) {
-	wg.Go(func() { p.control.Run(ctx) })
-	wg.Go(func() { p.control.serve(ctx, p.tcp) })
-	wg.Go(func() { p.serveReady(ctx) })
+func (p *process) runCommon(ctx context.Context, wg *jmguard.Group) {
+	wg.Go(goroutineControl, func() { p.control.Run(ctx) })
+	wg.Go("exchange listener", func() { p.control.serve(ctx, p.tcp) })
+	wg.Go("readiness check", func() { p.serveReady(ctx) })
 }
 
 func (p *process) newSender(conn *net.UDPConn) (s *sender, err error) {
@@ -183,6 +191,9 @@
 	return s, err
 }
 
+// flush writes the datagrams that a goroutine has buffered.
+func (p *process) flush(goroutine string, w *batchWriter) { p.guard.Try(goroutine, w.flush) }
+
 // logDecision logs a decision with the facts that it is based on. Ordinary ones are
 // logged only for packets that open a flow or begin a request, and at a lower rate
 // than notable ones.
--- a/internal/flow/jmpassnode/sender.go
+++ b/internal/flow/jmpassnode/sender.go
@@ -39,9 +39,9 @@
 // flush writes the buffered datagrams. One that can't be written is lost, as on the
 // network.
 func (w *batchWriter) flush() {
-	if w.count > 0 {
-		_ = w.socket.Write(w.batch[:w.count])
+	if n := w.count; n > 0 {
 		w.count = 0
+		_ = w.socket.Write(w.batch[:n])
 	}
 }
 
--- a/internal/operate/jmoperator/metrics.go
+++ b/internal/operate/jmoperator/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmmember"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
@@ -22,6 +23,16 @@
 	set.NewGauge(name, func() float64 { return float64(value()) })
 }
 
+// registerPanics adds the count of inputs that a guard, which may be nil, has dropped.
+func registerPanics(set *metrics.Set, guard *jmguard.Guard) {
+	set.NewGauge("jm_panics_total", func() float64 {
+		if guard == nil {
+			return 0
+		}
+		return float64(guard.Dropped.Load())
+	})
+}
+
 // NodeMetrics returns a set with the metrics of a process's control node.
 func NodeMetrics(n *jmnode.Node) *metrics.Set {
 	set := metrics.NewSet()
--- a/internal/operate/jmoperator/passthrough.go
+++ b/internal/operate/jmoperator/passthrough.go
@@ -16,6 +16,7 @@
 	set := metrics.NewSet()
 	registerDirectory(set, b.Control)
 	registerCounter(set, "jm_pass_malformed_total", &b.Malformed)
+	registerPanics(set, b.Guard)
 	registerReasons(set, b.Count)
 	registerGauge(set, "jm_pass_flows", b.Flows)
 	return set
@@ -27,6 +28,7 @@
 	set := metrics.NewSet()
 	registerDirectory(set, a.Control)
 	registerCounter(set, "jm_pass_malformed_total", &a.Malformed)
+	registerPanics(set, a.Guard)
 	registerReasons(set, a.Count)
 	registerGauge(set, "jm_pass_flows", func() int { flows, _ := a.Flows(); return flows })
 	registerGauge(set, "jm_pass_waiting", func() int { _, inFlight := a.Flows(); return inFlight })
