Own interface: a panic in a goroutine does not hide

What callers would see: a balancer or an agent of the QUIC datapath that has lost its packet loop, its control goroutine or its listener of flows, and lives on without a log line.

Change: jmnode, jmbalancer, jmagent and jmserver run their goroutines under the guard of the process. Datagrams, events of the control goroutine, calls of the platform, exchanges, links, views, flows and streams are inputs: one that panics is dropped, the others go on. A view is built again after 2 s, since the balancer would otherwise lack the sockets that it has not come to. A stream is aborted, and its request counts as lost in the ledger, not as running: a fence would wait for its end. A datagram whose write panics in a goroutine of quic-go is lost as on the network. Gate and ledger release their locks by deferred calls everywhere.

Not reached by a test: the goroutines "drain", "sockets", "load" and "partition file", the agent's views, and a flow outside its streams. They use the same calls.

--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -27,12 +27,14 @@
 			if err := f.check(); err != nil {
 				return err
 			}
-			log, err := f.log.logger(t.err)
+			log, guard, err := f.loggers(t)
 			if err != nil {
 				return err
 			}
-			node := f.node(log)
-			a := &jmagent.Agent{Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log, Decisions: &jmdecision.Log{Log: log}}
+			node := f.node(log, guard)
+			a := &jmagent.Agent{
+				Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log, Decisions: &jmdecision.Log{Log: log}, Guard: guard,
+			}
 			if *certificate != "" {
 				pair, err := tls.LoadX509KeyPair(*certificate, *key)
 				if err != nil {
@@ -40,7 +42,7 @@
 				}
 				a.Certificate = &pair
 			}
-			return f.runRole(ctx, log, a, &jmoperator.Server{
+			return f.runRole(ctx, log, guard, a, &jmoperator.Server{
 				Metrics:   jmoperator.AgentMetrics(a),
 				Status:    func() *jmoperator.Status { return jmoperator.AgentStatus(a) },
 				Explainer: func() *jmoperator.Explainer { return jmoperator.AgentExplainer(a) },
--- a/cmd/jasminemoor/balancer.go
+++ b/cmd/jasminemoor/balancer.go
@@ -24,19 +24,20 @@
 			if err := f.check(); err != nil {
 				return err
 			}
-			log, err := f.log.logger(t.err)
+			log, guard, err := f.loggers(t)
 			if err != nil {
 				return err
 			}
-			node := f.node(log)
+			node := f.node(log, guard)
 			b := &jmbalancer.Balancer{
 				Identity:   node.Identity,
 				DataCentre: f.dataCentre,
 				ServiceIP:  *serviceIP,
 				Node:       node,
 				Log:        log,
+				Guard:      guard,
 			}
-			return f.runRole(ctx, log, b, &jmoperator.Server{
+			return f.runRole(ctx, log, guard, b, &jmoperator.Server{
 				Metrics:   jmoperator.BalancerMetrics(b),
 				Status:    func() *jmoperator.Status { return jmoperator.BalancerStatus(b) },
 				Explainer: func() *jmoperator.Explainer { return jmoperator.BalancerExplainer(b) },
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -60,7 +60,17 @@
 	return nil
 }
 
-func (f *roleFlags) node(log logrus.FieldLogger) *jmnode.Node {
+// loggers returns the log of the process and the guard of its goroutines.
+func (f *roleFlags) loggers(t *terminal) (log *logrus.Logger, guard *jmguard.Guard, err error) {
+	if log, err = f.log.logger(t.err); err != nil {
+		return nil, nil, err
+	}
+	// The output of log may block while its mutex is held.
+	last, err := f.log.logger(t.err)
+	return log, newGuard(log, last, func() {}), err
+}
+
+func (f *roleFlags) node(log logrus.FieldLogger, guard *jmguard.Guard) *jmnode.Node {
 	n := &jmnode.Node{
 		Identity: jasminemoor.Identity{
 			Agent:       *f.address,
@@ -70,6 +80,7 @@
 		Seeds:      *f.peers,
 		SeedKey:    *f.controlKey,
 		Log:        log,
+		Guard:      guard,
 	}
 	if f.platform != "" {
 		n.Platform = &jmwatch.Client{URL: f.platform}
@@ -96,18 +107,18 @@
 }
 
 // runRole runs a role with its operator endpoint until it is stopped.
-func (f *roleFlags) runRole(ctx context.Context, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
+func (f *roleFlags) runRole(ctx context.Context, log logrus.FieldLogger, guard *jmguard.Guard, r role, operator *jmoperator.Server) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.partition.path != "" {
-		go f.partition.watch(ctx.Done())
+		go guard.Do("partition file", func() { f.partition.watch(ctx.Done()) })
 	}
 	var tasks []func(context.Context) error
 	if f.operator != "" && f.operator != "none" {
 		operator.Address = f.operator
 		tasks = append(tasks, operator.Run)
 	}
-	return runUntilStopped(ctx, log, nil, r, tasks...)
+	return runUntilStopped(ctx, log, guard, r, tasks...)
 }
 
 // runUntilStopped runs a role and further tasks beside it. On the first SIGTERM
--- a/internal/fleet/jmnode/exchange.go
+++ b/internal/fleet/jmnode/exchange.go
@@ -51,17 +51,25 @@
 // pull exchanges settings and members with a peer in a new goroutine.
 func (n *Node) pull(ctx context.Context, peer netip.AddrPort) {
 	request := n.machine.SyncRequest()
-	n.pulls.Go(func() {
-		attempt, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		defer cancel()
-		reply, err := n.exchange(attempt, peer, request)
-		if err != nil {
-			n.Log.WithError(err).WithField("Peer", peer).Debug("settings: exchange failed")
-		}
+	n.pulls.Go(goroutinePull, func() {
+		var reply *jmcontrol.SyncReply
+		n.Guard.Try(goroutinePull, func() { reply = n.tryExchange(ctx, peer, request) })
 		n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, reply)) })
 	})
 }
 
+// tryExchange returns nil if the exchange fails.
+func (n *Node) tryExchange(ctx context.Context, peer netip.AddrPort, request *jmcontrol.SyncRequest) *jmcontrol.SyncReply {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := n.exchange(ctx, peer, request)
+	if err != nil {
+		n.Log.WithError(err).WithField("Peer", peer).Debug("settings: exchange failed")
+		return nil
+	}
+	return reply
+}
+
 func (n *Node) exchange(ctx context.Context, peer netip.AddrPort, request *jmcontrol.SyncRequest) (reply *jmcontrol.SyncReply, err error) {
 	n.Counters.Exchanges.Add(1)
 	conn, err := n.Dial(ctx, peer, &Request{Sync: request})
@@ -102,10 +110,11 @@
 	interval := minSeedInterval
 	for i := 0; len(n.Seeds) > 0 && n.View().Config == nil; i++ {
 		peer := n.Seeds[i%len(n.Seeds)]
-		attempt, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		reply, err := n.exchange(attempt, peer, &jmcontrol.SyncRequest{From: n.Identity.Agent})
-		cancel()
-		if err == nil {
+		var reply *jmcontrol.SyncReply
+		n.Guard.Try(goroutineSeeds, func() {
+			reply = n.tryExchange(ctx, peer, &jmcontrol.SyncRequest{From: n.Identity.Agent})
+		})
+		if reply != nil {
 			n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, reply)) })
 		}
 		select {
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmdatagram"
@@ -27,6 +27,15 @@
 	inboxSize    = 1024
 )
 
+// Names of the goroutines, in the log lines on panics.
+const (
+	goroutineControl  = "control"
+	goroutinePlatform = "platform reader"
+	goroutineSeeds    = "requests to seeds"
+	goroutinePull     = "pull"
+	goroutineLink     = "link"
+)
+
 // Node is the control side of one process. The exported fields are set before Run.
 type Node struct {
 	Identity   jasminemoor.Identity
@@ -42,6 +51,8 @@
 	// OwnLoad returns the process's load, and nil where it has none to report.
 	OwnLoad func() *jasminemoor.LoadReport
 	Log     logrus.FieldLogger
+	// Guard ends the process if one of its goroutines panics.
+	Guard *jmguard.Guard
 	// Reach, where set, reports whether an address can be reached in both
 	// directions. Tests use it to simulate a network partition.
 	Reach func(to netip.AddrPort) bool
@@ -57,7 +68,7 @@
 	initOnce  sync.Once
 	machine   jmcontrol.Machine
 	isLeaving atomic.Bool
-	pulls     conc.WaitGroup
+	pulls     jmguard.Group
 }
 
 // Counters counts control traffic since the process started.
@@ -118,11 +129,12 @@
 // Run drives the node until ctx ends, and returns after its goroutines have ended.
 func (n *Node) Run(ctx context.Context) {
 	n.init()
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: n.Guard}
+	n.pulls.Guard = n.Guard
 	defer n.pulls.Wait()
 	defer wg.Wait()
-	wg.Go(func() { n.followPlatform(ctx) })
-	wg.Go(func() { n.requestFromSeeds(ctx) })
+	wg.Go(goroutinePlatform, func() { n.followPlatform(ctx) })
+	wg.Go(goroutineSeeds, func() { n.requestFromSeeds(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -132,9 +144,9 @@
 		case <-ticker.C:
 			// The ticker's own time is when the tick was due; after a pause
 			// that is long ago.
-			n.tick(ctx, time.Now())
+			n.Guard.Try(goroutineControl, func() { n.tick(ctx, time.Now()) })
 		case e := <-n.inbox:
-			e(time.Now())
+			n.Guard.Try(goroutineControl, func() { e(time.Now()) })
 		}
 	}
 }
--- a/internal/fleet/jmnode/platform.go
+++ b/internal/fleet/jmnode/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,8 @@
 	maxBackoff      = 15 * time.Second
 )
 
+var errPanicked = errors.New("reading the platform panicked")
+
 // followPlatform reads the platform while this process is a reader, or while no
 // peer keeps its settings up to date.
 func (n *Node) followPlatform(ctx context.Context) {
@@ -32,7 +35,8 @@
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
-		revision, err := n.readPlatform(ctx, since)
+		revision, err := since, errPanicked
+		n.Guard.Try(goroutinePlatform, func() { revision, err = n.readPlatform(ctx, since) })
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/fleet/jmnode/serve.go
+++ b/internal/fleet/jmnode/serve.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmlink"
 )
@@ -27,7 +27,7 @@
 	listener := &jmlink.Listener{Keys: n.ControlKeys, TCP: tcp}
 	stop := context.AfterFunc(ctx, func() { _ = tcp.Close() })
 	defer stop()
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: n.Guard}
 	defer wg.Wait()
 	for {
 		raw, err := listener.Accept()
@@ -39,7 +39,11 @@
 			sleep(ctx, acceptBackoff)
 			continue
 		}
-		wg.Go(func() { n.serveLink(ctx, listener, raw, handle) })
+		wg.Go(goroutineLink, func() {
+			if !n.Guard.Try(goroutineLink, func() { n.serveLink(ctx, listener, raw, handle) }) {
+				_ = raw.Close()
+			}
+		})
 	}
 }
 
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -16,10 +16,10 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmreturnpath"
@@ -43,6 +43,15 @@
 	loadSampleInterval = 100 * time.Millisecond
 )
 
+// Names of the goroutines, in the log lines on panics.
+const (
+	goroutinePackets = "packets"
+	goroutineAnswers = "answers"
+	goroutineViews   = "views"
+	goroutineFlow    = "flow"
+	goroutineStream  = "stream"
+)
+
 // Agent is the agent of one upstream. The exported fields are set before Run.
 type Agent struct {
 	Identity   jasminemoor.Identity
@@ -54,7 +63,9 @@
 	Log         logrus.FieldLogger
 	// Decisions, if set, logs each handover, relay and refusal.
 	Decisions *jmdecision.Log
-	Counters  Counters
+	// Guard ends the process if one of its goroutines panics.
+	Guard    *jmguard.Guard
+	Counters Counters
 
 	gate        jmgate.Gate
 	ledger      jmledger.Ledger
@@ -138,19 +149,21 @@
 	}
 	a.prepareServer()
 	ctx, cancel := context.WithCancel(ctx)
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: a.Guard}
 	defer wg.Wait()
 	defer cancel()
-	wg.Go(func() { a.Node.Run(ctx) })
-	wg.Go(func() { a.Node.Serve(ctx, tcp, a.serveLink) })
-	wg.Go(func() { a.conn.receive(ctx) })
-	wg.Go(func() { a.drainLoop(ctx) })
-	wg.Go(func() { a.sampleLoadLoop(ctx) })
-	if err = a.waitForService(ctx); err != nil {
+	wg.Go("control", func() { a.Node.Run(ctx) })
+	wg.Go("link listener", func() { a.Node.Serve(ctx, tcp, a.serveLink) })
+	wg.Go(goroutinePackets, func() { a.conn.receive(ctx) })
+	wg.Go("drain", func() { a.drainLoop(ctx) })
+	wg.Go("load", func() { a.sampleLoadLoop(ctx) })
+	a.Guard.Do(goroutineViews, func() { err = a.waitForService(ctx) })
+	if err != nil || a.Guard.HasFailed() {
 		return err
 	}
-	wg.Go(func() { a.updateViews(ctx) })
-	return a.serveFlows(ctx)
+	wg.Go(goroutineViews, func() { a.updateViews(ctx) })
+	a.Guard.Do("flow listener", func() { err = a.serveFlows(ctx) })
+	return err
 }
 
 // send sends a datagram from the fleet socket. Errors are ignored, as the loss of a
@@ -171,6 +184,7 @@
 	a.server.Peers = &peers{agent: a}
 	a.server.IsClosed = a.refusesNewWork
 	a.server.Log = a.Log
+	a.server.Guard = a.Guard
 	a.server.Decisions = a.Decisions
 }
 
@@ -249,13 +263,13 @@
 		return err
 	}
 	a.Log.WithField("Address", a.Identity.Agent).Info("agent: serving")
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: a.Guard}
 	for {
 		conn, err := listener.Accept(ctx)
 		if err != nil {
 			break
 		}
-		wg.Go(func() { a.serveFlow(ctx, conn) })
+		wg.Go(goroutineFlow, func() { a.Guard.Try(goroutineFlow, func() { a.serveFlow(ctx, conn) }) })
 	}
 	_ = listener.Close()
 	_ = transport.Close()
--- a/internal/flow/jmagent/flows.go
+++ b/internal/flow/jmagent/flows.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmserver"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 )
@@ -45,7 +45,7 @@
 	if a.isLeaving() {
 		f.announceLeaving()
 	}
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: a.Guard}
 	defer wg.Wait()
 	for {
 		stream, err := conn.AcceptStream(ctx)
@@ -53,9 +53,11 @@
 			return
 		}
 		f.streamBegan()
-		wg.Go(func() {
+		wg.Go(goroutineStream, func() {
 			defer f.streamEnded()
-			a.serveStream(ctx, f, stream)
+			if !a.Guard.Try(goroutineStream, func() { a.serveStream(ctx, f, stream) }) {
+				(&quicStream{Stream: stream}).Abort()
+			}
 		})
 	}
 }
--- a/internal/flow/jmagent/packetconn.go
+++ b/internal/flow/jmagent/packetconn.go
@@ -75,7 +75,9 @@
 			continue
 		}
 		r.size = n
-		if c.handle(ctx, r, from) {
+		isQueued := false
+		c.agent.Guard.Try(goroutinePackets, func() { isQueued = c.handle(ctx, r, from) })
+		if isQueued {
 			r = c.datagramPool.Get().(*receivedDatagram)
 		}
 	}
@@ -269,6 +271,13 @@
 // errNoReturnPath for a caller that no datagram came from lately, and also for an
 // address or a size that can't be sent.
 func (c *packetConn) WriteTo(p []byte, addr net.Addr) (n int, err error) {
+	if !c.agent.Guard.Try(goroutineAnswers, func() { n, err = c.writeTo(p, addr) }) {
+		return len(p), nil // lost, as on the network
+	}
+	return n, err
+}
+
+func (c *packetConn) writeTo(p []byte, addr net.Addr) (n int, err error) {
 	udpAddr, ok := addr.(*net.UDPAddr)
 	if !ok || len(p) > jmdatagram.MaxPayload {
 		return 0, errNoReturnPath
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -59,30 +59,42 @@
 	}
 }
 
+// viewRetryInterval is the time after which a view is built again if that panicked.
+const viewRetryInterval = 2 * time.Second
+
 // updateViews rebuilds the view after each change of settings or members, until
 // ctx ends.
 func (a *Agent) updateViews(ctx context.Context) {
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-a.Node.Changed():
+		case <-retry:
 		}
-		v, err := a.buildView(a.view.Load())
-		if err != nil {
-			a.Log.WithError(err).Error("agent: new settings are unusable; the previous ones stay in force")
-			continue
-		}
-		wasLeaving := a.isLeaving()
-		a.applyView(v)
-		if a.isLeaving() && !wasLeaving {
-			a.Log.Info("agent: upstream is leaving")
-			a.Node.Leave()
-			a.flows.announceLeaving()
+		retry = nil
+		if !a.Guard.Try(goroutineViews, a.updateView) {
+			retry = time.After(viewRetryInterval)
 		}
 	}
 }
 
+func (a *Agent) updateView() {
+	v, err := a.buildView(a.view.Load())
+	if err != nil {
+		a.Log.WithError(err).Error("agent: new settings are unusable; the previous ones stay in force")
+		return
+	}
+	wasLeaving := a.isLeaving()
+	a.applyView(v)
+	if a.isLeaving() && !wasLeaving {
+		a.Log.Info("agent: upstream is leaving")
+		a.Node.Leave()
+		a.flows.announceLeaving()
+	}
+}
+
 // applyView publishes a view and sets its service's limits.
 func (a *Agent) applyView(v *view) {
 	limits := v.service.Limits.WithDefaults()
--- a/internal/flow/jmbalancer/balancer.go
+++ b/internal/flow/jmbalancer/balancer.go
@@ -14,9 +14,9 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 )
 
@@ -28,6 +28,13 @@
 	drainInterval = 100 * time.Millisecond
 )
 
+// Names of the goroutines, in the log lines on panics.
+const (
+	goroutineCallers = "callers"
+	goroutineAnswers = "answers"
+	goroutineViews   = "views"
+)
+
 // Balancer is a balancer process. The exported fields are set before Run.
 type Balancer struct {
 	Identity   jasminemoor.Identity
@@ -35,8 +42,10 @@
 	// ServiceIP, if valid, is bound in place of each service's IP address.
 	ServiceIP netip.Addr
 	// Node is the control side of the process.
-	Node     *jmnode.Node
-	Log      logrus.FieldLogger
+	Node *jmnode.Node
+	Log  logrus.FieldLogger
+	// Guard ends the process if one of its goroutines panics.
+	Guard    *jmguard.Guard
 	Counters Counters
 
 	view       atomic.Pointer[view]
@@ -112,19 +121,19 @@
 	defer b.spare.Close()
 	setBuffers(b.spare)
 	ctx, cancel := context.WithCancel(ctx)
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: b.Guard}
 	defer wg.Wait()
 	defer cancel()
-	wg.Go(func() { b.Node.Run(ctx) })
-	wg.Go(func() { b.Node.Serve(ctx, tcp, nil) })
-	wg.Go(func() { b.returnLoop(ctx, b.fleet) })
-	wg.Go(func() { b.returnLoop(ctx, b.spare) })
-	wg.Go(func() { b.drainLoop(ctx) })
-	wg.Go(func() {
+	wg.Go("control", func() { b.Node.Run(ctx) })
+	wg.Go("link listener", func() { b.Node.Serve(ctx, tcp, nil) })
+	wg.Go(goroutineAnswers, func() { b.returnLoop(ctx, b.fleet) })
+	wg.Go(goroutineAnswers, func() { b.returnLoop(ctx, b.spare) })
+	wg.Go("drain", func() { b.drainLoop(ctx) })
+	wg.Go("sockets", func() {
 		<-ctx.Done()
 		b.sockets.close()
 	})
-	b.updateViews(ctx, &wg)
+	b.Guard.Do(goroutineViews, func() { b.updateViews(ctx, &wg) })
 	return nil
 }
 
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -37,8 +37,8 @@
 			continue
 		}
 		f.routeBatch(in[:n], fleet, spare)
-		fleet.flush()
-		spare.flush()
+		b.Guard.Try(goroutineCallers, fleet.flush)
+		b.Guard.Try(goroutineCallers, spare.flush)
 	}
 }
 
@@ -56,20 +56,20 @@
 // header, and adds them to the batch of the socket that sends them.
 func (f *forwarder) routeBatch(in []jmbatch.Datagram, fleet, spare *outBatch) {
 	isAnyRouted := false
-	for i := range in {
+	f.balancer.Guard.Each(goroutineCallers, len(in), func(i int) {
 		datagram := in[i].Buffer[:jmdatagram.HeaderSize+in[i].Length]
 		to, ok := f.route(datagram, in[i].Addr)
 		if !ok || !f.balancer.Node.CanReach(to) {
-			continue
+			return
 		}
 		isAnyRouted = true
 		if f.usesSparePort {
 			f.balancer.Counters.SparePort.Add(1)
 			spare.add(datagram, to)
-			continue
+			return
 		}
 		fleet.add(datagram, to)
-	}
+	})
 	if isAnyRouted {
 		f.balancer.lastRouted.Store(time.Now().UnixNano())
 	}
--- a/internal/flow/jmbalancer/return.go
+++ b/internal/flow/jmbalancer/return.go
@@ -28,10 +28,10 @@
 		if err != nil {
 			continue
 		}
-		for i := range in[:n] {
+		b.Guard.Each(goroutineAnswers, n, func(i int) {
 			r.handle(ctx, in[i].Buffer[:in[i].Length], in[i].Addr)
-		}
-		r.flush()
+		})
+		b.Guard.Try(goroutineAnswers, r.flush)
 	}
 }
 
@@ -66,9 +66,9 @@
 // returns at most jmbatch.Size datagrams, so that the batch has room for all of
 // them.
 func (o *outBatch) flush() {
-	if o.count > 0 {
-		_ = o.writer.Write(o.batch[:o.count])
+	if n := o.count; n > 0 {
 		o.count = 0
+		_ = o.writer.Write(o.batch[:n])
 	}
 }
 
--- a/internal/flow/jmbalancer/view.go
+++ b/internal/flow/jmbalancer/view.go
@@ -5,10 +5,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmcontrol"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmconnid"
@@ -37,33 +36,44 @@
 	return sealer
 }
 
+// viewRetryInterval is the time after which a view is built again if that panicked.
+const viewRetryInterval = 2 * time.Second
+
 // silenceCheckInterval is how often the balancer checks for silent agents.
 const silenceCheckInterval = 250 * time.Millisecond
 
 // updateViews rebuilds the view after each change of settings, members or silent
 // agents, until ctx ends.
-func (b *Balancer) updateViews(ctx context.Context, wg *conc.WaitGroup) {
+func (b *Balancer) updateViews(ctx context.Context, wg *jmguard.Group) {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-b.Node.Changed():
+		case <-retry:
 		case now := <-ticker.C:
 			if !b.silence.update(now) {
 				continue
 			}
 		}
-		if err := b.rebuild(ctx, wg); err != nil {
-			b.Log.WithError(err).Error("balancer: new settings are unusable; the previous ones stay in force")
+		retry = nil
+		ok := b.Guard.Try(goroutineViews, func() {
+			if err := b.rebuild(ctx, wg); err != nil {
+				b.Log.WithError(err).Error("balancer: new settings are unusable; the previous ones stay in force")
+			}
+		})
+		if !ok {
+			retry = time.After(viewRetryInterval)
 		}
 	}
 }
 
 // rebuild publishes a view of the newest settings and members, and begins to serve
 // new service addresses.
-func (b *Balancer) rebuild(ctx context.Context, wg *conc.WaitGroup) (err error) {
+func (b *Balancer) rebuild(ctx context.Context, wg *jmguard.Group) (err error) {
 	node := b.Node.View()
 	if node.Config == nil {
 		return nil
@@ -88,8 +98,8 @@
 			continue
 		}
 		if isNew {
+			wg.Go(goroutineCallers, func() { b.callerLoop(ctx, conn, local) })
 			b.Log.WithField("Address", local).Info("balancer: serving")
-			wg.Go(func() { b.callerLoop(ctx, conn, local) })
 		}
 	}
 	return nil
--- a/internal/operate/jmoperator/metrics.go
+++ b/internal/operate/jmoperator/metrics.go
@@ -37,6 +37,7 @@
 func NodeMetrics(n *jmnode.Node) *metrics.Set {
 	set := metrics.NewSet()
 	c := &n.Counters
+	registerPanics(set, n.Guard)
 	registerCounter(set, "jm_control_sent_bytes_total", &c.BytesSent)
 	registerCounter(set, "jm_control_crossing_bytes_total", &c.BytesCrossing)
 	registerCounter(set, "jm_control_dropped_total", &c.Dropped)
--- a/internal/request/jmgate/gate.go
+++ b/internal/request/jmgate/gate.go
@@ -45,6 +45,8 @@
 // waiter is a request in the queue.
 type waiter struct {
 	admitted chan struct{} // closed when the request gets a slot
+	element  *list.Element // of the queue
+	timeout  time.Duration
 }
 
 // Usage counts the streams that are open at one time.
@@ -106,37 +108,39 @@
 // until ctx ends or QueueWait has passed. The caller must call release when the
 // stream ends; further calls of it do nothing.
 func (g *Gate) Enter(ctx context.Context, kind jasminemoor.Kind) (release func(), err error) {
+	release, w, err := g.tryEnter(kind)
+	if w == nil {
+		return release, err
+	}
+	return g.wait(ctx, w)
+}
+
+// tryEnter admits a stream, refuses it, or queues it and returns its place in the queue.
+func (g *Gate) tryEnter(kind jasminemoor.Kind) (release func(), w *waiter, err error) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.returns.Arrive(time.Now())
-	if !g.hasFreeStream() {
-		g.mu.Unlock()
-		return nil, ErrTooManyStreams
-	}
-	if kind == jasminemoor.KindFeed {
+	switch {
+	case !g.hasFreeStream():
+		return nil, nil, ErrTooManyStreams
+	case kind == jasminemoor.KindFeed:
 		g.feeds++
-		g.mu.Unlock()
-		return sync.OnceFunc(g.releaseFeed), nil
-	}
-	if g.waiting.Len() == 0 && g.hasFreeSlot() {
+		return sync.OnceFunc(g.releaseFeed), nil, nil
+	case g.waiting.Len() == 0 && g.hasFreeSlot():
 		g.running++
-		g.mu.Unlock()
-		return g.newSlotRelease(), nil
-	}
-	if g.waiting.Len() >= g.limits.Queue {
-		g.mu.Unlock()
-		return nil, ErrQueueFull
+		return g.newSlotRelease(), nil, nil
+	case g.waiting.Len() >= g.limits.Queue:
+		return nil, nil, ErrQueueFull
 	}
-	w := &waiter{admitted: make(chan struct{})}
-	element := g.waiting.PushBack(w)
-	timeout := g.limits.QueueWait
-	g.mu.Unlock()
-	return g.wait(ctx, w, element, timeout)
+	w = &waiter{admitted: make(chan struct{}), timeout: g.limits.QueueWait}
+	w.element = g.waiting.PushBack(w)
+	return nil, w, nil
 }
 
 // wait waits until a queued request gets a slot, and removes it from the queue
 // if ctx or the timeout ends first.
-func (g *Gate) wait(ctx context.Context, w *waiter, element *list.Element, timeout time.Duration) (release func(), err error) {
-	timer := time.NewTimer(timeout)
+func (g *Gate) wait(ctx context.Context, w *waiter) (release func(), err error) {
+	timer := time.NewTimer(w.timeout)
 	defer timer.Stop()
 	select {
 	case <-w.admitted:
@@ -155,7 +159,7 @@
 		g.running--
 		g.admitWaiting()
 	default:
-		g.waiting.Remove(element)
+		g.waiting.Remove(w.element)
 	}
 	return nil, err
 }
--- a/internal/request/jmledger/ledger.go
+++ b/internal/request/jmledger/ledger.go
@@ -115,17 +115,24 @@
 // fences the other attempts, so that a fence which arrives in the meantime stays
 // in force.
 func (l *Ledger) BeginRetry(id jasminemoor.RequestID, fences int) (v Verdict, err error) {
-	l.mu.Lock()
-	e := l.entries[id]
-	if e != nil && e.state == stateFenced && e.fences == fences {
-		l.setState(e, statePending)
-		l.mu.Unlock()
+	if l.liftFence(id, fences) {
 		return VerdictNew, nil
 	}
-	l.mu.Unlock()
 	return l.Begin(id)
 }
 
+// liftFence makes a request pending that has been fenced exactly as often as fences says.
+func (l *Ledger) liftFence(id jasminemoor.RequestID, fences int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil || e.state != stateFenced || e.fences != fences {
+		return false
+	}
+	l.setState(e, statePending)
+	return true
+}
+
 // Start moves a pending request to running and reports whether it could. The
 // first byte may be sent to the upstream only after Start has returned true.
 func (l *Ledger) Start(id jasminemoor.RequestID) bool {
--- a/internal/request/jmserver/relay.go
+++ b/internal/request/jmserver/relay.go
@@ -5,9 +5,9 @@
 	"errors"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 )
 
@@ -113,19 +113,26 @@
 	defer stop()
 	stopDeadline := context.AfterFunc(ctx, stream.Abort)
 	defer stopDeadline()
-	var wg conc.WaitGroup
+	wg := jmguard.Group{Guard: v.Guard}
 	defer wg.Wait()
-	wg.Go(func() {
-		if err := copyTo(stream, s.In); err != nil {
+	wg.Go(goroutineRequest, func() {
+		if !v.Guard.Try(goroutineRequest, func() { sendRelayed(s, stream) }) {
 			stream.Abort()
-			return
 		}
-		_ = stream.CloseWrite()
 	})
 	v.copyRelayedAnswer(ctx, s, peer, stream)
 	s.In.StopRead()
 }
 
+// sendRelayed copies the caller's bytes to the other agent.
+func sendRelayed(s *Stream, stream jasminemoor.ByteStream) {
+	if err := copyTo(stream, s.In); err != nil {
+		stream.Abort()
+		return
+	}
+	_ = stream.CloseWrite()
+}
+
 // copyRelayedAnswer copies the other agent's status and answer to the caller.
 func (v *Server) copyRelayedAnswer(ctx context.Context, s *Stream, peer jasminemoor.Identity, stream jasminemoor.ByteStream) {
 	var status jasminemoor.Status
--- a/internal/request/jmserver/run.go
+++ b/internal/request/jmserver/run.go
@@ -5,9 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmframe"
 )
@@ -47,6 +46,9 @@
 	}
 }
 
+// goroutineRequest is the name of the goroutines that copy a caller's bytes.
+const goroutineRequest = "request"
+
 // run is the exchange of one stream with the agent's upstream.
 type run struct {
 	server *Server
@@ -73,8 +75,12 @@
 			return
 		}
 	}
-	var wg conc.WaitGroup
-	wg.Go(r.sendRequest)
+	wg := jmguard.Group{Guard: r.server.Guard}
+	wg.Go(goroutineRequest, func() {
+		if !r.server.Guard.Try(goroutineRequest, r.sendRequest) {
+			r.up.Abort()
+		}
+	})
 	err := r.copyAnswer()
 	r.finishAnswer(ctx, err)
 	r.stream.In.StopRead()
--- a/internal/request/jmserver/server.go
+++ b/internal/request/jmserver/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmload"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmgate"
 	"github.com/jasminemoor/jasminemoor/internal/request/jmledger"
@@ -47,6 +48,8 @@
 	// peers since.
 	IsClosed func() bool
 	Log      logrus.FieldLogger
+	// Guard ends the process if one of its goroutines panics.
+	Guard *jmguard.Guard
 	// Decisions, if set, logs each relay and each answer that is a status alone.
 	Decisions *jmdecision.Log
 	Counters  Counters
@@ -88,11 +91,23 @@
 	return s.OnAdmitted()
 }
 
-// Serve serves one stream and returns when it has ended.
+// Serve serves one stream and returns when it has ended. If serving it panics, a request that
+// has begun counts as lost.
 func (v *Server) Serve(ctx context.Context, s *Stream) {
 	// Once the caller has its answer or refusal, anything it still sends is
 	// discarded.
 	defer s.In.StopRead()
+	hasEnded := false
+	defer func() {
+		if !hasEnded {
+			v.finish(s, nil, false)
+		}
+	}()
+	v.serve(ctx, s)
+	hasEnded = true
+}
+
+func (v *Server) serve(ctx context.Context, s *Stream) {
 	if s.Header.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, s.Header.Timeout)
--- a/internal/standin/jmlab/lab.go
+++ b/internal/standin/jmlab/lab.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/client"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmagent"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmbalancer"
@@ -40,6 +41,8 @@
 	// control key when they start, so that they can start without the platform. It may
 	// be changed between starts.
 	WithSeeds bool
+	// Guard, which may be nil, is that of all balancers and agents.
+	Guard     *jmguard.Guard
 	Platform  jmplatform.Platform
 	Fabrics   []*jmfabric.Fabric // one for each service, in the order of Layout.Services
 	Balancers map[string]*Balancer
@@ -228,6 +231,7 @@
 		DataCentre: dataCentre,
 		Platform:   &jmwatch.Client{URL: "http://" + l.Layout.PlatformAddress().String()},
 		Log:        l.Log,
+		Guard:      l.Guard,
 		Reach: func(to netip.AddrPort) bool {
 			if silenced := l.silencedPort.Load(); silenced != nil && *silenced == to {
 				return false
@@ -249,7 +253,7 @@
 // StartAgent starts the agent of an upstream, or restarts it after it has ended.
 func (l *Lab) StartAgent(u jmtree.Upstream) *Agent {
 	node := l.newNode(u.Agent, u.DataCentre)
-	a := &Agent{Agent: &jmagent.Agent{Identity: node.Identity, DataCentre: u.DataCentre, Node: node, Log: l.Log}}
+	a := &Agent{Agent: &jmagent.Agent{Identity: node.Identity, DataCentre: u.DataCentre, Node: node, Log: l.Log, Guard: l.Guard}}
 	l.startProcess(&a.process, a.Run)
 	l.Agents[u.Name] = a
 	return a
@@ -264,6 +268,7 @@
 		ServiceIP:  spec.ServiceIP,
 		Node:       node,
 		Log:        l.Log,
+		Guard:      l.Guard,
 	}}
 	l.startProcess(&b.process, b.Run)
 	l.Balancers[spec.Name] = b
