Operator endpoint: a page that panics is counted and logged

What operators saw: a connection that is closed without an answer, and on standard error a line of net/http that is not in the format of the log. The server of net/http recovers from panics of its handlers, so nothing counts them.

Change: handlers run under the guard of the process. A request whose handler panics gets status 500, is logged with its stack and counted in jm_panics_total; after too many the process ends, as with any other input.

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -81,7 +81,7 @@
 	decisions := &jmdecision.Log{Log: log.Logger}
 	var r role
 	onReload := func(next *jmlocal.Settings) { store.SetAddress(next.Platform.Address.String()) }
-	operator := &jmoperator.Server{Address: s.Operator.String()}
+	operator := &jmoperator.Server{Address: s.Operator.String(), Guard: guard}
 	if name == jmlocal.RoleBalancer {
 		b := &jmpassnode.Balancer{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions, Guard: guard}
 		r, operator.Metrics = b, jmoperator.PassBalancerMetrics(b)
--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -115,7 +115,7 @@
 	}
 	var tasks []func(context.Context) error
 	if f.operator != "" && f.operator != "none" {
-		operator.Address = f.operator
+		operator.Address, operator.Guard = f.operator, guard
 		tasks = append(tasks, operator.Run)
 	}
 	return runUntilStopped(ctx, log, guard, r, tasks...)
--- a/internal/operate/jmoperator/operator.go
+++ b/internal/operate/jmoperator/operator.go
@@ -14,6 +14,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 )
 
 const (
@@ -30,6 +32,8 @@
 	Status func() *Status
 	// Explainer returns the explainer for /explain. If nil, that page doesn't exist.
 	Explainer func() *Explainer
+	// Guard counts the requests whose handlers panic, and ends the process after too many.
+	Guard *jmguard.Guard
 }
 
 // Run serves until ctx ends.
@@ -43,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.Guard.Handler("operator endpoint", s.handler()), ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/operate/jmoperator/operator_test.go
+++ b/internal/operate/jmoperator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -21,6 +22,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpassnode"
 	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
+	"github.com/jasminemoor/jasminemoor/internal/standin/jmfake"
 )
 
 var metricName = regexp.MustCompile("(?m)^(?:\\| `)?(jm_[a-z_]+)")
@@ -106,3 +108,31 @@
 	code, _ = get("/explain?id=xyz")
 	require.Equal(t, http.StatusBadRequest, code)
 }
+
+// TestPanicInPageIsCounted checks that the server does not hide that a page panics.
+func TestPanicInPageIsCounted(t *testing.T) {
+	guard := jmfake.NewGuard()
+	s := &jmoperator.Server{
+		Address: "127.0.0.1:9872",
+		Metrics: metrics.NewSet(),
+		Status:  func() *jmoperator.Status { panic("fault of the test") },
+		Guard:   &guard.Guard,
+	}
+	done := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { done <- s.Run(ctx) }()
+	code := 0
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + s.Address + "/status")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		code = response.StatusCode
+		return true
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, http.StatusInternalServerError, code)
+	require.EqualValues(t, 1, guard.Dropped.Load())
+	cancel()
+	require.NoError(t, <-done)
+}
