A packet loop that can't begin ends the process

What callers would see: a process that is ready and reads no packets, since its loop returned when its socket could not be set up; there is only a log line.

Change: such a loop ends the process as a panic does (Guard.Fail), in both datapaths.

Evidence: TestLoopWithoutSocketEndsProcess of jmpassnode and jmbalancer, with a socket that is not open, failed without the call: "process lives on". Loops that read errors later go on reading, as before.

--- a/internal/fleet/jmguard/guard.go
+++ b/internal/fleet/jmguard/guard.go
@@ -16,7 +16,7 @@
 // logTimeout bounds the wait for the last log line, whose reader may be stalled.
 const logTimeout = 500 * time.Millisecond
 
-// Guard ends a process when one of its goroutines panics. The exported fields are set before
+// Guard ends a process when one of its goroutines panics or fails. The exported fields are set before
 // use. The methods of a nil Guard recover from nothing, so that the runtime ends the process.
 type Guard struct {
 	// Log logs the inputs that are dropped.
@@ -51,6 +51,13 @@
 	}
 }
 
+// Fail ends the process because the goroutine of that name can't go on.
+func (g *Guard) Fail(name string, err error) {
+	if g != nil {
+		g.end("process: a goroutine failed, ending", logrus.Fields{"Goroutine": name, logrus.ErrorKey: err})
+	}
+}
+
 // Try calls f, which handles one input, and reports whether it returned. If f panics, the
 // input is dropped; after more than MaxDrops within DropWindow the process ends.
 func (g *Guard) Try(name string, f func()) (ok bool) {
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -17,16 +17,19 @@
 	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't read from the socket of a service address")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	fleet, err := newOutBatch(b.fleet)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't write to the fleet socket")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	spare, err := newOutBatch(b.spare)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't write to the spare socket")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	f := forwarder{balancer: b, local: local}
--- a/internal/flow/jmbalancer/guard_test.go
+++ b/internal/flow/jmbalancer/guard_test.go
@@ -92,3 +92,18 @@
 	sendTo(t, b.fleet, jmguard.MaxDrops, forged)
 	requireExit(t, guard, goroutineAnswers)
 }
+
+// TestLoopWithoutSocketEndsProcess checks that a balancer does not live on whose packet loops
+// can't begin.
+func TestLoopWithoutSocketEndsProcess(t *testing.T) {
+	for goroutine, loop := range map[string]func(b *Balancer){
+		goroutineCallers: func(b *Balancer) { b.callerLoop(t.Context(), &net.UDPConn{}, benchLocal) },
+		goroutineAnswers: func(b *Balancer) { b.returnLoop(t.Context(), &net.UDPConn{}) },
+	} {
+		guard := jmfake.NewGuard()
+		b, _ := newTestBalancer(t, listenUDP(t))
+		b.Guard = &guard.Guard
+		loop(b)
+		requireExit(t, guard, goroutine)
+	}
+}
--- a/internal/flow/jmbalancer/return.go
+++ b/internal/flow/jmbalancer/return.go
@@ -19,6 +19,7 @@
 	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't read agents' answers")
+		b.Guard.Fail(goroutineAnswers, err)
 		return
 	}
 	r := returner{balancer: b, outs: make(map[*net.UDPConn]*outBatch)}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -111,12 +111,12 @@
 	defer cancel()
 	a.runCommon(ctx, &wg)
 	wg.Go(goroutinePeers, func() {
-		a.readLoop(ctx, a.peers, jmhop.HeaderSize+max(a.Codec.MaxSize(), maxControlSize), func(batch []jmbatch.Datagram) {
+		a.readLoop(ctx, goroutinePeers, a.peers, jmhop.HeaderSize+max(a.Codec.MaxSize(), maxControlSize), func(batch []jmbatch.Datagram) {
 			a.handlePeers(ctx, batch, senders[0])
 		})
 	})
 	wg.Go(goroutineUpstream, func() {
-		a.readLoop(ctx, a.outbound, a.Codec.MaxSize(), func(batch []jmbatch.Datagram) { a.handleUpstream(batch, senders[2]) })
+		a.readLoop(ctx, goroutineUpstream, a.outbound, a.Codec.MaxSize(), func(batch []jmbatch.Datagram) { a.handleUpstream(batch, senders[2]) })
 	})
 	a.Guard.Do(goroutineTicks, func() { a.tickLoop(ctx, &wg, senders[1]) })
 	return nil
--- a/internal/flow/jmpassnode/balancer.go
+++ b/internal/flow/jmpassnode/balancer.go
@@ -100,10 +100,10 @@
 		case <-ctx.Done():
 			return
 		}
-		b.readLoop(ctx, b.callers, b.Codec.MaxSize(), func(batch []jmbatch.Datagram) { b.handleCallers(batch, s) })
+		b.readLoop(ctx, goroutineCallers, b.callers, b.Codec.MaxSize(), func(batch []jmbatch.Datagram) { b.handleCallers(batch, s) })
 	})
 	wg.Go(goroutinePeers, func() {
-		b.readLoop(ctx, b.peers, jmhop.HeaderSize+maxControlSize, func(batch []jmbatch.Datagram) { b.handlePeers(ctx, batch) })
+		b.readLoop(ctx, goroutinePeers, b.peers, jmhop.HeaderSize+maxControlSize, func(batch []jmbatch.Datagram) { b.handlePeers(ctx, batch) })
 	})
 	b.Guard.Do(goroutineTicks, func() { b.tickLoop(ctx) })
 	return nil
--- a/internal/flow/jmpassnode/bench_test.go
+++ b/internal/flow/jmpassnode/bench_test.go
@@ -84,7 +84,7 @@
 		writer, err := jmbatch.NewWriter(conn)
 		require.NoError(b, err)
 		out := make([]jmbatch.Datagram, jmbatch.Size)
-		p.readLoop(ctx, conn, jmadapter.Codec{}.MaxSize(), func(batch []jmbatch.Datagram) {
+		p.readLoop(ctx, goroutineCallers, conn, jmadapter.Codec{}.MaxSize(), func(batch []jmbatch.Datagram) {
 			for i := range batch {
 				out[i] = jmbatch.Datagram{Buffer: batch[i].Buffer[:batch[i].Length], Addr: sink}
 			}
@@ -103,7 +103,7 @@
 		balancer.machine.SetSnapshot(benchSnapshot(sink.Addr()))
 		s, err := balancer.newSender(conn)
 		require.NoError(b, err)
-		balancer.readLoop(ctx, conn, jmadapter.Codec{}.MaxSize(), func(batch []jmbatch.Datagram) {
+		balancer.readLoop(ctx, goroutineCallers, conn, jmadapter.Codec{}.MaxSize(), func(batch []jmbatch.Datagram) {
 			balancer.handleCallers(batch, s)
 			passed.Add(int64(len(batch)))
 		})
--- a/internal/flow/jmpassnode/guard_test.go
+++ b/internal/flow/jmpassnode/guard_test.go
@@ -386,3 +386,18 @@
 	require.EqualValues(t, 1, p.guard.Dropped.Load())
 	require.Zero(t, w.count)
 }
+
+// TestLoopWithoutSocketEndsProcess checks that a process does not stay ready whose packet loop
+// can't begin.
+func TestLoopWithoutSocketEndsProcess(t *testing.T) {
+	p := newGuarded(t, false)
+	p.process.guard, p.process.log = p.guard, p.balancer.Log
+	p.process.readLoop(t.Context(), goroutineCallers, &net.UDPConn{}, 1, nil)
+	select {
+	case <-p.exited:
+	default:
+		require.Fail(t, "process lives on")
+	}
+	require.Equal(t, goroutineCallers, p.last.LastEntry().Data["Goroutine"])
+	require.True(t, p.guard.HasFailed())
+}
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -152,12 +152,13 @@
 // readLoop reads batches of datagrams from a socket until ctx ends, and calls handle
 // with each batch. Size is the size in bytes of the buffer of one datagram. The
 // buffers are reused after handle returns.
-func (p *process) readLoop(ctx context.Context, conn *net.UDPConn, size int, handle func(batch []jmbatch.Datagram)) {
+func (p *process) readLoop(ctx context.Context, goroutine string, conn *net.UDPConn, size int, handle func(batch []jmbatch.Datagram)) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		p.log.WithError(err).Error("process: socket can't be set up for reading")
+		p.guard.Fail(goroutine, err)
 		return
 	}
 	batch := make([]jmbatch.Datagram, readBatch)
