--- a/internal/flow/jmbalancer/bench_test.go
+++ b/internal/flow/jmbalancer/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmplacer"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmbatch"
@@ -51,7 +52,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b = &Balancer{Log: log, fleet: listenUDP(t), spare: listenUDP(t), Node: &jmnode.Node{}}
+	b = &Balancer{Log: log, fleet: listenUDP(t), spare: listenUDP(t), Node: &jmnode.Node{}, Guard: &jmguard.Guard{}}
 	table := jmplacer.NewTable([]jmplacer.Candidate{{Agent: addrOf(sink), Weight: 1}})
 	b.view.Store(&view{
 		codec:    codec,
--- a/internal/flow/jmpassnode/bench_test.go
+++ b/internal/flow/jmpassnode/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminemoor/jasminemoor"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
@@ -98,7 +99,7 @@
 func BenchmarkForward(b *testing.B) {
 	measure(b, func(ctx context.Context, conn *net.UDPConn, sink netip.AddrPort, passed *atomic.Int64) {
 		settings := &jmlocal.Settings{FirstPort: sink.Port()}
-		balancer := &Balancer{Settings: settings, Codec: jmadapter.Codec{}, Log: logrus.New()}
+		balancer := &Balancer{Settings: settings, Codec: jmadapter.Codec{}, Log: logrus.New(), Guard: &jmguard.Guard{}}
 		balancer.settings, balancer.codec, balancer.log, balancer.control = settings, jmadapter.Codec{}, balancer.Log, &Control{}
 		balancer.machine.SetSnapshot(benchSnapshot(sink.Addr()))
 		s, err := balancer.newSender(conn)
