--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -49,6 +49,8 @@
 	OnOverload func(episode *jmoverload.Episode)
 
 	snapshot Snapshot
+	// formerServices are those that the agent had before Service.
+	formerServices []string
 	// newestPeer is the header with the newest revision of the directory that a
 	// peer has sent, and newestPeerAt when it arrived.
 	newestPeer   jmhop.Header
@@ -59,6 +61,10 @@
 	searches     map[jasminemoor.FlowKey]*search
 	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
 	handedOn     map[jasminemoor.FlowKey]nextHop
+	// openings are the opening packets that wait for the first copy of the directory.
+	openings []keptOpening
+	// hasReportedStarting is set while balancers may know that there is no copy.
+	hasReportedStarting bool
 	// searchBudget limits the rate of packets that ask other agents for a flow's
 	// holder, and reportBudget that of reports to balancers that send no new flows.
 	// nextReport is the index of the balancer at which the round robin of these
@@ -101,6 +107,14 @@
 	}
 }
 
+// SetService replaces the service of the agent's upstream. Open flows of the former one go on.
+func (a *Agent) SetService(service string) {
+	if service != a.Service {
+		a.formerServices = append(a.formerServices, a.Service)
+		a.Service = service
+	}
+}
+
 // HandlePeer decides on a caller's packet that a balancer or another agent
 // forwarded.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
@@ -110,7 +124,7 @@
 	case h.Kind == jmhop.KindAsk:
 		reason = a.handleAsk(now, from, h, p, packet)
 	case p.Flags.Has(jasminemoor.FlagOpen):
-		reason = a.handleOpen(now, from, h, p)
+		reason = a.handleOpen(now, from, h, p, packet)
 	default:
 		reason = a.handleForward(now, h, p, packet)
 	}
@@ -137,13 +151,18 @@
 }
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
-// flow, the packet is forwarded to another agent.
-func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet) Reason {
+// flow, the packet is forwarded to another agent. It waits for a copy of the directory
+// that has its route.
+func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	at := a.recordBalancer(now, h)
 	a.balancers[at].isDue = true
 	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
 		a.sendReport(now, &a.balancers[at])
 	}
+	if a.mustWait(h, p) {
+		a.keepOpening(now, from, h, p, packet)
+		return ReasonNoView
+	}
 	key := p.Key()
 	if reason := a.refusalReason(p); reason != ReasonNone {
 		a.forwardOpening(now, key, p, h, nil)
@@ -182,10 +201,6 @@
 // refusalReason returns why a new flow must not go to the own upstream, ReasonNone
 // if it may.
 func (a *Agent) refusalReason(p *jasminemoor.Packet) Reason {
-	if a.snapshot.View == nil {
-		// Without a view of the directory, rely on the balancer's placement.
-		return ReasonNone
-	}
 	route := a.snapshot.Routes[p.Destination]
 	if route == nil || !route.Allows(a.Service) {
 		return ReasonOtherService
@@ -207,14 +222,15 @@
 }
 
 // forwardOpening forwards an opening packet to another agent, at most maxHops
-// times. If the directory is recent and has no route for it, the flow is reset.
+// times. If the directory is recent, no peer has a newer one, and it has no route for the
+// packet, the flow is reset.
 func (a *Agent) forwardOpening(now time.Time, key jasminemoor.FlowKey, p *jasminemoor.Packet, h *jmhop.Header, packet []byte) {
 	if a.snapshot.View == nil || h.Hops >= maxHops {
 		return
 	}
 	route := a.snapshot.Routes[p.Destination]
 	if route == nil {
-		if a.snapshot.isFresh(now) {
+		if a.snapshot.isFresh(now) && !a.isBehind(now) {
 			a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: p.Acknowledged})
 		}
 		return
@@ -392,6 +408,7 @@
 	a.begin(now)
 	a.table.stall.recordTick(now)
 	a.advanceCold(now)
+	a.releaseOpenings(now)
 	a.sendDueReports(now)
 	a.advanceFlowProbes(now)
 	a.advanceSearches(now)
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -86,7 +86,10 @@
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
 	a.settings, a.codec, a.log, a.decisions, a.guard = s, a.Codec, a.Log, a.Decisions, a.Guard
-	a.onDecision = a.addLimit
+	a.onDecision = func(fields logrus.Fields, reason jmpass.Reason, flow jasminemoor.FlowKey) {
+		fields[fieldService] = a.machine.Service
+		a.addLimit(fields, reason, flow)
+	}
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
@@ -135,6 +138,14 @@
 	}
 }
 
+// SetService replaces the service of the upstream, after its settings have changed. It may be
+// called at any time.
+func (a *Agent) SetService(service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.machine.SetService(service)
+}
+
 // Count returns how many decisions were made for a reason.
 func (a *Agent) Count(reason jmpass.Reason) uint64 {
 	a.mu.Lock()
@@ -192,7 +203,7 @@
 	a.control.CheckRevision(ctx, now, from, &h)
 	switch h.Kind {
 	case jmhop.KindControl:
-		a.control.Receive(ctx, from, body)
+		a.control.Receive(ctx, from, &h, body)
 	case jmhop.KindPoll:
 		s.send(a.machine.HandlePoll(now, from), nil)
 	case jmhop.KindAbsent, jmhop.KindHolder:
--- a/internal/flow/jmpassnode/process.go
+++ b/internal/flow/jmpassnode/process.go
@@ -48,6 +48,8 @@
 	fieldRequest  = "Request"
 	fieldReason   = "Reason"
 	fieldOutcome  = "Outcome"
+	fieldService  = "Service"
+	fieldUpstream = "Upstream"
 )
 
 // process is the part that balancers and agents have in common.
@@ -234,7 +236,9 @@
 	if packet.Flags.Has(jasminemoor.FlagOpen) {
 		fields["IsOpening"] = true
 	}
-	if s := p.control.Snapshot(); s != nil {
+	s := p.control.Snapshot()
+	fields["HasCopy"] = s != nil
+	if s != nil {
 		fields[fieldVersion], fields[fieldRevision] = s.Version, s.Revision.Change()
 		if era := s.Revision.Era(); era > 0 {
 			fields[fieldEra] = era
@@ -246,9 +250,7 @@
 			fields["RequestAgeMs"] = m.Header.Age.Milliseconds()
 		}
 		fields[fieldOutcome] = m.Kind.String()
-		if m.To.IsValid() {
-			fields["To"] = m.To
-		}
+		addRecipient(fields, s, m.To)
 		if m.Holder.IsValid() {
 			fields["Holder"], fields["IsConfirmed"] = m.Holder, m.IsConfirmed
 		}
@@ -259,6 +261,18 @@
 	return fields
 }
 
+// addRecipient adds the agent that a packet is passed on to, with the upstream that the copy of
+// the directory lists there.
+func addRecipient(fields logrus.Fields, s *jmpass.Snapshot, to netip.Addr) {
+	if !to.IsValid() {
+		return
+	}
+	fields["To"] = to
+	if s != nil && s.Agents[to] != nil {
+		fields["ToService"], fields["ToUpstream"] = s.Agents[to].Service, s.Agents[to].ID
+	}
+}
+
 // last returns the last message, which is the outcome of the packet, or nil.
 func last(messages []jmpass.Message) *jmpass.Message {
 	if len(messages) == 0 {
