Test: TestPanicInLink waits for the count of the second panic

The test failed once in a run of all tests with -race (1 in place of 2). Cause: the link is closed by a deferred call that runs before the guard recovers and counts, so its peer may see the end first. With a trial delay of 20 ms before the count it failed 3 of 3 runs, and passes with the wait; the other tests on panics passed with the delay. The condition is the same.

--- a/internal/fleet/jmnode/guard_test.go
+++ b/internal/fleet/jmnode/guard_test.go
@@ -135,6 +135,7 @@
 		<-handled
 		_ = conn.Close()
 	}
+	// A link is closed before its panic is counted.
+	require.Eventually(t, func() bool { return guard.Dropped.Load() == 2 }, guardTimeout, time.Millisecond)
 	requireDrop(t, n, guard)
-	require.EqualValues(t, 2, guard.Dropped.Load())
 }
