--- a/cmd/jasminemoor/role.go
+++ b/cmd/jasminemoor/role.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmguard"
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmnode"
 	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmwatch"
@@ -59,7 +60,17 @@
 	return nil
 }
 
-func (f *roleFlags) node(log logrus.FieldLogger) *jmnode.Node {
+// loggers returns the log of the process and the guard of its goroutines.
+func (f *roleFlags) loggers(t *terminal) (log *logrus.Logger, guard *jmguard.Guard, err error) {
+	if log, err = f.log.logger(t.err); err != nil {
+		return nil, nil, err
+	}
+	// The output of log may block while its mutex is held.
+	last, err := f.log.logger(t.err)
+	return log, newGuard(log, last, func() {}), err
+}
+
+func (f *roleFlags) node(log logrus.FieldLogger, guard *jmguard.Guard) *jmnode.Node {
 	n := &jmnode.Node{
 		Identity: jasminemoor.Identity{
 			Agent:       *f.address,
@@ -69,6 +80,7 @@
 		Seeds:      *f.peers,
 		SeedKey:    *f.controlKey,
 		Log:        log,
+		Guard:      guard,
 	}
 	if f.platform != "" {
 		n.Platform = &jmwatch.Client{URL: f.platform}
@@ -79,6 +91,14 @@
 	return n
 }
 
+// newGuard returns a guard that flushes the log and ends the process with exitFailed.
+func newGuard(log, last logrus.FieldLogger, flush func()) *jmguard.Guard {
+	return &jmguard.Guard{Log: log, Last: last, Exit: func() {
+		flush()
+		os.Exit(exitFailed)
+	}}
+}
+
 // role is a balancer or an agent.
 type role interface {
 	Run(ctx context.Context) error
@@ -107,35 +127,41 @@
 
 // runRole runs a role with its operator endpoint until it is stopped. SIGHUP has no effect, as
 // the settings come from the platform.
-func (f *roleFlags) runRole(ctx context.Context, signals *roleSignals, log logrus.FieldLogger, r role, operator *jmoperator.Server) error {
+func (f *roleFlags) runRole(ctx context.Context, signals *roleSignals, log logrus.FieldLogger, guard *jmguard.Guard, r role, operator *jmoperator.Server) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.partition.path != "" {
-		go f.partition.watch(ctx.Done())
+		go guard.Do("partition file", func() { f.partition.watch(ctx.Done()) })
 	}
 	var tasks []func(context.Context) error
 	if f.operator != "" && f.operator != "none" {
-		operator.Address = f.operator
+		operator.Address, operator.Guard = f.operator, guard
 		tasks = append(tasks, operator.Run)
 	}
-	return runUntilStopped(ctx, signals.stop, log, r, tasks...)
+	return runUntilStopped(ctx, signals.stop, log, guard, r, tasks...)
 }
 
 // runUntilStopped runs a role and further tasks beside it. On the first signal the role
 // leaves gracefully, and on the second it ends at once.
-func runUntilStopped(ctx context.Context, signals <-chan os.Signal, log logrus.FieldLogger, r role, tasks ...func(context.Context) error) error {
+func runUntilStopped(ctx context.Context, signals <-chan os.Signal, log logrus.FieldLogger, guard *jmguard.Guard, r role, tasks ...func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	isForced := false
 	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	p.Go(func(ctx context.Context) error {
+	start := func(name string, task func(context.Context) error) {
+		p.Go(func(ctx context.Context) (err error) {
+			guard.Do(name, func() { err = task(ctx) })
+			return err
+		})
+	}
+	start("role", func(ctx context.Context) error {
 		defer cancel()
 		return r.Run(ctx)
 	})
 	for _, task := range tasks {
-		p.Go(task)
+		start("task", task)
 	}
-	p.Go(func(ctx context.Context) error {
+	start("signals", func(ctx context.Context) error {
 		defer cancel()
 		isForced = awaitStop(ctx, log, r, signals)
 		return nil
--- a/internal/flow/jmbalancer/forward.go
+++ b/internal/flow/jmbalancer/forward.go
@@ -17,16 +17,19 @@
 	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't read from the socket of a service address")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	fleet, err := newOutBatch(b.fleet)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't write to the fleet socket")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	spare, err := newOutBatch(b.spare)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't write to the spare socket")
+		b.Guard.Fail(goroutineCallers, err)
 		return
 	}
 	f := forwarder{balancer: b, local: local}
@@ -37,8 +40,8 @@
 			continue
 		}
 		f.routeBatch(in[:n], fleet, spare)
-		fleet.flush()
-		spare.flush()
+		b.Guard.Try(goroutineCallers, fleet.flush)
+		b.Guard.Try(goroutineCallers, spare.flush)
 	}
 }
 
@@ -56,20 +59,20 @@
 // header, and adds them to the batch of the socket that sends them.
 func (f *forwarder) routeBatch(in []jmbatch.Datagram, fleet, spare *outBatch) {
 	isAnyRouted := false
-	for i := range in {
+	f.balancer.Guard.Each(goroutineCallers, len(in), func(i int) {
 		datagram := in[i].Buffer[:jmdatagram.HeaderSize+in[i].Length]
 		to, ok := f.route(datagram, in[i].Addr)
 		if !ok || !f.balancer.Node.CanReach(to) {
-			continue
+			return
 		}
 		isAnyRouted = true
 		if f.usesSparePort {
 			f.balancer.Counters.SparePort.Add(1)
 			spare.add(datagram, to)
-			continue
+			return
 		}
 		fleet.add(datagram, to)
-	}
+	})
 	if isAnyRouted {
 		f.balancer.lastRouted.Store(time.Now().UnixNano())
 	}
--- a/internal/flow/jmbalancer/return.go
+++ b/internal/flow/jmbalancer/return.go
@@ -19,6 +19,7 @@
 	reader, err := jmbatch.NewReader(conn)
 	if err != nil {
 		b.Log.WithError(err).Error("balancer: can't read agents' answers")
+		b.Guard.Fail(goroutineAnswers, err)
 		return
 	}
 	r := returner{balancer: b, outs: make(map[*net.UDPConn]*outBatch)}
@@ -28,10 +29,10 @@
 		if err != nil {
 			continue
 		}
-		for i := range in[:n] {
+		b.Guard.Each(goroutineAnswers, n, func(i int) {
 			r.handle(ctx, in[i].Buffer[:in[i].Length], in[i].Addr)
-		}
-		r.flush()
+		})
+		b.Guard.Try(goroutineAnswers, r.flush)
 	}
 }
 
@@ -66,9 +67,9 @@
 // returns at most jmbatch.Size datagrams, so that the batch has room for all of
 // them.
 func (o *outBatch) flush() {
-	if o.count > 0 {
-		_ = o.writer.Write(o.batch[:o.count])
+	if n := o.count; n > 0 {
 		o.count = 0
+		_ = o.writer.Write(o.batch[:n])
 	}
 }
 
