Silence of an upstream is no proof that it holds a flow

Cause: an agent that was restarted gives packets of flows that it doesn't know to its own upstream, also for agents that ask, and took 40 ms without a returned packet as proof that the upstream holds the flow: it told balancer and asker and added the flow to its table. An upstream that has just crashed returns nothing, and the agent finds out after 150 ms. It then reset all flows of its table.

Now only a packet of the flow from the upstream is the proof. Until then packets go on to the upstream, and the flow is neither in the table nor announced:

- A crash resets only flows of which the upstream has sent a packet, which no other upstream can have.
Flows that it had without proof are reset by the search that their next packet starts, once all agents have said no.
The agents that asked are told as soon as the port refuses.
- A quiet flow, or a caller that only acknowledges, is delivered as before.
The first data or acknowledgement of the upstream puts it into the table.
- A packet that an asker repeats goes to the upstream again after 40 ms, as the flow isn't known by then.
It used to go there because the flow was claimed.
- If the upstream has sent nothing at all since a packet 40 ms ago, the agent asks the others as well: they may hold the flow.
They can't have it reset, as the own upstream still may hold it.

Flows in the table are proved now, so flow.isConfirmed is gone.

TestRestartedAgentProbesForFlow, "the upstream is silent, then refuses another packet": it expected the asked agent to start a search of its own, since the asker had been told after 40 ms that the flow was held. The asker's search goes on now, so the test expects the answer that the flow is not held, to that agent and nothing else, and a second case expects the search if a balancer had sent the packet.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -85,7 +85,8 @@
 }
 
 // flowProbe is a packet that was sent to the own upstream to find out whether the
-// upstream holds the flow.
+// upstream holds the flow. A packet of the flow from the upstream proves that it does, the
+// returned packet that it does not.
 type flowProbe struct {
 	at       time.Time
 	balancer netip.Addr
@@ -249,8 +250,8 @@
 }
 
 // handleForward decides on a packet of an open flow. The packet goes to the own
-// upstream if that holds the flow, or may hold it although the table lacks it. A flow
-// whose upstream is down, or that was found to have no holder, is reset. A flow that was
+// upstream if that holds the flow, or may hold it although the table lacks it. If the
+// upstream is quiet then, the other agents are asked as well. A flow whose upstream is down, or that was found to have no holder, is reset. A flow that was
 // handed on a moment ago is followed. For any other flow, the other agents are asked.
 func (a *Agent) handleForward(now time.Time, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	key := p.Key()
@@ -278,10 +279,14 @@
 		return ReasonHandedOn
 	}
 	if a.mayHold(now, key) {
+		isQuiet := a.isUpstreamQuiet(now)
 		if _, isProbing := a.flowProbes[key]; !isProbing {
-			a.flowProbes[key] = flowProbe{at: now, balancer: h.Origin}
+			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin})
 		}
 		a.sendToUpstream(now, key)
+		if isQuiet {
+			a.startSearch(now, key, h.Origin, p, packet)
+		}
 		return ReasonProbed
 	}
 	a.startSearch(now, key, h.Origin, p, packet)
@@ -384,7 +389,7 @@
 	a.queue.remove(key)
 }
 
-// Tick sends the reports that are due, advances the flow probes and the searches,
+// Tick sends the reports that are due, ends old flow probes, advances the searches,
 // admits queued requests and evicts old entries. It is called several times in each
 // reportInterval. If shouldProbe is set, the upstream's port is to be probed and the
 // result passed to HandleProbe.
@@ -393,7 +398,7 @@
 	a.table.stall.recordTick(now)
 	a.advanceCold(now)
 	a.sendDueReports(now)
-	a.advanceFlowProbes(now)
+	a.expireFlowProbes(now)
 	a.advanceSearches(now)
 	if len(a.queue.requests) > 0 {
 		a.failOverdueRequests(now)
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -31,8 +31,13 @@
 	// maxSearches bounds the searches, each of which keeps a packet.
 	maxSearches = 4096
 	// flowProbeTimeout is how long an upstream may take to refuse a packet. Agent and
-	// upstream are on one instance.
+	// upstream are on one instance. An upstream that does not refuse a packet may have
+	// crashed or may not run, so it is not known to hold the flow.
 	flowProbeTimeout = 40 * time.Millisecond
+	// flowProbeTTL is how long a flow probe waits for a packet of the upstream.
+	flowProbeTTL = searchTimeout
+	// maxFlowProbes bounds the flow probes.
+	maxFlowProbes = 4096
 	// refusedTTL is how long an upstream's refusal of a flow counts.
 	refusedTTL = 20 * time.Second
 	// lostFlowTTL is how long packets of a flow without a holder are answered with a
@@ -84,13 +89,15 @@
 }
 
 // ask takes the next step of a search. If the own upstream may hold the flow, it is
-// probed. If no agent holds the flow, it is reset. Otherwise the agents that have not
-// answered are asked, within searchBudget.
+// probed. If no agent holds the flow, it is reset. Otherwise, and if the own upstream sends
+// nothing, the agents that have not answered are asked, within searchBudget.
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
 	if a.mayHold(now, key) {
-		s.next = now.Add(askInterval)
 		a.probeFlow(now, key, s)
-		return
+		if !a.isUpstreamQuiet(now) {
+			s.next = now.Add(askInterval)
+			return
+		}
 	}
 	if s.hasAsked && len(s.round) == 0 {
 		s.isInitialized = false // upstreams may have left since the last round
@@ -145,11 +152,26 @@
 	if _, isProbing := a.flowProbes[key]; isProbing {
 		return
 	}
-	a.flowProbes[key] = flowProbe{at: now, balancer: s.balancer}
+	a.addFlowProbe(key, flowProbe{at: now, balancer: s.balancer})
 	a.markUnanswered(now)
 	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
 }
 
+// addFlowProbe records that a packet is sent to the own upstream. If there are
+// maxFlowProbes already, it does nothing.
+func (a *Agent) addFlowProbe(key jasminemoor.FlowKey, probe flowProbe) {
+	if _, isProbing := a.flowProbes[key]; isProbing || len(a.flowProbes) < maxFlowProbes {
+		a.flowProbes[key] = probe
+	}
+}
+
+// isUpstreamQuiet reports whether the own upstream has sent nothing for flowProbeTimeout
+// although it has got packets.
+func (a *Agent) isUpstreamQuiet(now time.Time) bool {
+	since := a.upstream.unansweredSince
+	return !since.IsZero() && now.Sub(since) >= flowProbeTimeout
+}
+
 // resetIfLost resets a flow, which ends the search, if every agent that could hold it
 // has answered that it does not, the view from which these agents are listed is
 // recent and lacks none, and the own upstream does not hold the flow. It reports whether
@@ -203,8 +225,8 @@
 		return reason
 	}
 	if a.mayHold(now, key) {
-		if _, isProbing := a.flowProbes[key]; !isProbing {
-			a.flowProbes[key] = flowProbe{at: now, balancer: h.Origin, asker: from}
+		if probe, isProbing := a.flowProbes[key]; !isProbing || now.Sub(probe.at) >= flowProbeTimeout {
+			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, asker: from})
 			a.sendToUpstream(now, key)
 		}
 		return ReasonProbed
@@ -249,23 +271,25 @@
 	delete(a.searches, key)
 }
 
-// advanceFlowProbes ends the flow probes whose packet the upstream has not refused
-// within flowProbeTimeout. The upstream is then assumed to hold the flow, unless it is
-// down or silent.
-func (a *Agent) advanceFlowProbes(now time.Time) {
+// expireFlowProbes ends the flow probes to which the upstream has sent nothing within
+// flowProbeTTL.
+func (a *Agent) expireFlowProbes(now time.Time) {
 	for key, probe := range a.flowProbes {
-		if now.Sub(probe.at) < flowProbeTimeout {
-			continue
-		}
-		if a.upstream.isDown || a.upstream.isSilent {
+		if now.Sub(probe.at) >= flowProbeTTL {
 			delete(a.flowProbes, key)
-			continue
 		}
-		if a.table.get(key) == nil {
-			a.table.add(key, &flow{opened: now, lastUsed: now, isOpen: true, balancer: a.indexOf(probe.balancer) + 1})
+	}
+}
+
+// endFlowProbes ends all flow probes, as the upstream's process has ended, and informs the
+// agents that asked.
+func (a *Agent) endFlowProbes() {
+	for key, probe := range a.flowProbes {
+		if probe.asker.IsValid() {
+			a.sendAbsent(probe.asker, key)
 		}
-		a.confirmHolder(key, probe)
 	}
+	clear(a.flowProbes)
 }
 
 // advanceSearches ends the searches that have timed out, and takes the next step of those
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -148,7 +148,19 @@
 		refused := *p
 		refused.Flags |= jasminemoor.FlagReturned
 		out, reason := a.HandleUpstream(startTime.Add(flowProbeTimeout), &refused, []byte("packet"), false)
-		require.Equal(t, ReasonSearched, reason, "the upstream was only assumed to hold the flow")
+		require.Equal(t, ReasonNotHeld, reason)
+		require.Equal(t, []Kind{ToPeer}, kinds(out), "the search of the agent that asked goes on")
+		require.Equal(t, jmhop.KindAbsent, out[0].Header.Kind)
+		require.Equal(t, agentAddr(2), out[0].To)
+	})
+	t.Run("the upstream is silent, then refuses another packet of a balancer", func(t *testing.T) {
+		a := newAgent(false, snapshot(3))
+		_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+		_, _ = a.Tick(startTime.Add(flowProbeTimeout))
+		refused := *p
+		refused.Flags |= jasminemoor.FlagReturned
+		out, reason := a.HandleUpstream(startTime.Add(flowProbeTimeout), &refused, []byte("packet"), false)
+		require.Equal(t, ReasonSearched, reason, "the upstream was never known to hold the flow")
 		require.NotContains(t, kinds(out), Reset)
 	})
 	t.Run("no reset before the own upstream was probed for the flow", func(t *testing.T) {
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -32,7 +32,6 @@
 	balancer           uint32 // index into the agent's balancers plus 1, 0 if none is known
 	hops               uint8
 	isOpen             bool // the handshake is complete
-	isConfirmed        bool // the upstream has sent a packet of the flow
 	hasRequestInFlight bool // the upstream has not begun to answer a request
 	isOverdue          bool // the answer to that request is overdue
 	hasOpenReply       bool // the upstream has replied to the opening packet
@@ -129,7 +128,7 @@
 // recordUpstream updates a flow for a packet from the upstream. If the packet begins
 // an answer, it returns the answer time, otherwise 0.
 func (t *table) recordUpstream(now time.Time, f *flow, p *jasminemoor.Packet) (took time.Duration) {
-	f.lastUsed, f.isConfirmed = now, true
+	f.lastUsed = now
 	if f.isNewAnswer(p) {
 		f.answerEnd = p.Sequence + uint32(p.Length)
 		if f.hasRequestInFlight {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -78,7 +78,7 @@
 		a.OnAnswer(took)
 	}
 	if probe, found := a.flowProbes[key]; found {
-		a.confirmHolder(key, probe)
+		a.confirmHolder(key, f, probe)
 	}
 	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
 	if p.Flags.Has(jasminemoor.FlagReset) {
@@ -88,10 +88,11 @@
 	return ReasonHeld
 }
 
-// confirmHolder ends a flow probe whose flow the upstream holds, and informs the
-// balancer and the agent that asked.
-func (a *Agent) confirmHolder(key jasminemoor.FlowKey, probe flowProbe) {
+// confirmHolder ends a flow probe whose flow the upstream has sent a packet of, and informs
+// the balancer and the agent that asked.
+func (a *Agent) confirmHolder(key jasminemoor.FlowKey, f *flow, probe flowProbe) {
 	delete(a.flowProbes, key)
+	f.balancer = a.indexOf(probe.balancer) + 1
 	if probe.asker.IsValid() {
 		a.sendHolder(probe.asker, key)
 	}
@@ -125,12 +126,6 @@
 	if f == nil || !f.isOpen {
 		return ReasonNotHeld
 	}
-	if !f.isConfirmed {
-		origin := a.balancerOf(f)
-		a.drop(key)
-		a.startSearch(now, key, origin, p, packet)
-		return ReasonSearched
-	}
 	a.recordLoss(now, f)
 	// The upstream has sent packets of the flow, so no other agent holds it.
 	if !p.Flags.Has(jasminemoor.FlagReset) {
@@ -204,6 +199,7 @@
 		a.cold.hard.Remit()
 		if !u.isDown {
 			u.isDown = true
+			a.endFlowProbes()
 			for key, f := range a.table.flows {
 				if f.isOpen {
 					a.resetFlow(now, key, f, false)
