A search ends when the own upstream proves to hold the flow

An agent that has no copy of the directory yet starts a search for a flow that it doesn't know. With the copy it gives the packet to its own upstream first. When that answered, the search went on: the agent asked all others for another 1.5 s, and each agent that had been restarted gave the packet to its upstream.

A packet of the upstream now ends the search as well as the probe. Without that TestProofEndsOwnSearch fails: the agents 2 and 3 are asked.

--- a/internal/flow/jmpass/silence_test.go
+++ b/internal/flow/jmpass/silence_test.go
@@ -114,6 +114,22 @@
 	require.NotNil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
 }
 
+// TestProofEndsOwnSearch has the own upstream answer the packet of a flow whose search began
+// before the agent had a view. The other agents are not asked any more.
+func TestProofEndsOwnSearch(t *testing.T) {
+	a := newAgent(false, Snapshot{})
+	_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
+	a.SetSnapshot(snapshot(3))
+	now := startTime.Add(askInterval)
+	out, _ := a.Tick(now)
+	require.NotNil(t, find(out, ToUpstream))
+	_, _ = a.HandleUpstream(now, upstreamPacket(jasminemoor.FlagAck, 100), nil, false)
+	for ; now.Sub(startTime) < searchTimeout; now = now.Add(25 * time.Millisecond) {
+		out, _ = a.Tick(now)
+		require.Empty(t, askedAgents(out))
+	}
+}
+
 // TestUnansweredProbesAreBounded bounds what an agent keeps of flows that its upstream neither
 // refuses nor answers for.
 func TestUnansweredProbesAreBounded(t *testing.T) {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -88,10 +88,11 @@
 	return ReasonHeld
 }
 
-// confirmHolder ends a flow probe whose flow the upstream has sent a packet of, and informs
-// the balancer and the agent that asked.
+// confirmHolder ends a flow probe and the search for a flow of which the upstream has sent
+// a packet, and informs the balancer and the agent that asked.
 func (a *Agent) confirmHolder(key jasminemoor.FlowKey, f *flow, probe flowProbe) {
 	delete(a.flowProbes, key)
+	delete(a.searches, key)
 	f.balancer = a.indexOf(probe.balancer) + 1
 	if probe.asker.IsValid() {
 		a.sendHolder(probe.asker, key)
