An agent that leaves hands its searches on

An agent that leaves now hands each search on: to one that has said that it doesn't hold the flow, so that it runs and need not ask its upstream, or else to the agent heard last. That one searches anew. Searches that start while the agent leaves are handed on at once. A packet is handed on three times at most.

Evidence: TestSearchOutlivesAgent fails without it (no message).

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -57,6 +57,7 @@
 	refused      map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
 	flowProbes   map[jasminemoor.FlowKey]flowProbe
 	searches     map[jasminemoor.FlowKey]*search
+	lastPeer     netip.Addr                        // the agent that asked or answered last
 	lostFlows    map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
 	handedOn     map[jasminemoor.FlowKey]nextHop
 	// searchBudget limits the rate of packets that ask other agents for a flow's
@@ -90,6 +91,7 @@
 type flowProbe struct {
 	at       time.Time
 	balancer netip.Addr
+	hops     uint8
 	asker    netip.Addr // agent that asked for the holder, not valid if none did
 }
 
@@ -281,15 +283,15 @@
 	if a.mayHold(now, key) {
 		isQuiet := a.isUpstreamQuiet(now)
 		if _, isProbing := a.flowProbes[key]; !isProbing {
-			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin})
+			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, hops: h.Hops})
 		}
 		a.sendToUpstream(now, key)
 		if isQuiet {
-			a.startSearch(now, key, h.Origin, p, packet)
+			a.startSearch(now, key, h.Origin, h.Hops, p, packet)
 		}
 		return ReasonProbed
 	}
-	a.startSearch(now, key, h.Origin, p, packet)
+	a.startSearch(now, key, h.Origin, h.Hops, p, packet)
 	return ReasonSearched
 }
 
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -49,6 +49,7 @@
 // that its route has or had.
 type search struct {
 	balancer netip.Addr
+	hops     uint8 // how many agents have handed the packet on
 	packet   []byte
 	ack      uint32
 	hasData  bool // whether the packet has data
@@ -71,8 +72,9 @@
 }
 
 // startSearch searches for the holder of a flow, or replaces the packet of a search
-// that is under way. If there are maxSearches already, it starts no other.
-func (a *Agent) startSearch(now time.Time, key jasminemoor.FlowKey, balancer netip.Addr, p *jasminemoor.Packet, packet []byte) {
+// that is under way. If there are maxSearches already, it starts no other. An agent that
+// is leaving hands the search on.
+func (a *Agent) startSearch(now time.Time, key jasminemoor.FlowKey, balancer netip.Addr, hops uint8, p *jasminemoor.Packet, packet []byte) {
 	s := a.searches[key]
 	if s == nil {
 		if len(a.searches) >= maxSearches {
@@ -81,13 +83,45 @@
 		s = &search{started: now, notHolders: make(map[netip.Addr]bool)}
 		a.searches[key] = s
 	}
-	s.balancer, s.ack, s.hasData = balancer, p.Acknowledged, p.Length > 0
+	s.balancer, s.hops, s.ack, s.hasData = balancer, hops, p.Acknowledged, p.Length > 0
 	s.packet = append(s.packet[:0], packet...)
+	if a.isLeaving {
+		a.handOnSearch(now, key, s)
+		return
+	}
 	if !s.hasAsked {
 		a.ask(now, key, s)
 	}
 }
 
+// HandOnSearches hands the searches of an agent that is leaving on to other agents, as
+// their callers may not send another packet before the next agent runs.
+func (a *Agent) HandOnSearches(now time.Time) []Message {
+	a.begin(now)
+	for key, s := range a.searches {
+		a.handOnSearch(now, key, s)
+	}
+	return a.out
+}
+
+// handOnSearch hands a search on to another agent that runs, and ends it here. One that
+// has answered that it does not hold the flow is preferred, as it need not ask its upstream.
+func (a *Agent) handOnSearch(now time.Time, key jasminemoor.FlowKey, s *search) {
+	delete(a.searches, key)
+	to := a.lastPeer
+	holders := a.possibleHolders(now, key)
+	if i := slices.IndexFunc(holders, func(agent netip.Addr) bool { return s.notHolders[agent] }); i >= 0 {
+		to = holders[i]
+	}
+	if !to.IsValid() || s.hops >= maxHops {
+		return
+	}
+	header := jmhop.Header{
+		Kind: jmhop.KindForward, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Hops: s.hops + 1, Revision: a.revision(),
+	}
+	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: s.packet})
+}
+
 // ask takes the next step of a search. If the own upstream may hold the flow, it is
 // probed. If no agent holds the flow, it is reset. Otherwise, and if the own upstream sends
 // nothing, the agents that have not answered are asked, within searchBudget.
@@ -152,7 +186,7 @@
 	if _, isProbing := a.flowProbes[key]; isProbing {
 		return
 	}
-	a.addFlowProbe(key, flowProbe{at: now, balancer: s.balancer})
+	a.addFlowProbe(key, flowProbe{at: now, balancer: s.balancer, hops: s.hops})
 	a.markUnanswered(now)
 	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
 }
@@ -212,6 +246,7 @@
 // handleAsk decides on a packet of a flow whose holder another agent searches for.
 func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	key := p.Key()
+	a.lastPeer = from
 	if f := a.heldFlow(key, p); f != nil {
 		if a.upstream.isDown {
 			a.resetFlow(now, key, f, p.Length > 0)
@@ -248,6 +283,7 @@
 func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []Message {
 	a.begin(now)
 	a.recordPeerRevision(now, h)
+	a.lastPeer = from
 	s := a.searches[key]
 	if s == nil || s.notHolders[from] {
 		return a.out
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -349,3 +349,38 @@
 	})
 	require.Less(t, perTick, 100.0, "less than one allocation a search")
 }
+
+// TestSearchOutlivesAgent has an agent that searches for a flow leave while the holder's
+// agent is down. Another agent, which has said that it doesn't hold the flow, goes on.
+func TestSearchOutlivesAgent(t *testing.T) {
+	a := newAgent(true, snapshot(3))
+	p := dataPacket(callerSequence, 10)
+	_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	_ = a.HandleAbsent(startTime, agentAddr(2), absentHeader, p.Key())
+	_ = a.Leave(startTime)
+	out := a.HandOnSearches(startTime)
+	require.Equal(t, []Kind{ToPeer}, kinds(out))
+	require.Equal(t, agentAddr(2), out[0].To)
+	require.Equal(t, []byte("packet"), out[0].Packet)
+	require.Equal(t, balancerAddr, out[0].Header.Origin)
+
+	next := &Agent{Self: agentAddr(2), Upstream: upstreamAddr(2), Service: "shop", IsFirstStart: true}
+	next.SetSnapshot(snapshot(3))
+	h := out[0].Header
+	out, reason := next.HandlePeer(startTime, a.Self, &h, p, out[0].Packet)
+	require.Equal(t, ReasonSearched, reason)
+	require.Contains(t, askedAgents(out), agentAddr(3))
+
+	t.Run("a packet that comes while the agent is leaving", func(t *testing.T) {
+		out, _ := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 20), []byte("newer"))
+		require.Equal(t, agentAddr(2), find(out, ToPeer).To)
+		require.Equal(t, jmhop.KindForward, find(out, ToPeer).Header.Kind)
+		require.Equal(t, []byte("newer"), find(out, ToPeer).Packet)
+	})
+	t.Run("at most maxHops times", func(t *testing.T) {
+		h := forwardHeader(0)
+		h.Hops = maxHops
+		out, _ := a.HandlePeer(startTime, agentAddr(2), h, p, []byte("packet"))
+		require.Empty(t, out)
+	})
+}
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -121,7 +121,7 @@
 			a.sendAbsent(probe.asker, key)
 			return ReasonNotHeld
 		}
-		a.startSearch(now, key, probe.balancer, p, packet)
+		a.startSearch(now, key, probe.balancer, probe.hops, p, packet)
 		return ReasonSearched
 	}
 	if f == nil || !f.isOpen {
