An answer of the own upstream ends a search that began without a view

An agent that has just started and has no view yet keeps a packet of an unknown flow as a search. If its upstream then sent a packet of the flow, such as an answer that was lost while no agent ran, the flow came into the table, but the search went on: its packet did not go to the upstream, and all others were asked for 1.7 s.

The upstream's packet now ends the search in any case. If no probe has sent the search's packet to the upstream, it goes there, and the balancer is told.

TestAnswerEndsSearchWithoutView fails before (only the message to the caller).

--- a/internal/flow/jmpass/silence_test.go
+++ b/internal/flow/jmpass/silence_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// TestAnswerEndsSearchWithoutView has the own upstream send a packet of a flow for which the
+// agent searches and has no view yet. The upstream gets the packet that the search kept, and
+// the other agents are not asked later.
+func TestAnswerEndsSearchWithoutView(t *testing.T) {
+	a := newAgent(false, Snapshot{})
+	_, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
+	require.Equal(t, ReasonSearched, reason)
+	out, _ := a.HandleUpstream(startTime, upstreamPacket(jasminemoor.FlagAck, 100), nil, false)
+	require.ElementsMatch(t, []Kind{ToPeer, ToUpstream, ToCaller}, kinds(out))
+	require.Equal(t, []byte("packet"), find(out, ToUpstream).Packet)
+	require.Equal(t, jmhop.KindHolder, find(out, ToPeer).Header.Kind)
+	require.Equal(t, balancerAddr, find(out, ToPeer).To)
+	a.SetSnapshot(snapshot(3))
+	for now := startTime; now.Sub(startTime) < searchTimeout; now = now.Add(25 * time.Millisecond) {
+		out, _ = a.Tick(now)
+		require.Empty(t, askedAgents(out))
+	}
+}
+
 // TestUnansweredProbesAreBounded bounds what an agent keeps of flows that its upstream neither
 // refuses nor answers for.
 func TestUnansweredProbesAreBounded(t *testing.T) {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -77,9 +77,7 @@
 	if took := a.table.recordUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
 		a.OnAnswer(took)
 	}
-	if probe, found := a.flowProbes[key]; found {
-		a.confirmHolder(key, f, probe)
-	}
+	a.confirmHolder(now, key, f)
 	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
 	if p.Flags.Has(jasminemoor.FlagReset) {
 		a.drop(key)
@@ -88,16 +86,28 @@
 	return ReasonHeld
 }
 
-// confirmHolder ends a flow probe and the search for a flow of which the upstream has sent
-// a packet, and informs the balancer and the agent that asked.
-func (a *Agent) confirmHolder(key jasminemoor.FlowKey, f *flow, probe flowProbe) {
-	delete(a.flowProbes, key)
-	delete(a.searches, key)
-	f.balancer = a.indexOf(probe.balancer) + 1
-	if probe.asker.IsValid() {
+// confirmHolder ends the flow probe and the search for a flow of which the upstream has
+// sent a packet, and informs the balancer and the agent that asked. The packet of a search
+// that began before the agent had a view has not gone to the upstream yet.
+func (a *Agent) confirmHolder(now time.Time, key jasminemoor.FlowKey, f *flow) {
+	probe, isProbed := a.flowProbes[key]
+	if isProbed {
+		delete(a.flowProbes, key)
 		a.sendHolder(probe.asker, key)
+		a.sendHolder(probe.balancer, key)
+		f.balancer = a.indexOf(probe.balancer) + 1
+	}
+	s := a.searches[key]
+	if s == nil {
+		return
+	}
+	delete(a.searches, key)
+	if !isProbed {
+		a.sendHolder(s.balancer, key)
+		f.balancer = a.indexOf(s.balancer) + 1
+		a.markUnanswered(now)
+		a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
 	}
-	a.sendHolder(probe.balancer, key)
 }
 
 // handleReturned decides on a packet that the upstream refused and returned.
