A reply to an opening packet is no proof of an open flow

A copy of an opening packet may reach several upstreams. Each replies, and the flow opens where the caller acknowledges the reply. If an agent that was restarted had given a later packet of the flow to its upstream, and that then replied to a copy of the opening packet, the agent told the balancer that it holds the flow. The balancer would have sent the flow's packets there. Found by reading; no run shows it.

Only a packet of an open flow counts now. TestOpenReplyIsNoProof fails before: a Holder message goes to the balancer.

--- a/internal/flow/jmpass/silence_test.go
+++ b/internal/flow/jmpass/silence_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// TestOpenReplyIsNoProof has the upstream of a restarted agent reply to a copy of a flow's
+// opening packet while a probe waits. The caller may have opened the flow elsewhere.
+func TestOpenReplyIsNoProof(t *testing.T) {
+	a := newAgent(false, snapshot(3))
+	_, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
+	require.Equal(t, ReasonProbed, reason)
+	out, _ := a.HandleUpstream(startTime, upstreamPacket(jasminemoor.FlagOpen|jasminemoor.FlagAck, 0), nil, false)
+	require.Equal(t, []Kind{ToCaller}, kinds(out))
+}
+
 // TestUnansweredProbesAreBounded bounds what an agent keeps of flows that its upstream neither
 // refuses nor answers for.
 func TestUnansweredProbesAreBounded(t *testing.T) {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -77,7 +77,9 @@
 	if took := a.table.recordUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
 		a.OnAnswer(took)
 	}
-	a.confirmHolder(now, key, f)
+	if f.isOpen {
+		a.confirmHolder(now, key, f)
+	}
 	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
 	if p.Flags.Has(jasminemoor.FlagReset) {
 		a.drop(key)
