A search is handed on to two agents

An agent that leaves hands its searches on to an agent that has said that it doesn't hold the flow. In rolling restarts that overlap that one may leave at the same moment. It hands the search on as well, perhaps back, and after three times it is lost.

The search now goes to two agents. Packets of flows are few in such a moment, and a second search costs the questions of one.

TestSearchOutlivesTwoAgents fails before (one message).

--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -38,6 +38,9 @@
 	flowProbeTTL = searchTimeout
 	// maxFlowProbes bounds the flow probes.
 	maxFlowProbes = 4096
+	// handOnCount is how many agents a search is handed on to. One of them may be leaving
+	// as well.
+	handOnCount = 2
 	// refusedTTL is how long an upstream's refusal of a flow counts.
 	refusedTTL = 20 * time.Second
 	// lostFlowTTL is how long packets of a flow without a holder are answered with a
@@ -104,22 +107,24 @@
 	return a.out
 }
 
-// handOnSearch hands a search on to another agent that runs, and ends it here. One that
-// has answered that it does not hold the flow is preferred, as it need not ask its upstream.
+// handOnSearch hands a search on to other agents that run, and ends it here. Those that
+// have answered that they don't hold the flow are preferred, as they need not ask their
+// upstreams.
 func (a *Agent) handOnSearch(now time.Time, key jasminemoor.FlowKey, s *search) {
 	delete(a.searches, key)
-	to := a.lastPeer
-	holders := a.possibleHolders(now, key)
-	if i := slices.IndexFunc(holders, func(agent netip.Addr) bool { return s.notHolders[agent] }); i >= 0 {
-		to = holders[i]
-	}
-	if !to.IsValid() || s.hops >= maxHops {
+	if s.hops >= maxHops {
 		return
 	}
+	to := slices.DeleteFunc(a.possibleHolders(now, key), func(agent netip.Addr) bool { return !s.notHolders[agent] })
+	if a.lastPeer.IsValid() && !slices.Contains(to, a.lastPeer) {
+		to = append(to, a.lastPeer)
+	}
 	header := jmhop.Header{
 		Kind: jmhop.KindForward, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Hops: s.hops + 1, Revision: a.revision(),
 	}
-	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: to, Header: header, HasPacket: true, Packet: s.packet})
+	for _, agent := range to[:min(len(to), handOnCount)] {
+		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
+	}
 }
 
 // ask takes the next step of a search. If the own upstream may hold the flow, it is
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -350,6 +350,23 @@
 	require.Less(t, perTick, 100.0, "less than one allocation a search")
 }
 
+// TestSearchOutlivesTwoAgents has an agent that searches for a flow leave together with the
+// first one that has said that it doesn't hold the flow.
+func TestSearchOutlivesTwoAgents(t *testing.T) {
+	a := newAgent(true, snapshot(4))
+	p := dataPacket(callerSequence, 10)
+	_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	for i := range 2 {
+		_ = a.HandleAbsent(startTime, agentAddr(i+2), absentHeader, p.Key())
+	}
+	_ = a.Leave(startTime)
+	var to []netip.Addr
+	for _, m := range a.HandOnSearches(startTime) {
+		to = append(to, m.To)
+	}
+	require.ElementsMatch(t, []netip.Addr{agentAddr(2), agentAddr(3)}, to)
+}
+
 // TestSearchOutlivesAgent has an agent that searches for a flow leave while the holder's
 // agent is down. Another agent, which has said that it doesn't hold the flow, goes on.
 func TestSearchOutlivesAgent(t *testing.T) {
