Packets of unknown flows avoid agents that are leaving

A balancer that doesn't know a flow sends its packets to the first agent in rank. That one may be restarted just then: it has told the balancer that it leaves, and the packets of the next half second are lost. Callers repeat them later and later.

For a second after its report an agent that leaves now ranks after all others for such packets, unless a report of the next agent comes before.

TestUnknownFlowAvoidsLeavingAgent fails before: the packet goes to that agent.

--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -27,6 +27,9 @@
 	// silenceTimeout is how long an agent must have been silent for the removal of
 	// its upstream's entry to count as the end of its flows.
 	silenceTimeout = time.Second
+	// leavingTTL is how long an agent that has said that it is leaving counts as gone. After
+	// that the next agent may run there.
+	leavingTTL = time.Second
 	// reorderTime is how long a datagram may be delayed at most. After that, a
 	// report with a lower incarnation is of a newer run of the agent, which started
 	// after its clock was set back.
@@ -86,6 +89,11 @@
 	return !a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) > reportTimeout
 }
 
+// isLeaving reports whether an agent has said lately that it is leaving.
+func (a *agentState) isLeaving(now time.Time) bool {
+	return a.report.State == jmhop.ReportLeaving && now.Sub(a.reported) < leavingTTL
+}
+
 // SetSnapshot replaces the balancer's view of the directory.
 func (b *Balancer) SetSnapshot(s Snapshot) { b.snapshot = s }
 
@@ -237,8 +245,8 @@
 }
 
 // firstInRank returns the agent that ranks first for a flow that this balancer does
-// not know. Suspect agents and those whose upstream has ended or whose entry was removed
-// rank after all others.
+// not know. Suspect and leaving agents, and those whose upstream has ended or whose entry
+// was removed, rank after all others.
 func (b *Balancer) firstInRank(now time.Time, flow jasminemoor.FlowKey, route *jmdirectory.Route) (to netip.Addr, ok bool) {
 	best, hash := math.Inf(-1), flow.Hash()
 	for _, name := range holderServices(route, time.Time{}) {
@@ -248,7 +256,8 @@
 		}
 		for _, u := range service.Upstreams {
 			score := jmplacer.Score(hash, u.Address.Addr())
-			if u.IsRemoved || u.HasEnded || b.agents[b.indexOf(u.Address.Addr())].isSuspect(now) {
+			agent := &b.agents[b.indexOf(u.Address.Addr())]
+			if u.IsRemoved || u.HasEnded || agent.isSuspect(now) || agent.isLeaving(now) {
 				score -= 1 // after all others, as scores are from 0 to 1
 			}
 			if score > best {
--- a/internal/flow/jmpass/balancer_test.go
+++ b/internal/flow/jmpass/balancer_test.go
@@ -240,3 +240,22 @@
 	report(reorderTime+2*time.Millisecond, 4, 5)
 	require.Equal(t, uint16(5), waiting())
 }
+
+// TestUnknownFlowAvoidsLeavingAgent sends a packet of an unknown flow while the first agent
+// in rank is being restarted.
+func TestUnknownFlowAvoidsLeavingAgent(t *testing.T) {
+	b := &Balancer{Self: balancerAddr, DataCentre: "a"}
+	b.SetSnapshot(snapshot(3))
+	p := dataPacket(callerSequence, 10)
+	to := func(now time.Time) netip.Addr {
+		m, reason := b.Handle(now, p)
+		require.Equal(t, ReasonUnknown, reason)
+		return m.To
+	}
+	first := to(startTime)
+	b.HandleReport(startTime, first, &jmhop.Report{Incarnation: 1, State: jmhop.ReportLeaving})
+	require.NotEqual(t, first, to(startTime))
+	require.Equal(t, first, to(startTime.Add(leavingTTL)))
+	b.HandleReport(startTime, first, &jmhop.Report{Incarnation: 2})
+	require.Equal(t, first, to(startTime), "the next agent runs")
+}
