--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -77,8 +77,8 @@
 	if took := a.table.recordUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
 		a.OnAnswer(took)
 	}
-	if probe, found := a.flowProbes[key]; found {
-		a.confirmHolder(key, probe)
+	if f.isOpen {
+		a.confirmHolder(now, key, f)
 	}
 	a.out = append(a.out, Message{Kind: ToCaller, Flow: key})
 	if p.Flags.Has(jasminemoor.FlagReset) {
@@ -88,14 +88,28 @@
 	return ReasonHeld
 }
 
-// confirmHolder ends a flow probe whose flow the upstream holds, and informs the
-// balancer and the agent that asked.
-func (a *Agent) confirmHolder(key jasminemoor.FlowKey, probe flowProbe) {
-	delete(a.flowProbes, key)
-	if probe.asker.IsValid() {
+// confirmHolder ends the flow probe and the search for a flow of which the upstream has
+// sent a packet, and informs the balancer and the agent that asked. The packet of a search
+// that began before the agent had a view has not gone to the upstream yet.
+func (a *Agent) confirmHolder(now time.Time, key jasminemoor.FlowKey, f *flow) {
+	probe, isProbed := a.flowProbes[key]
+	if isProbed {
+		delete(a.flowProbes, key)
 		a.sendHolder(probe.asker, key)
+		a.sendHolder(probe.balancer, key)
+		f.balancer = a.indexOf(probe.balancer) + 1
+	}
+	s := a.searches[key]
+	if s == nil {
+		return
+	}
+	delete(a.searches, key)
+	if !isProbed {
+		a.sendHolder(s.balancer, key)
+		f.balancer = a.indexOf(s.balancer) + 1
+		a.markUnanswered(now)
+		a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
 	}
-	a.sendHolder(probe.balancer, key)
 }
 
 // handleReturned decides on a packet that the upstream refused and returned.
@@ -119,18 +133,12 @@
 			a.sendAbsent(probe.asker, key)
 			return ReasonNotHeld
 		}
-		a.startSearch(now, key, probe.balancer, p, packet)
+		a.startSearch(now, key, probe.balancer, probe.hops, p, packet)
 		return ReasonSearched
 	}
 	if f == nil || !f.isOpen {
 		return ReasonNotHeld
 	}
-	if !f.isConfirmed {
-		origin := a.balancerOf(f)
-		a.drop(key)
-		a.startSearch(now, key, origin, p, packet)
-		return ReasonSearched
-	}
 	a.recordLoss(now, f)
 	// The upstream has sent packets of the flow, so no other agent holds it.
 	if !p.Flags.Has(jasminemoor.FlagReset) {
@@ -210,6 +218,7 @@
 		a.cold.hard.Remit()
 		if !u.isDown {
 			u.isDown = true
+			a.endFlowProbes()
 			for key, f := range a.table.flows {
 				if f.isOpen {
 					a.resetFlow(now, key, f, false)
