Queued requests are sent before their agent leaves

A request that waits at an agent for a free slot was lost when the agent left. Its caller's next packet came up to 1.6 s later, and with restarts that overlap it met no agent again, while other agents gave it to their upstreams (FLOW).

An agent that leaves now sends the requests that go first to the upstream, as many as it has slots, and those that come while it leaves. The upstream may have twice its slots for a moment. The next agent knows no flows and would send these requests at once as well, as the callers repeat them.

TestQueuedRequestsSurviveLeaving fails before (no message).

--- a/internal/flow/jmpass/queue.go
+++ b/internal/flow/jmpass/queue.go
@@ -214,7 +214,7 @@
 
 // admit sends a packet of an open flow to the upstream. If the packet begins a
 // request and the upstream has maxInFlight requests already, the request is queued,
-// unless maxQueued requests are.
+// unless maxQueued requests are or the agent is leaving.
 func (a *Agent) admit(now time.Time, key jasminemoor.FlowKey, f *flow, p *jasminemoor.Packet, packet []byte) Reason {
 	if len(a.queue.requests) > 0 {
 		if r := a.queue.find(key); r != nil {
@@ -222,7 +222,7 @@
 		}
 	}
 	hasEnded := f.ended != 0 || p.Flags.Has(jasminemoor.FlagEnd)
-	if p.Length == 0 || f.hasRequestInFlight || hasEnded || !f.isNewData(p) || a.table.inFlight < a.maxInFlight() || len(a.queue.requests) >= maxQueued {
+	if p.Length == 0 || f.hasRequestInFlight || hasEnded || !f.isNewData(p) || !a.shouldQueue() {
 		a.deliver(now, key, f, p)
 		return ReasonHeld
 	}
@@ -246,6 +246,11 @@
 	return ReasonHeldBack
 }
 
+// shouldQueue reports whether a request that comes now is to be queued.
+func (a *Agent) shouldQueue() bool {
+	return !a.isLeaving && a.table.inFlight >= a.maxInFlight() && len(a.queue.requests) < maxQueued
+}
+
 // handleQueued decides on a packet of a flow whose request is queued.
 func (a *Agent) handleQueued(now time.Time, key jasminemoor.FlowKey, f *flow, r *request, p *jasminemoor.Packet, packet []byte) Reason {
 	f.lastUsed = now
@@ -330,9 +335,21 @@
 
 // admitQueued sends queued requests to the upstream while that has fewer than
 // maxInFlight. It drops those whose callers have given up.
-func (a *Agent) admitQueued(now time.Time) {
+func (a *Agent) admitQueued(now time.Time) { a.admitUpTo(now, a.maxInFlight()) }
+
+// AdmitBeforeLeaving sends the queued requests that go first to the upstream, as many as
+// it has slots. The queue is lost with the agent, and the callers' next packets may come
+// before the next agent runs.
+func (a *Agent) AdmitBeforeLeaving(now time.Time) []Message {
+	a.begin(now)
+	a.admitUpTo(now, a.table.inFlight+a.slots())
+	return a.out
+}
+
+// admitUpTo sends queued requests to the upstream while that has fewer than limit.
+func (a *Agent) admitUpTo(now time.Time, limit int) {
 	a.dropExpired(now)
-	for len(a.queue.requests) > 0 && a.table.inFlight < a.maxInFlight() {
+	for len(a.queue.requests) > 0 && a.table.inFlight < limit {
 		answerTime := a.admissionTime(now)
 		r := a.queue.next(now, answerTime, a.slots())
 		if r == nil {
--- a/internal/flow/jmpass/queue_test.go
+++ b/internal/flow/jmpass/queue_test.go
@@ -406,3 +406,25 @@
 	_, inFlight := a.Flows()
 	require.Equal(t, 1, inFlight)
 }
+
+// TestQueuedRequestsSurviveLeaving has an agent leave while requests wait. Its upstream gets
+// as many of them as it has slots, and those that come while it leaves.
+func TestQueuedRequestsSurviveLeaving(t *testing.T) {
+	a := newAgent(true, snapshot(1))
+	n := 0
+	for a.table.inFlight < a.maxInFlight() {
+		require.NotNil(t, find(sendRequest(a, startTime, n), ToUpstream))
+		n++
+	}
+	for range a.slots() + 1 {
+		require.Nil(t, find(sendRequest(a, startTime, n), ToUpstream))
+		n++
+	}
+	_ = a.Leave(startTime)
+	out := a.AdmitBeforeLeaving(startTime)
+	require.Len(t, out, a.slots())
+	for i := range out {
+		require.Equal(t, ToUpstream, out[i].Kind)
+	}
+	require.NotNil(t, find(sendRequest(a, startTime, n), ToUpstream))
+}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -239,6 +239,7 @@
 			a.mu.Lock()
 			s.send(a.machine.Leave(time.Now()), nil)
 			s.send(a.machine.HandOnSearches(time.Now()), nil)
+			s.send(a.machine.AdmitBeforeLeaving(time.Now()), nil)
 			a.mu.Unlock()
 			s.writer.flush()
 			time.Sleep(leaveGrace)
