Tests: the order of an urgent line is that of a line already being written

Traced: it expects that the queue's goroutine is writing the first line when the urgent one comes, and did not wait for that. If the goroutine had not run yet, the urgent line came first, which is right as well. The test now waits until the first line is being written; its check is the same.

--- a/internal/fleet/jmdecision/queue_test.go
+++ b/internal/fleet/jmdecision/queue_test.go
@@ -71,6 +71,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader, writer := io.Pipe()
 		q := jmdecision.NewQueue(writer)
+		_, _ = q.Write([]byte("line\n"))
+		synctest.Wait() // until that line is being written
 		for range 10_000 {
 			_, _ = q.Write([]byte("line\n"))
 		}
