--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -272,8 +272,9 @@
 
 // handleForward decides on a packet of an open flow. The packet goes to the own
 // upstream if that holds the flow, or may hold it although the table lacks it. If the
-// upstream is quiet then, the other agents are asked as well. A flow whose upstream is down, or that was found to have no holder, is reset. A flow that was
-// handed on a moment ago is followed. For any other flow, the other agents are asked.
+// upstream is quiet then, the other agents are asked as well. A flow whose upstream is
+// down, or that was found to have no holder, is reset. A flow that was handed on a moment
+// ago is followed. For any other flow, the other agents are asked.
 func (a *Agent) handleForward(now time.Time, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	key := p.Key()
 	at := a.recordBalancer(now, h)
