--- a/internal/flow/jmpassnode/firstcopy_test.go
+++ b/internal/flow/jmpassnode/firstcopy_test.go
@@ -72,11 +72,11 @@
 	var reasons []string
 	for _, e := range s.hook.AllEntries() {
 		if e.Data["IsOpening"] == true && e.Data["Service"] == "desk" {
-			reasons = append(reasons, fmt.Sprint(e.Data["Reason"], " ", e.Data["HasCopy"]))
+			reasons = append(reasons, fmt.Sprint(e.Data["Reason"], " ", e.Data["HasCopy"], " ", e.Data["Outcome"]))
 		}
 	}
-	require.Contains(t, reasons, "no_view false")
-	require.Contains(t, reasons, "held true")
+	require.Contains(t, reasons, "no_view false passed on")
+	require.Contains(t, reasons, "held true given to the upstream")
 }
 
 // TestAgentRestartsWithoutStore restarts the agents of a service in turn while the store is away.
