Tests: odd entries are waited for by what the copies list, not for 200 ms

The test waited a fixed 200 ms after it had put an entry of 1 MB and nine others into the store.

Now the test waits for the entry in all copies, within configBound, and puts it last, so that every odd entry before it has been read as well, which the fixed wait did not ensure.

--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -453,23 +454,26 @@
 	s.store.Put("servers/x", "\xff\xfe")
 	s.store.Put("servers/y", `{"service":"shop","address":"`+addr(2, 50, 1).String()+`","state":"asleep"}`)
 	s.store.Put("servers/z", `{"service":"nobody","address":"`+addr(2, 51, 1).String()+`","state":"ready"}`)
-	s.store.Put("servers/other", map[string]any{
-		"service": "nobody", "address": addr(2, 1, upstreamPort).String(), "zone": "here", "version": "v9", "max_concurrency": 1, "state": "ready",
-		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
-	})
 	s.store.Put("other/key", "1")
 	s.store.Put("servers/deep", strings.Repeat("[", 100_000))
 	s.store.Put("servers/large", strings.Repeat("\xff", 1<<20))
 	s.store.Put("servers/number", `{"service":"shop","address":"`+addr(2, 52, 1).String()+`","state":"ready","max_concurrency":1e400}`)
 	s.store.Put("servers/v6", `{"service":"shop","address":"[::1]:8080","state":"ready"}`)
 	s.store.Put("op/config", "\xff\xfe")
-	time.Sleep(200 * time.Millisecond)
+	s.store.Put("servers/other", map[string]any{
+		"service": "nobody", "address": addr(2, 1, upstreamPort).String(), "zone": "here", "version": "v9", "max_concurrency": 1, "state": "ready",
+		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+	unnamed := map[string]string{"servers/other": "nobody"} // put last
+	require.Eventually(t, func() bool {
+		return s.eachControl(func(p *process) bool { return maps.Equal(p.control().Snapshot().Unnamed, unnamed) })
+	}, configBound, 10*time.Millisecond)
 	for _, all := range []map[int]*process{s.balancers, s.agents} {
 		for _, p := range all {
 			v := p.control().Snapshot()
 			require.Len(t, v.Upstreams, 4)
 			require.Equal(t, "shop", v.Upstreams[addr(2, 1, upstreamPort)].Service)
-			require.Equal(t, map[string]string{"servers/other": "nobody"}, v.Unnamed)
+			require.Equal(t, unnamed, v.Unnamed)
 		}
 	}
 	for i := range 10 {
