Agent: an upstream that follows another one gets no new flow before its service is known

Cause: an agent that outlives its upstream takes the settings of before for the service of whatever listens at the address next. They are read again every 3 s only, the next upstream is listed with its first heartbeat, and neither is asked before a flow is given to it. The ending that peers announce does not help where the former upstream had started less than 10 s before (clockTolerance).

Change: when a process may have taken the upstream's address (its port accepts again after it refused, the upstream sends again after that, or returns a packet of a flow in use), opening packets wait, reason service_unknown, until the settings have been read since (in the next tick, 25 ms), or the directory lists another run of the service. Settings that can't be read name no service. It needs no message and no call.

Beside it, of the same class: an upstream that was leaving when its entry was removed (it does not reach the store) got new flows from its agent (DRAIN); the entry counts until the process has ended.

Not covered by this commit: a replacement without any sign (no refused connection, no returned packet).

--- a/cmd/jasminemoor/passthrough.go
+++ b/cmd/jasminemoor/passthrough.go
@@ -88,6 +88,7 @@
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassBalancerStatus(b) }
 	} else {
 		a := &jmpassnode.Agent{Settings: s, Codec: jmadapter.Codec{}, Directory: store, Log: log, Decisions: decisions, Guard: guard}
+		a.ReadSettings = func() (*jmlocal.Settings, error) { return jmlocal.Load(path, name) }
 		r, operator.Metrics = a, jmoperator.PassAgentMetrics(a)
 		operator.Status = func() *jmoperator.Status { return jmoperator.PassAgentStatus(a) }
 		setAddress := onReload
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -29,6 +29,9 @@
 	// IsFirstStart is set if the upstreams start together with the agents, so that
 	// the agent sees every flow of its upstream from the beginning.
 	IsFirstStart bool
+	// CanReadSettings is set if the settings are read again when NeedsSettings reports so. If not,
+	// Service is that of every upstream at the address.
+	CanReadSettings bool
 	// MaxFlowAge is the age from which a flow may be lost. Once the agent has run for
 	// as long, a flow that its table lacks counts as not held. If it is not set,
 	// defaultMaxFlowAge is used.
@@ -51,17 +54,16 @@
 	// and with what became of its requests when it ends.
 	OnOverload func(episode *jmoverload.Episode)
 
-	snapshot Snapshot
-	// formerServices are those that the agent had before Service.
-	formerServices []string
-	peers          peerRevision
-	table          table
-	refused        map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
-	flowProbes     map[jasminemoor.FlowKey]flowProbe
-	searches       map[jasminemoor.FlowKey]*search
-	lastPeer       netip.Addr                        // the agent that asked or answered last
-	lostFlows      map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
-	handedOn       map[jasminemoor.FlowKey]nextHop
+	snapshot   Snapshot
+	service    serviceState
+	peers      peerRevision
+	table      table
+	refused    map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
+	flowProbes map[jasminemoor.FlowKey]flowProbe
+	searches   map[jasminemoor.FlowKey]*search
+	lastPeer   netip.Addr                        // the agent that asked or answered last
+	lostFlows  map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
+	handedOn   map[jasminemoor.FlowKey]nextHop
 	// openings are the opening packets that wait for the first copy of the directory.
 	openings []keptOpening
 	// hasReportedStarting is set while balancers may know that there is no copy.
@@ -110,14 +112,6 @@
 	}
 }
 
-// SetService replaces the service of the agent's upstream. Open flows of the former one go on.
-func (a *Agent) SetService(service string) {
-	if service != a.Service {
-		a.formerServices = append(a.formerServices, a.Service)
-		a.Service = service
-	}
-}
-
 // HandlePeer decides on a caller's packet that a balancer or another agent
 // forwarded.
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
@@ -155,16 +149,16 @@
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
 // flow, the packet is forwarded to another agent. It waits for a copy of the directory
-// that has its route.
+// that has its route, and for the service of an upstream that may be another one.
 func (a *Agent) handleOpen(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
 	at := a.recordBalancer(now, h)
 	a.balancers[at].isDue = true
 	if h.Origin == from && now.Sub(a.balancers[at].reported) >= reportInterval {
 		a.sendReport(now, &a.balancers[at])
 	}
-	if a.mustWait(h, p) {
+	if reason := a.waitReason(h, p); reason != ReasonNone {
 		a.keepOpening(now, from, h, p, packet)
-		return ReasonNoView
+		return reason
 	}
 	key := p.Key()
 	if reason := a.refusalReason(p); reason != ReasonNone {
@@ -212,7 +206,7 @@
 	if own != nil && !own.IsRemoved && own.Service != a.Service {
 		return ReasonOtherService
 	}
-	if own != nil && !own.IsRemoved && own.State == jasminemoor.UpstreamLeaving {
+	if a.hasLeft(own) {
 		return ReasonLeaving
 	}
 	if a.isEvacuated() {
--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -81,6 +81,7 @@
 func (a *Agent) recordLoss(now time.Time, f *flow) {
 	if f.ended == 0 && now.Sub(f.lastUsed) < activeTime {
 		a.recordRestart(now)
+		a.doubtService(now)
 	}
 }
 
--- a/internal/flow/jmpass/firstcopy.go
+++ b/internal/flow/jmpass/firstcopy.go
@@ -34,14 +34,21 @@
 // knowsRoutes reports whether the agent has a copy of the directory with a configuration.
 func (a *Agent) knowsRoutes() bool { return a.snapshot.View != nil && a.snapshot.Version != 0 }
 
-// mustWait reports whether an opening packet can't be decided on by the present copy of the
-// directory, but by one that is about to come.
-func (a *Agent) mustWait(h *jmhop.Header, p *jasminemoor.Packet) bool {
+// waitReason returns why an opening packet can't be decided on yet: by the present copy of the
+// directory, while another one is about to come, or without the service of the upstream. It
+// returns ReasonNone if the packet can be decided on.
+func (a *Agent) waitReason(h *jmhop.Header, p *jasminemoor.Packet) Reason {
 	if !a.knowsRoutes() {
-		return true
+		return ReasonNoView
+	}
+	if !a.upstream.isDown && !a.isServiceKnown() {
+		return ReasonServiceUnknown
 	}
 	route := a.snapshot.Routes[p.Destination]
-	return (route == nil || !route.Allows(a.Service)) && h.IsAhead(a.revision())
+	if (route == nil || !route.Allows(a.Service)) && h.IsAhead(a.revision()) {
+		return ReasonNoView
+	}
+	return ReasonNone
 }
 
 // keepOpening keeps an opening packet, unless maxKeptOpenings are kept already.
@@ -63,7 +70,7 @@
 		if now.Sub(k.at) >= openingWait {
 			return true
 		}
-		if a.mustWait(&k.header, &k.packet) {
+		if a.waitReason(&k.header, &k.packet) != ReasonNone {
 			return false
 		}
 		a.releaseOpening(now, &k)
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -117,6 +117,7 @@
 	ReasonCold
 	ReasonColdRefused
 	ReasonEvacuated
+	ReasonServiceUnknown
 	reasonCount
 )
 
@@ -152,6 +153,7 @@
 	ReasonCold:              {"cold", "upstream warms up and has got as many new flows as it bears, flow handed on"},
 	ReasonColdRefused:       {"cold_refused", "no upstream found that can take the flow while it warms up"},
 	ReasonEvacuated:         {"evacuated", "data centre is being evacuated, flow handed on"},
+	ReasonServiceUnknown:    {"service_unknown", "upstream has ended, and the service of the next one is not known yet"},
 	ReasonUnknownSender:     {"stranger", "message from an address that is no agent's"},
 }
 
--- a/internal/flow/jmpass/routepast.go
+++ b/internal/flow/jmpass/routepast.go
@@ -59,7 +59,7 @@
 func (a *Agent) mayBeOfService(now time.Time, key jasminemoor.FlowKey) bool {
 	route := a.snapshot.Routes[key.Service()]
 	return route != nil && slices.ContainsFunc(a.searchedServices(now, route), func(service string) bool {
-		return service == a.Service || slices.Contains(a.formerServices, service)
+		return service == a.Service || slices.Contains(a.service.former, service)
 	})
 }
 
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -37,6 +37,9 @@
 // its raw bytes, and isFailure is set if it begins an answer that reports a failure.
 func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) (out []Message, reason Reason) {
 	a.begin(now)
+	if a.upstream.isDown {
+		a.doubtService(now)
+	}
 	a.upstream = upstreamState{probed: a.upstream.probed}
 	a.table.recordHeard(now)
 	if p.Flags.Has(jasminemoor.FlagReturned) {
@@ -209,6 +212,9 @@
 	u := &a.upstream
 	switch result {
 	case ProbeAccepted:
+		if u.isDown {
+			a.doubtService(now)
+		}
 		a.table.stall.isAlive = !a.table.stall.since.IsZero()
 		u.isDown, u.isSilent, u.unansweredSince = false, false, time.Time{}
 	case ProbeRefused:
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -31,12 +31,15 @@
 	// balancers that it is leaving. It is short, as the upstream keeps running and
 	// its flows are interrupted until the next agent starts.
 	leaveGrace = 30 * time.Millisecond
+	// settingsRetryInterval is the least time between two readings of settings that have faults.
+	settingsRetryInterval = 500 * time.Millisecond
 )
 
 // Names of the goroutines that only agents have.
 const (
 	goroutineUpstream = "upstream"
 	goroutineProbe    = "probe"
+	goroutineSettings = "settings"
 )
 
 // Agent is the process that runs beside an upstream of pass-through flows. It
@@ -51,6 +54,9 @@
 	Decisions *jmdecision.Log
 	// Guard ends the process if one of its goroutines panics.
 	Guard *jmguard.Guard
+	// ReadSettings, if set, reads the settings again: they name the service of an upstream that
+	// follows another one at its address.
+	ReadSettings func() (s *jmlocal.Settings, err error)
 	// OnAnswer, if set, is called with the time to the first byte of each
 	// answer, by one goroutine at a time.
 	OnAnswer func(took time.Duration)
@@ -63,8 +69,12 @@
 	mu              sync.Mutex   // guards machine
 	machine         jmpass.Agent
 	shares          *jmlocal.Shares // in force, guarded by mu
-	silent          silentAgents
-	outbound        *net.UDPConn // receives the upstream's packets
+	// isReadingSettings is set while the settings are read, and settingsRetryAt is the earliest
+	// time of the next reading. Both are guarded by mu.
+	isReadingSettings bool
+	settingsRetryAt   time.Time
+	silent            silentAgents
+	outbound          *net.UDPConn // receives the upstream's packets
 }
 
 // Leave makes the agent report to the balancers that it is leaving, and then end.
@@ -81,6 +91,7 @@
 	a.init()
 	s := a.Settings
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
+	a.machine.CanReadSettings = a.ReadSettings != nil
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
 	a.machine.ColdOverrun, a.machine.ColdSlack = s.ColdOverrun, s.ColdSlack
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
@@ -149,6 +160,41 @@
 	}
 }
 
+// beginReadSettings reports whether the settings are to be read now, and records that they are.
+func (a *Agent) beginReadSettings(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isReadingSettings || !a.machine.NeedsSettings() || now.Before(a.settingsRetryAt) {
+		return false
+	}
+	a.isReadingSettings, a.settingsRetryAt = true, now.Add(settingsRetryInterval)
+	return true
+}
+
+// readSettings reads the service of an upstream that may have followed another one. Without it
+// the upstream gets no new flow until the directory lists it.
+func (a *Agent) readSettings() {
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.isReadingSettings = false
+	}()
+	began := time.Now()
+	next, err := a.ReadSettings()
+	switch {
+	case err != nil:
+		a.Log.WithError(err).Warn("settings: service of the upstream can't be read")
+		return
+	case next.Upstream != a.Settings.Upstream:
+		a.Log.WithField(fieldUpstream, next.Upstream).Warn("settings: they name another upstream, which takes a restart")
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settingsRetryAt = time.Time{}
+	a.machine.HandleSettings(next.Service, began)
+}
+
 // Count returns how many decisions were made for a reason.
 func (a *Agent) Count(reason jmpass.Reason) uint64 {
 	a.mu.Lock()
@@ -278,6 +324,9 @@
 			if shouldProbe {
 				wg.Go(goroutineProbe, func() { a.Guard.Try(goroutineProbe, func() { a.probe(ctx) }) })
 			}
+			if a.beginReadSettings(now) {
+				wg.Go(goroutineSettings, func() { a.Guard.Try(goroutineSettings, a.readSettings) })
+			}
 		}
 	}
 }
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -48,6 +49,7 @@
 	balancers map[int]*process
 	agents    map[int]*process
 	upstreams map[int]*jmpackets.Upstream
+	services  map[int]string // in the settings of the agents, by instance
 	caller    *jmpackets.Caller
 	seeds     []netip.AddrPort // of processes that start
 	hook      *logtest.Hook
@@ -73,7 +75,7 @@
 	t.Helper()
 	s := &site{
 		t: t, store: &jmstore.Store{}, balancers: make(map[int]*process), agents: make(map[int]*process),
-		upstreams: make(map[int]*jmpackets.Upstream),
+		upstreams: make(map[int]*jmpackets.Upstream), services: make(map[int]string),
 	}
 	s.log, s.hook = logtest.NewNullLogger()
 	s.server = httptest.NewServer(s.store)
@@ -154,8 +156,9 @@
 func (s *site) startAgent(i int, service string, isFirstStart bool) {
 	settings := s.settings(2, i, isFirstStart)
 	settings.Service = service
+	s.setService(i, service)
 	a := &jmpassnode.Agent{
-		Settings: settings, Codec: jmadapter.Codec{}, Directory: s.directory(settings.Address), Log: s.log,
+		Settings: settings, ReadSettings: func() (*jmlocal.Settings, error) { return s.readSettings(i) }, Codec: jmadapter.Codec{}, Directory: s.directory(settings.Address), Log: s.log,
 		Decisions: &jmdecision.Log{Log: s.log},
 	}
 	p := s.start(a.Run, a.Leave, a.Drained())
@@ -163,6 +166,23 @@
 	s.setProcess(s.agents, i, p)
 }
 
+// setService has the settings of an instance name a service, or have a fault if it is empty.
+func (s *site) setService(i int, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.services[i] = service
+}
+
+func (s *site) readSettings(i int) (*jmlocal.Settings, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.settings(2, i, false)
+	if next.Service = s.services[i]; next.Service == "" {
+		return nil, errors.New("settings have a fault")
+	}
+	return next, nil
+}
+
 func (s *site) setProcess(to map[int]*process, i int, p *process) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
