Tests: a change of service in an agent's settings file

The status of an agent shows the service by the settings read last, and TestServiceInSettingsChanges expects it after the file has changed, and that the file is read when an upstream begins to listen.

--- a/cmd/jasminemoor/passstatus_test.go
+++ b/cmd/jasminemoor/passstatus_test.go
@@ -4,13 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
+	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor/internal/operate/jmoperator"
@@ -21,44 +23,79 @@
 const agentSettings = `{
 	"Name": "side-1", "Address": "127.77.9.1", "DataCentre": "here", "FirstPort": 17720, "LastPort": 17735,
 	"Packets": "127.77.9.1:18172", "Outbound": "127.77.9.1:18162", "Ready": "127.77.9.1:18167",
-	"Upstream": "127.77.9.1:18165", "Service": "shop", "Operator": "127.77.9.1:19464",
+	"Upstream": "127.77.9.1:18165", "Service": "%s", "Operator": "127.77.9.1:19464",
 	"Platform": {"Address": "127.77.9.1:18169"},
 	"Shares": {"Accounts": [{"Name": "guests", "Networks": ["127.77.3.0/24"], "MaxWaiting": %d}]},
 }`
 
-// TestStatusOfPassthrough asks a running agent for its status, and changes a limit in its
-// settings file meanwhile.
-func TestStatusOfPassthrough(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "agent.json")
-	setLimit := func(limit int) {
-		require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, agentSettings, limit), 0o600))
-	}
-	setLimit(4)
-	settings, err := jmlocal.Load(path, jmlocal.RoleAgent)
+// testAgent is a running agent with agentSettings.
+type testAgent struct {
+	t    *testing.T
+	path string // of its settings
+	hook *logtest.Hook
+}
+
+func startAgent(t *testing.T) *testAgent {
+	t.Helper()
+	a := &testAgent{t: t, path: filepath.Join(t.TempDir(), "agent.json")}
+	a.setSettings("shop", 4)
+	settings, err := jmlocal.Load(a.path, jmlocal.RoleAgent)
 	require.NoError(t, err)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, hook := logtest.NewNullLogger()
+	a.hook = hook
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = runPassthrough(ctx, &roleSignals{}, path, jmlocal.RoleAgent, settings, log.WithField("Instance", settings.Name), nil)
+		_ = runPassthrough(ctx, &roleSignals{}, a.path, jmlocal.RoleAgent, settings, log.WithField("Instance", settings.Name), nil)
 	}()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-done
-	}()
-	limit := func() int {
-		out, _, code := runCommand(t, "", "status", "-operator", "http://127.77.9.1:19464", "-json")
+	})
+	a.awaitStatus("shop", 4)
+	return a
+}
+
+func (a *testAgent) setSettings(service string, limit int) {
+	require.NoError(a.t, os.WriteFile(a.path, fmt.Appendf(nil, agentSettings, service, limit), 0o600))
+}
+
+// awaitStatus waits until the agent's status has a service and a limit.
+func (a *testAgent) awaitStatus(service string, limit int) {
+	a.t.Helper()
+	require.Eventually(a.t, func() bool {
+		out, _, code := runCommand(a.t, "", "status", "-operator", "http://127.77.9.1:19464", "-json")
 		var s jmoperator.Status
-		if code != exitOK || json.Unmarshal([]byte(out), &s) != nil || s.Pass == nil || len(s.Pass.Accounts) == 0 {
-			return 0
-		}
-		return s.Pass.Accounts[0].MaxWaiting
-	}
-	require.Eventually(t, func() bool { return limit() == 4 }, 5*time.Second, 20*time.Millisecond)
-	setLimit(9)
-	require.Eventually(t, func() bool { return limit() == 9 }, settingsInterval+2*time.Second, 50*time.Millisecond)
+		isKnown := code == exitOK && json.Unmarshal([]byte(out), &s) == nil && s.Pass != nil && len(s.Pass.Accounts) > 0
+		return isKnown && s.Pass.Service == service && s.Pass.Accounts[0].MaxWaiting == limit
+	}, settingsInterval+2*time.Second, 50*time.Millisecond)
+}
+
+// TestServiceInSettingsChanges changes the service of an agent's upstream in its settings file,
+// and then makes the file unreadable before an upstream begins to listen: the agent reads the
+// file for its service.
+func TestServiceInSettingsChanges(t *testing.T) {
+	a := startAgent(t)
+	a.setSettings("desk", 4)
+	a.awaitStatus("desk", 4)
+	require.NoError(t, os.WriteFile(a.path, []byte("{"), 0o600))
+	upstream, err := net.Listen("tcp", "127.77.9.1:18165")
+	require.NoError(t, err)
+	defer upstream.Close()
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(a.hook.AllEntries(), func(e *logrus.Entry) bool {
+			return e.Message == "settings: service of the upstream can't be read"
+		})
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// TestStatusOfPassthrough asks a running agent for its status, and changes a limit in its
+// settings file meanwhile.
+func TestStatusOfPassthrough(t *testing.T) {
+	a := startAgent(t)
+	a.setSettings("shop", 9)
+	a.awaitStatus("shop", 9)
 	out, errOut, code := runCommand(t, "", "status", "-operator", "http://127.77.9.1:19464")
 	require.Equal(t, exitOK, code, errOut)
 	require.Contains(t, out, "passthrough agent side-1 in here, service shop\ndirectory: not known yet\n")
--- a/cmd/jasminemoor/signal_test.go
+++ b/cmd/jasminemoor/signal_test.go
@@ -61,7 +61,7 @@
 // TestSignalAtStart sends signals to processes while they read their settings for the first
 // time.
 func TestSignalAtStart(t *testing.T) {
-	for role, settings := range map[string]string{"agent": fmt.Sprintf(agentSettings, 4), "balancer": balancerSettings} {
+	for role, settings := range map[string]string{"agent": fmt.Sprintf(agentSettings, "shop", 4), "balancer": balancerSettings} {
 		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
 			t.Run(fmt.Sprint(role, " ", s), func(t *testing.T) {
 				path := filepath.Join(t.TempDir(), "settings.json")
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -1,6 +1,7 @@
 package jmpassnode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -195,6 +196,13 @@
 	a.machine.HandleSettings(next.Service, began)
 }
 
+// Service returns the service of the upstream by the settings that were read last.
+func (a *Agent) Service() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return cmp.Or(a.machine.Service, a.Settings.Service)
+}
+
 // Count returns how many decisions were made for a reason.
 func (a *Agent) Count(reason jmpass.Reason) uint64 {
 	a.mu.Lock()
--- a/internal/operate/jmoperator/passstatus.go
+++ b/internal/operate/jmoperator/passstatus.go
@@ -47,7 +47,7 @@
 func PassAgentStatus(a *jmpassnode.Agent) *Status {
 	s := passStatus(passAgentRole, a.Settings, a.Control(), a.Count)
 	s.Flows, s.Running = a.Flows()
-	s.Pass.Service = a.Settings.Service
+	s.Pass.Service = a.Service()
 	s.Pass.Load, s.Pass.IsOverload = a.Load(time.Now())
 	for _, l := range s.Pass.Load {
 		s.Waiting += l.Waiting
