Tests: evacuations are awaited for the users' 5 s; logs of a site whose test fails

TestEvacuation failed once in 8 runs with the race detector at a load average of 34 on 8 cores: a copy did not have the evacuation after 500 ms. That bound was chosen by what was measured; the stated one is 5 s (evacuation_ms of the users' pages). The checks after the wait are unchanged.

TestReusedAddressBeforeFirstCopy failed once in the same minutes, in newSite: not traced, no logs.

--- a/internal/flow/jmpassnode/evacuation_test.go
+++ b/internal/flow/jmpassnode/evacuation_test.go
@@ -31,8 +31,11 @@
 	return false
 }
 
+// evacuationBound is the time within which an evacuation must be in force.
+const evacuationBound = 5 * time.Second
+
 // awaitEvacuated waits until the copy of each process says that just these data centres are
-// evacuated. It takes much less than the bound of the users, which is 5 s.
+// evacuated.
 func (s *site) awaitEvacuated(names ...string) {
 	s.t.Helper()
 	require.Eventually(s.t, func() bool {
@@ -44,7 +47,7 @@
 			}
 		}
 		return true
-	}, 500*time.Millisecond, 5*time.Millisecond)
+	}, evacuationBound, 5*time.Millisecond)
 }
 
 // awaitCurrent waits until the copy of each process is of a time after the given one. Calls that
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -94,11 +94,24 @@
 		_ = s.caller.Close()
 		require.Zero(t, s.caller.BadPackets(), "packets that were altered or belong to no flow of the caller")
 	})
+	t.Cleanup(s.printLog)
 	require.Eventually(t, func() bool { return len(s.rotation()) == 2 }, 5*time.Second, 10*time.Millisecond)
 	require.Eventually(t, s.agentsReady, 5*time.Second, 10*time.Millisecond)
 	return s
 }
 
+// printLog prints what the processes have logged, if the test has failed.
+func (s *site) printLog() {
+	if !s.t.Failed() {
+		return
+	}
+	for _, e := range s.hook.AllEntries() {
+		if line, err := e.String(); err == nil {
+			s.t.Log(strings.TrimSpace(line))
+		}
+	}
+}
+
 func (s *site) publish(version int, routes map[netip.AddrPort]string) {
 	list := []any{}
 	for address, service := range routes {
