--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -54,16 +54,17 @@
 	// and with what became of its requests when it ends.
 	OnOverload func(episode *jmoverload.Episode)
 
-	snapshot   Snapshot
-	service    serviceState
-	peers      peerRevision
-	table      table
-	refused    map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
-	flowProbes map[jasminemoor.FlowKey]flowProbe
-	searches   map[jasminemoor.FlowKey]*search
-	lastPeer   netip.Addr                        // the agent that asked or answered last
-	lostFlows  map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
-	handedOn   map[jasminemoor.FlowKey]nextHop
+	snapshot    Snapshot
+	service     serviceState
+	peers       peerRevision
+	table       table
+	refused     map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
+	flowProbes  map[jasminemoor.FlowKey]flowProbe
+	searches    map[jasminemoor.FlowKey]*search
+	dueSearches []dueSearch                       // scratch space of advanceSearches
+	lastPeer    netip.Addr                        // the agent that asked or answered last
+	lostFlows   map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
+	handedOn    map[jasminemoor.FlowKey]nextHop
 	// openings are the opening packets that wait for the first copy of the directory.
 	openings []keptOpening
 	// hasReportedStarting is set while balancers may know that there is no copy.
