jmcontrol: a seed's answer before the first tick does not panic

A process that starts asks a seed at once. If the seed answered before the first tick, 0.1 s after the start, HandleSyncReply used the machine before init had set its source of random numbers: a nil dereference.

Seen while a test with a real agent and a seed on loopback was written: the stack names gossip.recordContact below HandleSyncReply. Every other input of the machine begins with init; this one does now.

--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -201,6 +201,7 @@
 
 // HandleSyncReply handles a peer's reply, or nil if the exchange failed.
 func (m *Machine) HandleSyncReply(now time.Time, reply *SyncReply) (out Output) {
+	m.init()
 	m.gossip.EndPull(now, reply != nil)
 	if reply == nil {
 		return out
