jmagent: the first settings of an agent need confirmation

Callers of a service had their requests run at an upstream of another one, and that upstream got none of its own. An agent that started at an address which had belonged to another service took the first settings that one peer gave, however old: a seed that had been cut off from all others still listed the address for the former service, and a balancer with the same settings sent requests there. When newer settings came, 0.1 to 1 s later, the agent did not change its service, as open flows have its number in their connection IDs: it stayed out of service until it was started again. With a platform that answers it was the same, since an agent without settings reads only the fleet's subtree there and the teams' from a peer.

Change: an agent serves once its first settings are confirmed. The platform lists none that are newer or, while it does not answer within a second, three members have the same. Messages show that by the digest that they have anyway; answers of exchanges have it now as well (a map, so that earlier releases read on). A balancer needs no confirmation, as agents check again what it sends them.

Cost: a call of the platform for each agent that starts, and exchanges with five members a second while that does not answer (docs/CAPACITY.md, by count).

Left: three members that are cut off together with the agent.

--- a/internal/fleet/jmcontrol/machine.go
+++ b/internal/fleet/jmcontrol/machine.go
@@ -37,6 +37,8 @@
 	IsStale bool
 	// IsReader says that this process watches the platform.
 	IsReader bool
+	// IsConfirmed is Machine.IsConfirmed.
+	IsConfirmed bool
 }
 
 // StateOf returns the known state of a member; an unknown one counts as alive.
@@ -83,6 +85,8 @@
 	Identity   jasminemoor.Identity
 	DataCentre string
 	Rand       *rand.Rand
+	// NeedsConfirmation has the machine find out whether its first settings are recent.
+	NeedsConfirmation bool
 	// OwnLoad returns the process's load, and nil where it has none to report.
 	OwnLoad func() *jasminemoor.LoadReport
 	// Loads holds the recent loads of the peers. Other goroutines may read it.
@@ -95,6 +99,7 @@
 	isLeaving     bool
 	lastLoad      time.Time
 	loadSequence  uint64
+	confirmation  confirmation
 
 	// isReader is cached as of readerGeneration, a generation of the members.
 	isReader         bool
@@ -119,6 +124,7 @@
 	if now.Sub(m.lastLoad) >= loadInterval {
 		m.sendLoad(&out, now)
 	}
+	m.tickConfirmation(&out, now)
 	return out
 }
 
@@ -146,6 +152,7 @@
 	if message.Load != nil {
 		m.Loads.Put(message.Load.report(message.From), now)
 	}
+	m.confirmByPeer(message.From, message.Digest)
 	shouldPull := m.gossip.HandleDigest(now, message.Digest)
 	for _, rumor := range message.Rumors {
 		shouldPull = m.gossip.HandleRumor(now, rumor) || shouldPull
@@ -195,12 +202,13 @@
 	reply = &SyncReply{
 		Subtrees: m.gossip.Missing(request.Revisions, PageSize),
 		Members:  m.members.Snapshot(),
+		Digest:   m.gossip.Digest(),
 	}
 	return reply, out
 }
 
 // HandleSyncReply handles a peer's reply, or nil if the exchange failed.
-func (m *Machine) HandleSyncReply(now time.Time, reply *SyncReply) (out Output) {
+func (m *Machine) HandleSyncReply(now time.Time, peer netip.AddrPort, reply *SyncReply) (out Output) {
 	m.init()
 	m.gossip.EndPull(now, reply != nil)
 	if reply == nil {
@@ -208,6 +216,7 @@
 	}
 	out = m.Put(reply.Subtrees)
 	m.members.Apply(now, reply.Members)
+	m.confirmByPeer(peer, reply.Digest)
 	return out
 }
 
@@ -219,10 +228,11 @@
 }
 
 // ShouldRead reports whether this process reads the platform now: as a reader
-// of its data centre, or because no peer keeps its settings up to date.
+// of its data centre, because no peer keeps its settings up to date, or to confirm its first
+// settings.
 func (m *Machine) ShouldRead(now time.Time) bool {
 	m.init()
-	if m.gossip.NeedsFallbackRead(now) {
+	if m.gossip.NeedsFallbackRead(now) || m.awaitsConfirmation() {
 		return true
 	}
 	if generation := m.members.Generation(); generation != m.readerGeneration {
@@ -240,10 +250,11 @@
 	m.init()
 	states := m.members.States()
 	return &View{
-		Config:   m.config,
-		States:   states,
-		IsStale:  m.members.IsStale(),
-		IsReader: m.gossip.IsReader(states),
+		Config:      m.config,
+		States:      states,
+		IsStale:     m.members.IsStale(),
+		IsReader:    m.gossip.IsReader(states),
+		IsConfirmed: m.confirmation.isDone,
 	}
 }
 
--- a/internal/fleet/jmcontrol/messages.go
+++ b/internal/fleet/jmcontrol/messages.go
@@ -65,4 +65,6 @@
 type SyncReply struct {
 	Subtrees []jasminemoor.Subtree
 	Members  []jmmember.Update
+	// Digest is the peer's digest of the settings, 0 if it has none or is of an earlier release.
+	Digest uint64
 }
--- a/internal/fleet/jmcontrol/start_test.go
+++ b/internal/fleet/jmcontrol/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 func TestReplyBeforeFirstTick(t *testing.T) {
 	m := &Machine{Rand: rand.New(rand.NewPCG(1, 1))}
 	require.NotPanics(t, func() {
-		m.HandleSyncReply(time.Unix(1_700_000_000, 0), &SyncReply{Subtrees: []jasminemoor.Subtree{{Path: "Teams/rangla", Revision: 3}}})
+		m.HandleSyncReply(time.Unix(1_700_000_000, 0), netip.AddrPort{}, &SyncReply{Subtrees: []jasminemoor.Subtree{{Path: "Teams/rangla", Revision: 3}}})
 	})
 	require.Contains(t, m.SyncRequest().Revisions, "Teams/rangla")
 }
--- a/internal/fleet/jmnode/exchange.go
+++ b/internal/fleet/jmnode/exchange.go
@@ -54,7 +54,7 @@
 	n.pulls.Go(goroutinePull, func() {
 		var reply *jmcontrol.SyncReply
 		n.Guard.Try(goroutinePull, func() { reply = n.tryExchange(ctx, peer, request) })
-		n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, reply)) })
+		n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, peer, reply)) })
 	})
 }
 
@@ -115,7 +115,7 @@
 			reply = n.tryExchange(ctx, peer, &jmcontrol.SyncRequest{From: n.Identity.Agent})
 		})
 		if reply != nil {
-			n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, reply)) })
+			n.enqueue(func(now time.Time) { n.perform(ctx, n.machine.HandleSyncReply(now, peer, reply)) })
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/jmnode/node.go
+++ b/internal/fleet/jmnode/node.go
@@ -50,7 +50,10 @@
 	Send func(to netip.AddrPort, datagram []byte)
 	// OwnLoad returns the process's load, and nil where it has none to report.
 	OwnLoad func() *jasminemoor.LoadReport
-	Log     logrus.FieldLogger
+	// NeedsConfirmation has the node find out whether its first settings are recent, see
+	// View.IsConfirmed.
+	NeedsConfirmation bool
+	Log               logrus.FieldLogger
 	// Guard ends the process if one of its goroutines panics.
 	Guard *jmguard.Guard
 	// Reach, where set, reports whether an address can be reached in both
@@ -129,6 +132,10 @@
 // Run drives the node until ctx ends, and returns after its goroutines have ended.
 func (n *Node) Run(ctx context.Context) {
 	n.init()
+	n.machine.NeedsConfirmation = n.NeedsConfirmation
+	if n.Platform == nil {
+		n.machine.RecordPlatformLoss()
+	}
 	wg := jmguard.Group{Guard: n.Guard}
 	n.pulls.Guard = n.Guard
 	defer n.pulls.Wait()
@@ -167,7 +174,8 @@
 		n.perform(ctx, n.machine.Leave(now))
 	}
 	n.perform(ctx, n.machine.Tick(now))
-	if n.machine.TakeChanged() || n.view.Load().IsStale != n.machine.IsStale() {
+	view := n.view.Load()
+	if n.machine.TakeChanged() || view.IsStale != n.machine.IsStale() || view.IsConfirmed != n.machine.IsConfirmed() {
 		n.publish()
 	}
 }
--- a/internal/fleet/jmnode/platform.go
+++ b/internal/fleet/jmnode/platform.go
@@ -14,6 +14,13 @@
 	readerCheckInterval = time.Second // between checks whether to read
 	callTimeout         = 5 * time.Second
 	watchTimeout        = 90 * time.Second
+	// Between the checks of a process that waits for the confirmation of its settings, and
+	// for the platform's answer to it.
+	confirmInterval = 100 * time.Millisecond
+	confirmTimeout  = time.Second
+	// maxConfirmReads bounds the subtrees that a process reads to confirm its settings. If it
+	// lacks more, it gets them from peers.
+	maxConfirmReads = 4
 	// minCallInterval bounds the rate of calls if watches return immediately.
 	minCallInterval = 50 * time.Millisecond
 	minBackoff      = 500 * time.Millisecond
@@ -32,7 +39,7 @@
 	since := uint64(0)
 	for ctx.Err() == nil {
 		if !n.shouldRead(ctx) {
-			sleep(ctx, readerCheckInterval)
+			sleep(ctx, n.checkInterval())
 			continue
 		}
 		revision, err := since, errPanicked
@@ -41,6 +48,7 @@
 			return
 		}
 		if err != nil {
+			n.enqueue(func(time.Time) { n.machine.RecordPlatformLoss() })
 			n.Counters.PlatformErrors.Add(1)
 			n.Log.WithError(err).Warn("settings: platform can't be read")
 			sleep(ctx, jitter(backoff))
@@ -59,6 +67,17 @@
 	}
 }
 
+// checkInterval returns the interval between checks whether to read.
+func (n *Node) checkInterval() time.Duration {
+	if n.isUnconfirmed() {
+		return confirmInterval
+	}
+	return readerCheckInterval
+}
+
+// isUnconfirmed reports whether the process waits for the confirmation of its first settings.
+func (n *Node) isUnconfirmed() bool { return n.NeedsConfirmation && !n.View().IsConfirmed }
+
 // shouldRead asks the control goroutine whether this process should read the
 // platform now.
 func (n *Node) shouldRead(ctx context.Context) bool {
@@ -90,6 +109,10 @@
 	n.enqueue(func(now time.Time) { missing <- n.machine.Needs(now, revisions) })
 	select {
 	case paths := <-missing:
+		if n.isUnconfirmed() && len(paths) > maxConfirmReads {
+			sleep(ctx, jitter(readerCheckInterval))
+			return since, nil
+		}
 		for _, path := range paths {
 			if err = n.readSubtree(ctx, path); err != nil {
 				return since, err
@@ -100,13 +123,18 @@
 	case <-time.After(controlAnswerTimeout):
 		return since, nil
 	}
+	n.enqueue(func(time.Time) { n.machine.ConfirmByPlatform(revisions) })
 	return revisions.At, nil
 }
 
 func (n *Node) waitRevisions(ctx context.Context, since uint64) (r jasminemoor.Revisions, err error) {
 	n.Counters.PlatformCalls.Add(1)
-	if since == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	if since == 0 || n.isUnconfirmed() {
+		timeout := callTimeout
+		if n.isUnconfirmed() {
+			timeout = confirmTimeout
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return n.Platform.Revisions(ctx)
 	}
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -147,6 +147,7 @@
 	a.Node.OwnLoad = func() *jasminemoor.LoadReport {
 		return &jasminemoor.LoadReport{Load: a.ownLoad(), Leaving: a.isLeaving()}
 	}
+	a.Node.NeedsConfirmation = true
 	a.prepareServer()
 	ctx, cancel := context.WithCancel(ctx)
 	wg := jmguard.Group{Guard: a.Guard}
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -41,16 +41,20 @@
 	peers          []jmtree.Upstream // the service's other upstreams
 }
 
-// waitForService waits for settings that name this agent, and applies the first
-// view.
+// waitForService waits for settings that name this agent, and that are known to be recent, and
+// applies the first view. By older ones the address may be that of another service's upstream.
 func (a *Agent) waitForService(ctx context.Context) error {
+	cause := ""
 	for {
 		v, err := a.buildView(nil)
 		if err == nil {
 			a.applyView(v)
 			return nil
 		}
-		a.Log.WithError(err).Debug("agent: waiting for settings")
+		if err.Error() != cause {
+			cause = err.Error()
+			a.Log.WithError(err).Info("agent: waiting for settings")
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -114,6 +118,9 @@
 	if node.Config == nil {
 		return nil, eris.New("no settings received yet")
 	}
+	if last == nil && !node.IsConfirmed {
+		return nil, eris.New("settings may be old: neither the platform nor enough peers have confirmed them")
+	}
 	v = &view{node: node, keys: node.Config.Fleet.DatagramKeys()}
 	if v.codec, err = node.Config.Fleet.Codec(); err != nil {
 		return nil, err
--- a/internal/measure/jmfleet/fleet.go
+++ b/internal/measure/jmfleet/fleet.go
@@ -250,7 +250,7 @@
 	target := f.byAddress[to]
 	f.counts.Exchanges++
 	if target == nil || !f.canReach(n, target) {
-		f.clock.After(time.Second, func() { f.perform(n, n.machine.HandleSyncReply(f.now(), nil)) })
+		f.clock.After(time.Second, func() { f.perform(n, n.machine.HandleSyncReply(f.now(), to, nil)) })
 		return
 	}
 	request := n.machine.SyncRequest()
@@ -260,7 +260,7 @@
 		f.countBytes(n, target, exchangeOverhead+sizeOf(request)+sizeOf(reply))
 		f.clock.After(f.delay(n, target), func() {
 			if !n.isDead && !n.isPaused {
-				f.perform(n, n.machine.HandleSyncReply(f.now(), reply))
+				f.perform(n, n.machine.HandleSyncReply(f.now(), to, reply))
 			}
 		})
 	})
--- a/internal/standin/jmlab/lab_test.go
+++ b/internal/standin/jmlab/lab_test.go
@@ -22,10 +22,16 @@
 // and waits until it is ready.
 func startLab(t *testing.T, net byte) *jmlab.Lab {
 	t.Helper()
-	layout, err := jmlab.NewLayout(net, []string{"lahore", "karachi"}, 3,
+	return startLabOf(t, net,
 		jmlab.ServiceSpec{Team: "rangla", Name: "shop-floor", Weights: []uint32{1, 2, 4}},
 		jmlab.ServiceSpec{Team: "rangla", Name: "catalogue", Weights: []uint32{1, 1}},
 	)
+}
+
+// startLabOf starts a fleet of the given services like startLab.
+func startLabOf(t *testing.T, net byte, services ...jmlab.ServiceSpec) *jmlab.Lab {
+	t.Helper()
+	layout, err := jmlab.NewLayout(net, []string{"lahore", "karachi"}, 3, services...)
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(t.Output())
