jmagent: an agent that is told its service serves no other

Where the platform is stale and all peers that an agent reaches have former settings, these confirm each other: an agent at an address that was used again would serve the former service at its upstream. Nothing but the settings told it its service.

Change: -service names it (Agent.Service). Settings that list the address for another service are not acted on, and while the agent runs it leaves as if it were not listed. Settings that list it for that service need no confirmation: old ones can only be wrong about other upstreams.

Evidence: TestReusedAddressOnOldSide.

Left: agents that are not told their service.

--- a/cmd/jasminemoor/agent.go
+++ b/cmd/jasminemoor/agent.go
@@ -17,6 +17,7 @@
 	f.add(flags)
 	certificate := flags.String("certificate", "", "file with the service's certificate in PEM, used if the settings have none")
 	key := flags.String("key", "", "file with the certificate's key in PEM")
+	service := flags.String("service", "", "service of the upstream, as <team>/<service>; the agent then serves no other one, whatever the settings say")
 	return &ffcli.Command{
 		Name:       "agent",
 		ShortUsage: "jasminemoor agent -address <ip:port> -data-centre <name> -platform <url> [flags]",
@@ -35,7 +36,7 @@
 			}
 			node := f.node(log, guard)
 			a := &jmagent.Agent{
-				Identity: node.Identity, DataCentre: f.dataCentre, Node: node, Log: log, Decisions: &jmdecision.Log{Log: log}, Guard: guard,
+				Identity: node.Identity, DataCentre: f.dataCentre, Service: *service, Node: node, Log: log, Decisions: &jmdecision.Log{Log: log}, Guard: guard,
 			}
 			if *certificate != "" {
 				pair, err := tls.LoadX509KeyPair(*certificate, *key)
--- a/internal/flow/jmagent/agent.go
+++ b/internal/flow/jmagent/agent.go
@@ -56,6 +56,9 @@
 type Agent struct {
 	Identity   jasminemoor.Identity
 	DataCentre string
+	// Service is the service of the agent's upstream, as <team>/<service>, if the agent has
+	// been told. It then serves no other one, whatever the settings say.
+	Service string
 	// Node is the control side of the process. Run sets its OwnLoad.
 	Node *jmnode.Node
 	// Certificate is used while the settings have none for the service.
@@ -147,7 +150,7 @@
 	a.Node.OwnLoad = func() *jasminemoor.LoadReport {
 		return &jasminemoor.LoadReport{Load: a.ownLoad(), Leaving: a.isLeaving()}
 	}
-	a.Node.NeedsConfirmation = true
+	a.Node.NeedsConfirmation = a.Service == ""
 	a.prepareServer()
 	ctx, cancel := context.WithCancel(ctx)
 	wg := jmguard.Group{Guard: a.Guard}
--- a/internal/flow/jmagent/view.go
+++ b/internal/flow/jmagent/view.go
@@ -118,7 +118,7 @@
 	if node.Config == nil {
 		return nil, eris.New("no settings received yet")
 	}
-	if last == nil && !node.IsConfirmed {
+	if last == nil && a.Service == "" && !node.IsConfirmed {
 		return nil, eris.New("settings may be old: neither the platform nor enough peers have confirmed them")
 	}
 	v = &view{node: node, keys: node.Config.Fleet.DatagramKeys()}
@@ -131,6 +131,12 @@
 		// The connection IDs of open flows contain the old service's number.
 		v.isConfigured = false
 	}
+	if v.isConfigured && a.Service != "" && a.Service != nameOf(v.service) {
+		if last == nil {
+			return nil, eris.Errorf("settings name the agent %s for %s, not for its own service %s", a.Identity.Agent, nameOf(v.service), a.Service)
+		}
+		v.isConfigured = false
+	}
 	if !v.isConfigured {
 		if last == nil {
 			return nil, eris.Errorf("no service names the agent %s", a.Identity.Agent)
@@ -143,6 +149,9 @@
 	return v, nil
 }
 
+// nameOf returns a service's name as in Agent.Service.
+func nameOf(s *jmtree.Service) string { return s.Team + "/" + s.Name }
+
 // chooseCertificate returns the certificate in the settings or, without one, that
 // of the command line. If the certificate in the settings has expired, the
 // certificate of the last view is returned, if it has one.
--- a/internal/standin/jmlab/reused_test.go
+++ b/internal/standin/jmlab/reused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,6 +64,8 @@
 	*jmlab.Lab
 	upstream jmtree.Upstream
 	former   netip.AddrPort // fleet address of the balancer
+
+	formerPlatform formerPlatform // with the former settings
 }
 
 func startReused(t *testing.T, net byte) *reusedLab {
@@ -90,7 +93,7 @@
 	serviceIP := netip.AddrFrom4([4]byte{127, net, 1, 9})
 	r.former = netip.AddrPortFrom(serviceIP, lab.Layout.Fleet.Balancers[0].Address.Port())
 	node := r.newNode(r.former)
-	node.Platform = former
+	node.Platform, r.formerPlatform = former, former
 	// It is the only process of its data centre, so it is a reader.
 	node.DataCentre = "multan"
 	node.Reach = func(to netip.AddrPort) bool { return to == r.upstream.Agent }
@@ -176,7 +179,6 @@
 func TestReusedAddressBeforeRecentSettings(t *testing.T) {
 	cases := map[string]struct {
 		platform func(lab *jmlab.Lab) jasminemoor.Platform
-		service  string
 	}{
 		"platform answers": {platform: func(lab *jmlab.Lab) jasminemoor.Platform {
 			return &jmwatch.Client{URL: "http://" + lab.Layout.PlatformAddress().String()}
@@ -196,3 +198,18 @@
 		})
 	}
 }
+
+// TestReusedAddressOnOldSide starts the same agent where only the former settings can be reached:
+// the platform is stale, and the peers are cut off.
+func TestReusedAddressOnOldSide(t *testing.T) {
+	lab := startReused(t, 66)
+	var isHealed atomic.Bool
+	a := lab.newAgent(lab.formerPlatform)
+	a.Service = "rangla/catalogue"
+	a.Node.Reach = func(to netip.AddrPort) bool { return to == lab.former || isHealed.Load() }
+	lab.run(t, a.Run)
+	lab.callFormer(t, time.Now().Add(2*time.Second))
+	require.Empty(t, lab.Upstreams[lab.upstream.Name].Runs(), "bookings for the former service")
+	isHealed.Store(true)
+	lab.awaitServed(t)
+}
