jmdirectory: a process without seeds gets the copy of a peer that knew it

A balancer that was restarted while the store was away and all its seeds were down was not ready until the store was back: a process without a copy knows no peers but its seeds, callers' packets name none, and agents report only to balancers that send them packets.

Change: peers that have a copy reach out. A process whose copy is stale tells, once a second, one former subscriber and one agent, both drawn at random, that it has one: an empty control datagram, whose header shows the copy. Balancers subscribe to agents each second, so agents know them; they are remembered for ten minutes, 512 at most. A process that gets such a datagram pulls the copy as it does from any other peer.

Weighed: offers while the platform answers (needless: each process then loads by itself); a pull from whoever asks (the asking peer's address is not in the request, and only agents are asked); balancers named in agents' reports (go only to balancers that send packets, which one without a copy does not).

The simulation's messages can now show whether their sender has a copy, as datagrams do; other tests leave that off.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -172,6 +172,7 @@
 	subscribers     map[netip.Addr]*subscription
 	offers          int // sent since offersSince, which is at most a second ago
 	offersSince     time.Time
+	lastOffer       time.Time // by tickOffers
 	lastSubscribe   time.Time
 	lastSeedRequest time.Time
 	seedRequests    int
@@ -222,6 +223,7 @@
 func (m *Machine) Tick(now time.Time) (out Output) {
 	if now.Sub(m.lastExpire) >= expireInterval {
 		m.lastExpire = now
+		m.expireSubscriptions(now)
 		if out.HasNewView = m.replica.expire(now) && m.isLoaded; out.HasNewView {
 			m.updateAgents(now)
 		}
@@ -248,6 +250,7 @@
 	}
 	m.tickEndings(&out, now)
 	m.tickAnnouncement(&out, now)
+	m.tickOffers(&out, now)
 	return out
 }
 
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -148,6 +148,9 @@
 	maxCallsPerSecond, callsPerLoad int
 	currentSecond                   time.Time
 	callsInSecond                   int
+	// hasHeaders has messages show whether their sender has a copy, and processes without one
+	// pull it then, as the headers of datagrams in jmpassnode.
+	hasHeaders bool
 	// rand draws the order of the machines in each step.
 	rand *rand.Rand
 }
@@ -225,11 +228,20 @@
 		s, from := f.queue[0], f.from[0]
 		f.queue, f.from = f.queue[1:], f.from[1:]
 		if m := f.machines[s.To]; m != nil && !f.isDead[s.To] {
-			f.perform(s.To, m.Handle(f.now, from, s.Message))
+			f.deliver(m, from, *s.Message)
 		}
 	}
 }
 
+func (f *fleet) deliver(m *Machine, from netip.Addr, message Message) {
+	sender := f.machines[from]
+	message.HasCopy = f.hasHeaders && sender.IsLoaded()
+	if message.HasCopy && !m.IsLoaded() {
+		f.perform(m.Self, m.CatchUp(f.now, from))
+	}
+	f.perform(m.Self, m.Handle(f.now, from, &message))
+}
+
 func (f *fleet) read(m *Machine, r Read) Output {
 	if f.isPartitioned[m.Self] || !f.isAdmitted(r) {
 		return m.HandleRead(f.now, r, nil, eris.Wrap(context.DeadlineExceeded, "platform"))
--- a/internal/fleet/jmdirectory/subscription.go
+++ b/internal/fleet/jmdirectory/subscription.go
@@ -24,13 +24,31 @@
 	m.subscribers[peer].renewed = now
 }
 
+// expireSubscriptions forgets former subscribers, those first whose subscription ended first.
+func (m *Machine) expireSubscriptions(now time.Time) {
+	former := slices.DeleteFunc(m.sortedSubscribers(), func(peer netip.Addr) bool {
+		return now.Sub(m.subscribers[peer].renewed) <= subscriptionTime
+	})
+	slices.SortStableFunc(former, func(x, y netip.Addr) int {
+		return m.subscribers[y].renewed.Compare(m.subscribers[x].renewed)
+	})
+	for i, peer := range former {
+		if i >= maxFormerSubscribers || now.Sub(m.subscribers[peer].renewed) > formerSubscriberTime {
+			delete(m.subscribers, peer)
+		}
+	}
+}
+
+func (m *Machine) sortedSubscribers() []netip.Addr {
+	return slices.SortedFunc(maps.Keys(m.subscribers), netip.Addr.Compare)
+}
+
 // subscribersToServe returns the subscribers to send a beacon to, at most maxServed. It
-// takes those first that have waited for longest, and drops subscriptions that have ended.
+// takes those first that have waited for longest.
 func (m *Machine) subscribersToServe(now time.Time) []netip.Addr {
-	maps.DeleteFunc(m.subscribers, func(_ netip.Addr, s *subscription) bool {
-		return now.Sub(s.renewed) > subscriptionTime
+	peers := slices.DeleteFunc(m.sortedSubscribers(), func(peer netip.Addr) bool {
+		return now.Sub(m.subscribers[peer].renewed) > subscriptionTime
 	})
-	peers := slices.SortedFunc(maps.Keys(m.subscribers), netip.Addr.Compare)
 	if len(peers) > maxServed {
 		slices.SortStableFunc(peers, func(x, y netip.Addr) int {
 			return m.subscribers[x].served.Compare(m.subscribers[y].served)
@@ -58,3 +76,30 @@
 		out.Sends = append(out.Sends, Send{To: peer, Message: &Message{}})
 	}
 }
+
+const (
+	// maxFormerSubscribers bounds the peers that are remembered after their subscriptions have
+	// ended, and formerSubscriberTime for how long they are.
+	maxFormerSubscribers = 512
+	formerSubscriberTime = 10 * time.Minute
+	// offerInterval is the interval between offers to peers that did not ask for one.
+	offerInterval = time.Second
+)
+
+// tickOffers tells a former subscriber and an agent, drawn at random, that there is a copy here
+// while the platform seems to be away. A process that was restarted has no other way to a copy
+// if all its seeds are down: it knows no other peers.
+func (m *Machine) tickOffers(out *Output, now time.Time) {
+	if !m.isLoaded || now.Sub(m.replica.asOf) < askPeerAfter || now.Sub(m.lastOffer) < offerInterval {
+		return
+	}
+	m.lastOffer = now
+	silent := slices.DeleteFunc(m.sortedSubscribers(), func(peer netip.Addr) bool {
+		return now.Sub(m.subscribers[peer].renewed) < subscribeInterval
+	})
+	for _, peers := range [][]netip.Addr{silent, m.agents} {
+		if len(peers) > 0 {
+			out.Sends = append(out.Sends, Send{To: peers[m.Rand.IntN(len(peers))], Message: &Message{}})
+		}
+	}
+}
--- a/internal/flow/jmpassnode/firstcopy_test.go
+++ b/internal/flow/jmpassnode/firstcopy_test.go
@@ -123,3 +123,19 @@
 		require.NoError(t, err)
 	}
 }
+
+// TestBalancerRestartsWithoutStoreAndSeeds restarts a balancer while the store is away and its
+// only seed is down. Agents that knew it tell it of their copies.
+func TestBalancerRestartsWithoutStoreAndSeeds(t *testing.T) {
+	s := newSite(t)
+	s.seeds = []netip.AddrPort{addr(1, 9, peerPort)}
+	s.store.SetFault(netip.Addr{}, jmstore.FaultSilent)
+	time.Sleep(2 * time.Second) // the last beacon is older than its copy may be
+	s.balancers[1].kill()
+	s.startBalancer(1, false)
+	require.Eventually(t, func() bool { return len(s.rotation()) == 2 }, 3*time.Second, 10*time.Millisecond)
+	for i := range 20 {
+		_, err := s.serve(shop, fmt.Sprint("new-", i))
+		require.NoError(t, err)
+	}
+}
