jmdirectory: a budget for the whole copies that a process gives

At a start of the fleet the processes without a copy pull it from the first peer that shows one, which are the seeds: nothing bounded what a process gives. At the target a copy is 0.65 MB and takes 21 ms of a core, so that 20 offers a second alone were 0.4 of a core.

Evidence: TestCopiesOfStartAreSpread starts 1,000 processes, of which the platform serves three, one or ten. Bound on the copies that one process gives: 62, which is 2.2% of a core over a minute at the target; on the time from the first copy to the last: 1.5 s. Before: 156, 130 and 279 copies by the busiest process, within 0.65, 0.75 and 3.65 s.

Change, all of it one mechanism: - A process gives 8 whole copies of the target's size at once and a second, fewer of larger ones. Changes are always given. - It answers others that it refuses, and names the last 8 that got one. A refused process asks one of these at once, up to four times in turn, and then after a delay drawn at random: copies spread as a tree. A request names its sender for that. Earlier releases take a refusal for a peer without a copy, which it is to them. - Processes that start at once turn to a random seed first; all turned to the same one. That made most of the 3.65 s. - A subscriber that was told of a copy is not told again while it may be pulling it. With copies bounded otherwise, 64 instead of 20 offers a second are sent.

After: 10, 8 and 10 copies within 0.50, 0.80 and 0.80 s. Refusals and answers with changes only, at the busiest process: 163, 153 and 350 in all.

Tried: seeds without a copy that ask a subscriber (no gain, 2.8 s; taken out); 20 offers with a random first seed: 0.55, 0.80 and 1.3 s.

--- a/internal/fleet/jmdirectory/machine.go
+++ b/internal/fleet/jmdirectory/machine.go
@@ -103,6 +103,8 @@
 	// HasVersion is not set by an earlier release, which gets the routes by their revisions.
 	HasVersion bool
 	Version    uint64
+	// From is the process that asks; it is not set by an earlier release.
+	From netip.Addr
 }
 
 // PullReply answers a PullRequest. IsWhole says that Items are the full copy.
@@ -119,6 +121,10 @@
 	RouteHistory *RouteHistory
 	// RestoredFor is how long ago the platform was restored, 0 if the peer does not know.
 	RestoredFor time.Duration
+	// IsRefused says that the peer can't give its whole copy now, and AskInstead names some that
+	// have got it. An earlier release takes that for a peer without a copy.
+	IsRefused  bool
+	AskInstead []netip.Addr
 }
 
 // Send is a message to send to a peer.
@@ -198,6 +204,8 @@
 	// isDeputy is set while the agent reads in place of those ranked before it.
 	isDeputy     bool
 	announcement announcement
+	copies       copyBudget
+	sources      sources
 }
 
 type seenBeacon struct {
@@ -235,6 +243,10 @@
 		out.Pulls = append(out.Pulls, peer)
 	}
 	if !m.hasAgents() && len(m.Seeds) > 0 && now.Sub(m.lastSeedRequest) >= seedInterval {
+		if m.lastSeedRequest.IsZero() {
+			// All processes of a fleet may start at once.
+			m.seedRequests = m.Rand.IntN(len(m.Seeds))
+		}
 		m.lastSeedRequest = now
 		seed := m.Seeds[m.seedRequests%len(m.Seeds)]
 		m.seedRequests++
@@ -251,6 +263,7 @@
 	m.tickEndings(&out, now)
 	m.tickAnnouncement(&out, now)
 	m.tickOffers(&out, now)
+	m.tickSources(&out, now)
 	return out
 }
 
@@ -285,7 +298,7 @@
 // Handle handles a message of a peer.
 func (m *Machine) Handle(now time.Time, from netip.Addr, message *Message) (out Output) {
 	if message.IsSubscribe {
-		m.renewSubscription(now, from)
+		m.renewSubscription(now, from, message.HasCopy)
 		if !message.HasCopy {
 			m.offerCopy(&out, now, from)
 		}
@@ -376,7 +389,7 @@
 		}
 	}
 	for _, sub := range m.subscribersToServe(now) {
-		if sub != from {
+		if sub != from && m.shouldTell(now, sub) {
 			out.Sends = append(out.Sends, Send{To: sub, Message: message})
 		}
 	}
@@ -387,9 +400,15 @@
 	if !m.isLoaded {
 		return &PullReply{Age: -1}
 	}
+	if m.replica.lacksAll(r) {
+		if !m.copies.take(now, m.replica.size()) {
+			return m.copies.refuse(r.From)
+		}
+		m.copies.record(r.From)
+	}
 	items, isWhole := m.replica.delta(r)
 	return &PullReply{
-		Revision: m.replica.revision, Version: m.replica.version, Items: items, IsWhole: isWhole || r.Since == 0, Age: now.Sub(m.replica.asOf),
+		Revision: m.replica.revision, Version: m.replica.version, Items: items, IsWhole: isWhole, Age: now.Sub(m.replica.asOf),
 		Endings: m.replica.endings.list(now, maxEndings), RouteHistory: m.replica.routeHistory(now),
 		RestoredFor: m.replica.restoredFor(now),
 	}
@@ -397,7 +416,7 @@
 
 // PullRequest returns the request for what this copy lacks.
 func (m *Machine) PullRequest() *PullRequest {
-	return &PullRequest{Since: m.replica.revision, HasVersion: true, Version: m.replica.version}
+	return &PullRequest{Since: m.replica.revision, HasVersion: true, Version: m.replica.version, From: m.Self}
 }
 
 // HandlePullReply handles a peer's reply to a request, or nil if the exchange failed.
@@ -412,9 +431,14 @@
 	if reply != nil {
 		m.handleEndings(&out, now, reply.Endings)
 	}
+	if reply != nil && reply.IsRefused {
+		m.handleRefusal(&out, now, reply, pending)
+		return out
+	}
 	if reply == nil || reply.Age < 0 {
 		return out
 	}
+	m.sources = sources{}
 	isNew := m.mergeReply(now, request, reply)
 	if isNew {
 		out.HasNewView = true
--- a/internal/fleet/jmdirectory/machine_test.go
+++ b/internal/fleet/jmdirectory/machine_test.go
@@ -151,6 +151,10 @@
 	// hasHeaders has messages show whether their sender has a copy, and processes without one
 	// pull it then, as the headers of datagrams in jmpassnode.
 	hasHeaders bool
+	// pullTime, if above 0, is how long an exchange takes.
+	pullTime  time.Duration
+	exchanges []exchange
+	given     map[netip.Addr]int // whole copies that each process has given
 	// rand draws the order of the machines in each step.
 	rand *rand.Rand
 }
@@ -158,7 +162,7 @@
 func newFleet(t *testing.T, balancers, agents int) *fleet {
 	f := &fleet{
 		t: t, now: startTime, machines: make(map[netip.Addr]*Machine), isPartitioned: make(map[netip.Addr]bool),
-		isDead: make(map[netip.Addr]bool), rand: rand.New(rand.NewPCG(1, 1)), calling: make(map[netip.Addr]Read), answerAt: make(map[netip.Addr]time.Time), pulled: make(map[netip.Addr]int),
+		isDead: make(map[netip.Addr]bool), rand: rand.New(rand.NewPCG(1, 1)), calling: make(map[netip.Addr]Read), answerAt: make(map[netip.Addr]time.Time), pulled: make(map[netip.Addr]int), given: make(map[netip.Addr]int),
 	}
 	f.write(routingEntry(1, 0, 1, 2, 3))
 	for i := range agents {
@@ -198,13 +202,42 @@
 			continue
 		}
 		f.pulled[peer]++
+		if f.pullTime > 0 {
+			f.exchanges = append(f.exchanges, exchange{m: m, request: request, reply: other.HandlePullRequest(f.now, request), endsAt: f.now.Add(f.pullTime)})
+			if f.exchanges[len(f.exchanges)-1].reply.IsWhole {
+				f.given[peer]++
+			}
+			continue
+		}
 		f.perform(self, m.HandlePullReply(f.now, request, other.HandlePullRequest(f.now, request)))
 	}
 }
 
+// exchange is a pull whose reply is under way.
+type exchange struct {
+	m       *Machine
+	request *PullRequest
+	reply   *PullReply
+	endsAt  time.Time
+}
+
+// endExchanges delivers the replies that have arrived.
+func (f *fleet) endExchanges() {
+	ended := f.exchanges
+	f.exchanges = nil
+	for _, e := range ended {
+		if f.now.Before(e.endsAt) {
+			f.exchanges = append(f.exchanges, e)
+		} else {
+			f.perform(e.m.Self, e.m.HandlePullReply(f.now, e.request, e.reply))
+		}
+	}
+}
+
 // step advances the time by 50 ms.
 func (f *fleet) step() {
 	f.now = f.now.Add(50 * time.Millisecond)
+	f.endExchanges()
 	for _, self := range f.turns() {
 		m := f.machines[self]
 		if f.isDead[self] {
--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -200,11 +200,19 @@
 // the same state. Of two removals, the later one counts as another.
 func isSame(x, y *jasminemoor.ListedUpstream) bool { return x != nil && y != nil && *x == *y }
 
+// lacksAll reports whether a peer needs the whole copy.
+func (r *replica) lacksAll(request *PullRequest) bool {
+	return request.Since == 0 || request.Since < r.removalsSince || request.HasVersion && request.Version < r.version && !r.hasHad(request.Version)
+}
+
+// size returns the number of items of the whole copy.
+func (r *replica) size() int { return len(r.upstreams) + len(r.routes) + len(r.evacuations) }
+
 // delta returns what a peer's copy lacks. If the removals since it are not all known, that
 // is the whole copy, and isWhole is set.
 func (r *replica) delta(request *PullRequest) (items []Item, isWhole bool) {
 	since := request.Since
-	isWhole = since < r.removalsSince || request.HasVersion && request.Version < r.version && !r.hasHad(request.Version)
+	isWhole = r.lacksAll(request)
 	if isWhole {
 		since = 0
 	}
--- a/internal/fleet/jmdirectory/subscription.go
+++ b/internal/fleet/jmdirectory/subscription.go
@@ -11,17 +11,19 @@
 type subscription struct {
 	renewed time.Time
 	served  time.Time // when the peer was last sent a beacon
+	hasCopy bool
+	told    time.Time // when it was last told of the copy here, while it had none
 }
 
 // renewSubscription records that a peer asks for beacons for subscriptionTime.
-func (m *Machine) renewSubscription(now time.Time, peer netip.Addr) {
+func (m *Machine) renewSubscription(now time.Time, peer netip.Addr, hasCopy bool) {
 	if m.subscribers == nil {
 		m.subscribers = make(map[netip.Addr]*subscription)
 	}
 	if m.subscribers[peer] == nil {
 		m.subscribers[peer] = &subscription{}
 	}
-	m.subscribers[peer].renewed = now
+	m.subscribers[peer].renewed, m.subscribers[peer].hasCopy = now, hasCopy
 }
 
 // expireSubscriptions forgets former subscribers, those first whose subscription ended first.
@@ -61,9 +63,20 @@
 	return peers
 }
 
+// shouldTell reports whether to tell a subscriber of the copy here now. One without a copy may
+// be pulling it since it was told before.
+func (m *Machine) shouldTell(now time.Time, peer netip.Addr) bool {
+	s := m.subscribers[peer]
+	if !s.hasCopy && now.Sub(s.told) <= pullTimeout {
+		return false
+	}
+	s.told = now
+	return true
+}
+
 // maxOffers bounds the subscribers without a copy that are told of this one within a second.
 // Each of them then pulls it.
-const maxOffers = 20
+const maxOffers = 64
 
 // offerCopy tells a subscriber without a copy that there is one here, which it sees by the
 // header of the datagram. Beacons come only while a reader reaches the platform.
@@ -71,7 +84,7 @@
 	if now.Sub(m.offersSince) >= time.Second {
 		m.offersSince, m.offers = now, 0
 	}
-	if m.isLoaded && m.offers < maxOffers {
+	if m.isLoaded && m.offers < maxOffers && m.shouldTell(now, peer) {
 		m.offers++
 		out.Sends = append(out.Sends, Send{To: peer, Message: &Message{}})
 	}
