Agents hand their flows over when they leave

A restarted agent knew no flows. It gave each packet of a flow that it didn't know to its upstream before it asked others, and so did each agent that was asked: one packet reached up to all upstreams but one. With restarts that overlap, the holder's agent is down or starts just then, or holds the request back in its queue. The flow's packets then reach other upstreams, three or more of them, and none its own for two seconds (FLOW).

The class is wider than a queue that is lost: in the four traces of the model that were read no request waited; only the holder's agent was down when the next packet came.

An agent that leaves now sends the list of its upstream's open flows to the balancers that it heard last, and the next agent asks for it. What the list has is held: its packets go to the upstream, whoever sends them. What it lacks isn't likely to be there: others are asked before the own upstream gets the packet, and an agent that is asked says "unlikely" and gives its upstream nothing, until all have answered or 1.2 s have passed. A reset needs the same proofs as before: neither the list nor "unlikely" counts as one, and a flow that only the list has is searched for if the upstream returns its packet or has ended. Agents that were killed have no list and behave as before.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -64,6 +64,8 @@
 	handedOn       map[jasminemoor.FlowKey]nextHop
 	// openings are the opening packets that wait for the first copy of the directory.
 	openings []keptOpening
+	// inheritance is what is known from the agent before this one.
+	inheritance inheritance
 	// hasReportedStarting is set while balancers may know that there is no copy.
 	hasReportedStarting bool
 	// searchBudget limits the rate of packets that ask other agents for a flow's
@@ -123,6 +125,7 @@
 func (a *Agent) HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) (out []Message, reason Reason) {
 	a.begin(now)
 	a.peers.record(now, h, a.revision())
+	a.noteKeeper(now, h.Origin)
 	switch {
 	case h.Kind == jmhop.KindAsk && !p.Flags.Has(jasminemoor.FlagOpen):
 		reason = a.handleAsk(now, from, h, p, packet)
@@ -300,7 +303,7 @@
 		a.handOn(now, key, next.to, *h, nil)
 		return ReasonHandedOn
 	}
-	if a.mayHold(now, key) {
+	if a.mayHold(now, key) && (!a.isUnlikely() || h.Flags&jmhop.FlagKnown != 0 || a.isProbed(key)) {
 		isQuiet := a.isUpstreamQuiet(now)
 		if _, isProbing := a.flowProbes[key]; !isProbing {
 			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, hops: h.Hops})
@@ -420,6 +423,7 @@
 	a.table.stall.recordTick(now)
 	a.advanceCold(now)
 	a.releaseOpenings(now)
+	a.recall(now)
 	a.sendDueReports(now)
 	a.expireFlowProbes(now)
 	a.advanceSearches(now)
--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -55,7 +55,8 @@
 	scratch        []rankedUpstream
 	reports        []jmopening.Report // scratch space of isFull
 	retries        retries
-	dataCentreCode uint8 // code of DataCentre
+	kept           map[netip.Addr]*keptList // lists that agents have handed over
+	dataCentreCode uint8                    // code of DataCentre
 }
 
 // balancerFlow is the entry of a flow. It has no pointers, so that the garbage
@@ -307,6 +308,7 @@
 // Tick returns the suspect agents to poll for a report.
 func (b *Balancer) Tick(now time.Time) (polls []netip.Addr) {
 	b.retries.expire(now)
+	b.expireLists(now)
 	for i := range b.agents {
 		a := &b.agents[i]
 		if a.isSuspect(now) && now.Sub(a.polled) >= pollInterval && b.isListed(a.addr) {
--- a/internal/flow/jmpass/message.go
+++ b/internal/flow/jmpass/message.go
@@ -57,6 +57,8 @@
 	HasPacket bool
 	// Report is the body of a report, nil for any other message.
 	Report *jmhop.Report
+	// Body is the body of a message that is none of the above, nil if there is none.
+	Body []byte
 	// RequestAge is the age of the request in Packet if the agent had queued it, 0 if
 	// not. It includes the time before the request arrived, as far as the agent
 	// knows it. Of the packets of one request, only the first one has it.
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -18,6 +18,9 @@
 	// have not answered. The delay doubles each time, since they may be down and
 	// there may be many searches.
 	askInterval = 100 * time.Millisecond
+	// unlikelyDelay is after which time upstreams get the packet of a search that are not likely
+	// to hold its flow. An agent that is restarted in an orderly way runs again earlier.
+	unlikelyDelay = 1200 * time.Millisecond
 	// askRate bounds the packets per second with which an agent asks others, and
 	// askBurst the size of a burst. Each packet costs the other agent and its
 	// upstream four datagrams, and after a power failure every agent asks.
@@ -61,6 +64,11 @@
 	backoff  time.Duration // delay between two rounds, in which agents that have not answered are asked again
 	hasAsked bool          // whether any other agent was asked
 	asksAll  bool          // whether all agents are asked, not only the first in rank
+	// unlikely are the agents that are not likely to hold the flow, and have not tried their
+	// upstreams. They are asked to once triesUnlikely is set, and the own upstream is tried if it
+	// isn't likely to hold the flow either.
+	unlikely      map[netip.Addr]bool
+	triesUnlikely bool
 	// round are the agents that are still to be asked until the next backoff.
 	round []netip.Addr
 	// initialAnswers counts the answers until asksAll is set.
@@ -88,15 +96,23 @@
 	}
 	s.balancer, s.hops, s.ack, s.hasData = balancer, hops, p.Acknowledged, p.Length > 0
 	s.packet = append(s.packet[:0], packet...)
-	if a.isLeaving {
+	switch {
+	case a.isLeaving:
 		a.handOnSearch(now, key, s)
-		return
-	}
-	if !s.hasAsked {
+	case !s.hasAsked:
 		a.ask(now, key, s)
+	case s.triesUnlikely:
+		a.resetIfLost(now, key, s) // the own upstream may have answered last
 	}
 }
 
+// isProbed reports whether a packet of a flow was sent to the own upstream, which has not
+// returned it.
+func (a *Agent) isProbed(key jasminemoor.FlowKey) bool {
+	_, isProbing := a.flowProbes[key]
+	return isProbing
+}
+
 // HandOnSearches hands the searches of an agent that is leaving on to other agents, as
 // their callers may not send another packet before the next agent runs.
 func (a *Agent) HandOnSearches(now time.Time) []Message {
@@ -128,10 +144,11 @@
 }
 
 // ask takes the next step of a search. If the own upstream may hold the flow, it is
-// probed. If no agent holds the flow, it is reset. Otherwise, and if the own upstream sends
-// nothing, the agents that have not answered are asked, within searchBudget.
+// probed, but later if it isn't likely to. If no agent holds the flow, it is reset. Otherwise, and
+// if the own upstream sends nothing, the agents that have not answered are asked, within
+// searchBudget.
 func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
-	if a.mayHold(now, key) {
+	if a.mayHold(now, key) && !a.isUnlikely() {
 		a.probeFlow(now, key, s)
 		if !a.isUpstreamQuiet(now) {
 			s.next = now.Add(askInterval)
@@ -145,19 +162,51 @@
 		return
 	}
 	if len(s.round) == 0 {
-		s.asksAll = s.asksAll || s.hasAsked
-		s.round = append(s.round, s.remaining...)
-		if !s.asksAll {
-			s.round = s.round[:min(len(s.round), initialAskCount)]
-		}
+		s.asksAll = s.asksAll || s.hasAsked && s.hasTriedUnlikely()
+		a.tryUnlikely(now, key, s)
+		s.round = append(s.round, s.asked()...)
 	}
 	a.askRound(now, key, s)
 }
 
+// asked returns the agents that are asked in a round.
+func (s *search) asked() []netip.Addr {
+	if s.asksAll {
+		return s.remaining
+	}
+	return s.remaining[:min(len(s.remaining), initialAskCount)]
+}
+
+// hasTriedUnlikely reports whether no agent was left out of the last round.
+func (s *search) hasTriedUnlikely() bool { return s.triesUnlikely || len(s.unlikely) == 0 }
+
+// tryUnlikely has upstreams get the packet that are not likely to hold the flow: if all agents
+// that were asked have answered, or after unlikelyDelay. The holder's agent may be restarting
+// until then. It reports whether that is new.
+func (a *Agent) tryUnlikely(now time.Time, key jasminemoor.FlowKey, s *search) bool {
+	if s.triesUnlikely || !a.isUnlikely() && len(s.unlikely) == 0 {
+		return false
+	}
+	hasSilent := slices.ContainsFunc(s.asked(), func(agent netip.Addr) bool { return !s.unlikely[agent] })
+	if (hasSilent || !s.isInitialized) && now.Sub(s.started) < unlikelyDelay {
+		return false
+	}
+	s.triesUnlikely = true
+	if a.mayHold(now, key) {
+		a.probeFlow(now, key, s)
+	}
+	return true
+}
+
 // askRound asks the agents of a search's round, as many as searchBudget has room for.
 func (a *Agent) askRound(now time.Time, key jasminemoor.FlowKey, s *search) {
-	s.round = slices.DeleteFunc(s.round, func(agent netip.Addr) bool { return s.notHolders[agent] })
+	s.round = slices.DeleteFunc(s.round, func(agent netip.Addr) bool {
+		return s.notHolders[agent] || s.unlikely[agent] && !s.triesUnlikely
+	})
 	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Revision: a.revision()}
+	if !s.triesUnlikely {
+		header.Flags = jmhop.FlagIfLikely
+	}
 	for len(s.round) > 0 {
 		count := min(len(s.round), askChunk)
 		if !a.searchBudget.allow(now, count, askRate, askBurst) {
@@ -255,7 +304,7 @@
 	if f := a.heldFlow(key, p); f != nil {
 		if a.upstream.isDown {
 			a.resetFlow(now, key, f, p.Length > 0)
-			a.sendAbsent(from, key)
+			a.sendAbsent(from, key, 0)
 			return ReasonUpstreamDown
 		}
 		f.balancer = a.recordBalancer(now, h) + 1
@@ -265,6 +314,10 @@
 		return reason
 	}
 	if a.mayHold(now, key) {
+		if h.Flags&jmhop.FlagIfLikely != 0 && a.isUnlikely() {
+			a.sendAbsent(from, key, jmhop.FlagUnlikely)
+			return ReasonNotHeld
+		}
 		if probe, isProbing := a.flowProbes[key]; !isProbing || now.Sub(probe.at) >= flowProbeTimeout {
 			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, asker: from})
 			a.sendToUpstream(now, key)
@@ -274,13 +327,14 @@
 	if !a.isNotHeld(now, key, p.Acknowledged) {
 		return ReasonUpstreamDown // not known, and a wrong answer could reset an open flow
 	}
-	a.sendAbsent(from, key)
+	a.sendAbsent(from, key, 0)
 	return ReasonNotHeld
 }
 
-// sendAbsent informs an agent that asked that the own upstream does not hold a flow.
-func (a *Agent) sendAbsent(asker netip.Addr, key jasminemoor.FlowKey) {
-	header := jmhop.Header{Kind: jmhop.KindAbsent, Origin: a.Self, Revision: a.revision()}
+// sendAbsent informs an agent that asked that the own upstream does not hold a flow, or with
+// jmhop.FlagUnlikely, that it isn't likely to.
+func (a *Agent) sendAbsent(asker netip.Addr, key jasminemoor.FlowKey, flags uint8) {
+	header := jmhop.Header{Kind: jmhop.KindAbsent, Flags: flags, Origin: a.Self, Revision: a.revision()}
 	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: asker, Header: header})
 }
 
@@ -293,9 +347,24 @@
 	if s == nil || s.notHolders[from] {
 		return a.out
 	}
-	s.notHolders[from] = true
-	s.remaining = slices.DeleteFunc(s.remaining, func(agent netip.Addr) bool { return agent == from })
-	if a.resetIfLost(now, key, s) || s.asksAll {
+	if h.Flags&jmhop.FlagUnlikely != 0 {
+		if s.unlikely == nil {
+			s.unlikely = make(map[netip.Addr]bool)
+		}
+		s.unlikely[from] = true
+	} else {
+		s.notHolders[from] = true
+		s.remaining = slices.DeleteFunc(s.remaining, func(agent netip.Addr) bool { return agent == from })
+		if a.resetIfLost(now, key, s) {
+			return a.out
+		}
+	}
+	if a.tryUnlikely(now, key, s) {
+		s.round = append(s.round[:0], s.asked()...)
+		a.askRound(now, key, s)
+		return a.out
+	}
+	if s.asksAll || h.Flags&jmhop.FlagUnlikely != 0 {
 		return a.out
 	}
 	if s.initialAnswers++; s.initialAnswers >= initialAskCount {
@@ -327,7 +396,7 @@
 func (a *Agent) endFlowProbes() {
 	for key, probe := range a.flowProbes {
 		if probe.asker.IsValid() {
-			a.sendAbsent(probe.asker, key)
+			a.sendAbsent(probe.asker, key, 0)
 		}
 	}
 	clear(a.flowProbes)
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -37,16 +37,18 @@
 	isAcknowledged     bool // the upstream has acknowledged the caller's newest data
 	hasOpenReply       bool // the upstream has replied to the opening packet
 	ended              endFlags
-	openReply          uint32 // sequence number of that reply
-	lastAck            uint32 // sequence number that the caller acknowledged last
-	dataEnd            uint32 // sequence number after the caller's newest data
-	answerEnd          uint32 // sequence number after the upstream's newest data
-	opened             time.Time
-	lastUsed           time.Time
-	requestedAt        time.Time // when the request in flight was sent
-	workStarted        time.Time // when the upstream began to work on it, zero if it waits there
-	queuedAt           time.Time // arrival of the request that was queued last
-	queuedSequence     uint32    // sequence number of that request's first data
+	// isInherited is set if the flow is known only from the list of the agent before this one.
+	isInherited    bool
+	openReply      uint32 // sequence number of that reply
+	lastAck        uint32 // sequence number that the caller acknowledged last
+	dataEnd        uint32 // sequence number after the caller's newest data
+	answerEnd      uint32 // sequence number after the upstream's newest data
+	opened         time.Time
+	lastUsed       time.Time
+	requestedAt    time.Time // when the request in flight was sent
+	workStarted    time.Time // when the upstream began to work on it, zero if it waits there
+	queuedAt       time.Time // arrival of the request that was queued last
+	queuedSequence uint32    // sequence number of that request's first data
 }
 
 // endFlags says which ends have closed a flow.
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -65,6 +65,9 @@
 func (a *Agent) handleAnswer(now time.Time, p *jasminemoor.Packet, isFailure bool) Reason {
 	key := p.ReverseKey()
 	f := a.table.get(key)
+	if f != nil {
+		f.isInherited = false
+	}
 	if f == nil {
 		a.cold.recordUnknownFlow(p)
 		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen)}
@@ -127,10 +130,16 @@
 		return ReasonRefusedByUpstream
 	}
 	a.refused[key] = now
+	if f != nil && f.isInherited {
+		h := &jmhop.Header{Origin: a.balancerOf(f)}
+		a.drop(key)
+		a.startSearch(now, key, h.Origin, 0, p, packet)
+		return ReasonSearched
+	}
 	if probe, found := a.flowProbes[key]; found {
 		delete(a.flowProbes, key)
 		if probe.asker.IsValid() {
-			a.sendAbsent(probe.asker, key)
+			a.sendAbsent(probe.asker, key, 0)
 			return ReasonNotHeld
 		}
 		a.startSearch(now, key, probe.balancer, probe.hops, p, packet)
@@ -220,7 +229,10 @@
 			u.isDown = true
 			a.endFlowProbes()
 			for key, f := range a.table.flows {
-				if f.isOpen {
+				switch {
+				case f.isInherited:
+					a.drop(key)
+				case f.isOpen:
 					a.resetFlow(now, key, f, false)
 				}
 			}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -193,6 +193,7 @@
 			a.Malformed.Add(1)
 		}
 	})
+	s.send(a.machine.Recall(now), nil)
 }
 
 // handlePeer handles one datagram of another process. It returns false for one that
@@ -220,6 +221,12 @@
 		} else {
 			a.machine.HandleHolder(now, jasminemoor.FlowKey(body))
 		}
+	case jmhop.KindFlows:
+		var l jmhop.FlowList
+		if err := l.Unmarshal(body); err != nil {
+			return false
+		}
+		a.machine.HandleFlows(now, from, &l)
 	case jmhop.KindForward, jmhop.KindAsk:
 		var p jasminemoor.Packet
 		if err := a.Codec.Decode(body, &p); err != nil {
@@ -269,6 +276,10 @@
 			a.mu.Unlock()
 			s.writer.flush()
 			time.Sleep(leaveGrace)
+			a.mu.Lock()
+			s.send(a.machine.HandOverFlows(time.Now()), nil)
+			a.mu.Unlock()
+			s.writer.flush()
 			close(a.drained)
 			return
 		case now := <-ticker.C:
--- a/internal/flow/jmpassnode/balancer.go
+++ b/internal/flow/jmpassnode/balancer.go
@@ -188,6 +188,10 @@
 		b.handleReport(now, from, body)
 	case jmhop.KindHolder, jmhop.KindFlowReset:
 		b.handleFlow(now, from, &h, body)
+	case jmhop.KindFlows:
+		b.handleFlowList(now, from, body)
+	case jmhop.KindPoll:
+		b.sendFlowList(now, from)
 	default:
 		b.Malformed.Add(1)
 	}
@@ -219,6 +223,30 @@
 	b.machine.HandleHolder(now, from, jasminemoor.FlowKey(body))
 }
 
+// handleFlowList keeps a part of the list of flows of an agent that leaves.
+func (b *Balancer) handleFlowList(now time.Time, from netip.Addr, body []byte) {
+	var l jmhop.FlowList
+	if err := l.Unmarshal(body); err != nil {
+		b.Malformed.Add(1)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.machine.HandleFlows(now, from, l.Incarnation, body)
+}
+
+// sendFlowList sends an agent that has started the list of the one before it.
+func (b *Balancer) sendFlowList(now time.Time, to netip.Addr) {
+	b.mu.Lock()
+	out := b.machine.HandlePoll(now, to)
+	b.mu.Unlock()
+	for i := range out {
+		datagram := make([]byte, jmhop.HeaderSize, jmhop.HeaderSize+len(out[i].Body))
+		out[i].Header.Marshal(datagram)
+		b.control.Send(netip.AddrPortFrom(to, b.Settings.FirstPort), append(datagram, out[i].Body...))
+	}
+}
+
 // tickLoop polls agents that are slow to report, and returns once ctx has ended or
 // the balancer has drained.
 func (b *Balancer) tickLoop(ctx context.Context) {
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -150,7 +150,7 @@
 	s.setProcess(s.balancers, i, p)
 }
 
-func (s *site) startAgent(i int, service string, isFirstStart bool) {
+func (s *site) startAgent(i int, service string, isFirstStart bool) *jmpassnode.Agent {
 	settings := s.settings(2, i, isFirstStart)
 	settings.Service = service
 	a := &jmpassnode.Agent{
@@ -160,6 +160,7 @@
 	p := s.start(a.Run, a.Leave, a.Drained())
 	p.control = a.Control
 	s.setProcess(s.agents, i, p)
+	return a
 }
 
 func (s *site) setProcess(to map[int]*process, i int, p *process) {
--- a/internal/flow/jmpassnode/sender.go
+++ b/internal/flow/jmpassnode/sender.go
@@ -85,6 +85,10 @@
 		case m.HasPacket:
 			s.codec.Restore(packet)
 			s.writer.add(to, s.header[:], packet)
+		case m.Body != nil:
+			s.writer.add(to, s.header[:], m.Body)
+		case m.Header.Kind == jmhop.KindPoll:
+			s.writer.add(to, s.header[:], nil)
 		case m.Report != nil:
 			s.body = m.Report.Append(s.body[:0])
 			s.writer.add(to, s.header[:], s.body)
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -39,7 +39,11 @@
 	// no upstream held and that were not reset before their caller gave up.
 	ResetMax  float64
 	Abandoned int
-	Windows   []Window
+	// Strays counts the packets of open flows that reached upstreams that don't hold them, and
+	// Strayed the flows that this broke; see strayLimit. Both are counted only with a fault of
+	// kind LeaveAgents.
+	Strays, Strayed int
+	Windows         []Window
 	// Unanswered is how many requests had been sent and not answered, each DrainStep. It
 	// does not count those whose callers have given up.
 	Unanswered []int
--- a/internal/measure/jmflows/scenario.go
+++ b/internal/measure/jmflows/scenario.go
@@ -102,6 +102,7 @@
 	FaultSlow         FaultKind = "Slow"         // Share of the upstreams takes Factor times as long
 	FaultBreak        FaultKind = "Break"        // Share of the upstreams answers a share Factor of the requests with a reset
 	FaultRollAgents   FaultKind = "RollAgents"   // the agents are restarted one by one, one each Gap
+	FaultLeaveAgents  FaultKind = "LeaveAgents"  // as RollAgents, in an orderly way; those that are down already are left out
 	FaultRollBalancer FaultKind = "RollBalancer" // the balancers are restarted one by one, one each Gap
 )
 
@@ -183,6 +184,10 @@
 		for i, n := range nodes {
 			w.after(time.Duration(i)*time.Duration(f.Gap), func() { n.restart(down+startupTime, false) })
 		}
+	case FaultLeaveAgents:
+		for i, at := range w.Rand.Perm(len(w.agents)) {
+			w.after(time.Duration(i)*time.Duration(f.Gap), func() { w.agents[at].restartOrderly(down + startupTime) })
+		}
 	default:
 		w.injectUpstreamFault(f)
 	}
@@ -353,7 +358,7 @@
 	c.Faults = slices.Clone(s.Faults)
 	for i := range c.Faults {
 		switch f := &c.Faults[i]; f.Kind {
-		case FaultReplace, FaultRollAgents, FaultRollBalancer:
+		case FaultReplace, FaultRollAgents, FaultLeaveAgents, FaultRollBalancer:
 			f.Gap = jmtree.Duration(float64(f.Gap) / factor)
 		}
 	}
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -117,6 +117,9 @@
 	}
 	key := p.Key()
 	f := u.flows[key]
+	if !p.Flags.Has(jasminemoor.FlagOpen) {
+		u.node.world.countArrival(u, key)
+	}
 	switch {
 	case p.Flags.Has(jasminemoor.FlagOpen):
 		u.countOpening()
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -105,7 +105,8 @@
 	isPublishing bool
 	views        map[time.Time]*jmdirectory.View // of the present revision, by the time of the process's start
 	result       Result
-	violation    error // first violation of a guarantee
+	violation    error                           // first violation of a guarantee
+	strays       map[jasminemoor.FlowKey]*strays // nil if they aren't counted
 }
 
 // node is the process of a balancer, or of an agent with its upstream. Its
@@ -117,6 +118,7 @@
 	starts     int
 	startedAt  time.Time
 	isUp       bool
+	isLeaving  bool
 	balancer   balancer
 	agent      agent
 	upstream   *upstream
@@ -187,6 +189,9 @@
 	w.startedAt = time.Unix(1_700_000_000, 0)
 	w.now = w.startedAt
 	w.byAddr = make(map[netip.Addr]*node)
+	if slices.ContainsFunc(w.Faults, func(f Fault) bool { return f.Kind == FaultLeaveAgents }) {
+		w.strays = make(map[jasminemoor.FlowKey]*strays)
+	}
 	w.version = 1
 	for i := range w.Balancers {
 		n := &node{world: w, addr: netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i + 1)}), dataCentre: w.dataCentreName(i)}
@@ -430,8 +435,10 @@
 		n.balancer.HandleFlowReset(now, from, m.Flow, m.Header.Age)
 	case jmhop.KindAbsent:
 		n.send(n.agent.HandleAbsent(now, from, &m.Header, m.Flow), nil)
+	case jmhop.KindFlows:
+		n.receiveFlows(from, m)
 	case jmhop.KindPoll:
-		n.send(n.agent.HandlePoll(now, from), nil)
+		n.receivePoll(from)
 	case jmhop.KindForward, jmhop.KindAsk:
 		var p jasminemoor.Packet
 		if err := (codec{}).Decode(packet, &p); err != nil {
@@ -443,6 +450,7 @@
 			n.world.result.countSearch(now, p.Key())
 		}
 		n.send(out, packet)
+		n.recall()
 	}
 }
 
--- a/internal/wire/jmhop/hop.go
+++ b/internal/wire/jmhop/hop.go
@@ -42,9 +42,10 @@
 	KindAbsent    Kind = 0xB3 // answer to KindAsk: the sender does not hold the flow
 	KindHolder    Kind = 0xB4 // the sender holds a flow
 	KindReport    Kind = 0xB5 // an agent's load and state
-	KindPoll      Kind = 0xB6 // requests a report from an agent
+	KindPoll      Kind = 0xB6 // requests a report from an agent, or a list of flows from a balancer
 	KindControl   Kind = 0xB7 // a control message as msgpack
 	KindFlowReset Kind = 0xB8 // the sender has reset a flow, whose caller is about to retry
+	KindFlows     Kind = 0xB9 // flows of an upstream, from an agent that leaves and for the next one
 )
 
 // AgeUnit is the resolution of Header.Age on the wire.
@@ -62,6 +63,13 @@
 	// may get it say that they would answer after its caller has given up.
 	FlagFull
 
+	// FlagIfLikely is set on a datagram of KindAsk if the receiver is not to give the packet to an
+	// upstream that isn't likely to hold the flow.
+	FlagIfLikely = FlagKnown
+	// FlagUnlikely is set on a datagram of KindAbsent, only in answer to one with FlagIfLikely, if
+	// the sender's upstream isn't likely to hold the flow. It is no proof that it does not.
+	FlagUnlikely = FlagKnown
+
 	// flagBits is the number of bits for flags in their byte. The others hold Wait.
 	flagBits = 2
 	flagMask = 1<<flagBits - 1
@@ -148,7 +156,7 @@
 	h.Kind, h.Flags, h.Hops, h.DataCentre = Kind(b[0]), b[1]&flagMask, b[2], b[4]
 	h.Wait = time.Duration(b[1]>>flagBits) * WaitUnit
 	h.Age = time.Duration(b[3]) * AgeUnit
-	if h.Kind < KindForward || h.Kind > KindFlowReset {
+	if h.Kind < KindForward || h.Kind > KindFlows {
 		return ErrKind
 	}
 	h.Revision = RevisionCode(binary.BigEndian.Uint32(b[revisionStart:]))
--- a/internal/wire/jmhop/hop_test.go
+++ b/internal/wire/jmhop/hop_test.go
@@ -111,3 +111,25 @@
 		_ = r.Unmarshal(b[jmhop.HeaderSize:])
 	})
 }
+
+func TestFlowList(t *testing.T) {
+	key := jasminemoor.NewFlowKey(netip.MustParseAddrPort("100.64.0.7:1025"), netip.MustParseAddrPort("198.18.0.1:443"))
+	for name, l := range map[string]jmhop.FlowList{
+		"empty": {Incarnation: 1 << 50, Upstream: 8080},
+		"flows": {
+			Incarnation: 7, Upstream: 8080, Total: 22, First: 20, IsWhole: true,
+			Flows: []jmhop.ListedFlow{{Key: key, OpenReply: 5, LastAck: 6, DataEnd: 7, HasOpenReply: true}, {Key: key, LastAck: 1 << 31}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := l.Append(nil)
+			got := jmhop.FlowList{IsWhole: true, Flows: []jmhop.ListedFlow{{}}}
+			require.NoError(t, got.Unmarshal(b))
+			require.Equal(t, l, got)
+			require.ErrorIs(t, got.Unmarshal(b[:len(b)-1]), jmhop.ErrShort)
+			require.ErrorIs(t, got.Unmarshal(append(b, 0)), jmhop.ErrShort)
+		})
+	}
+	full := jmhop.FlowList{Flows: make([]jmhop.ListedFlow, jmhop.MaxListedFlows)}
+	require.LessOrEqual(t, jmhop.HeaderSize+len(full.Append(nil)), 1200)
+}
