A search among unlikely agents is handed on to two

An agent that leaves hands its searches on to two agents that have answered. Those that answered "unlikely" did not count, so that such a search went to the agent heard last only, which may be leaving as well.

TestSearchAmongUnlikelyOutlivesTwoAgents fails before (one message).

--- a/internal/flow/jmpass/handover_test.go
+++ b/internal/flow/jmpass/handover_test.go
@@ -146,6 +146,23 @@
 	})
 }
 
+// TestSearchAmongUnlikelyOutlivesTwoAgents has an agent leave that searches for a flow, to which others
+// have answered that they aren't likely to hold it. Two of them go on, as one may be leaving as well.
+func TestSearchAmongUnlikelyOutlivesTwoAgents(t *testing.T) {
+	a := newAgent(true, snapshot(4))
+	p := otherPacket()
+	_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(0), p, []byte("packet"))
+	for i := range 2 {
+		_ = a.HandleAbsent(startTime, agentAddr(i+2), &jmhop.Header{Kind: jmhop.KindAbsent, Flags: jmhop.FlagUnlikely}, p.Key())
+	}
+	_ = a.Leave(startTime)
+	var to []netip.Addr
+	for _, m := range a.HandOnSearches(startTime) {
+		to = append(to, m.To)
+	}
+	require.ElementsMatch(t, []netip.Addr{agentAddr(2), agentAddr(3)}, to)
+}
+
 // TestUnlikelyIsNoProof has all agents answer that they aren't likely to hold a flow. It is reset
 // only when all upstreams have returned its packet.
 func TestUnlikelyIsNoProof(t *testing.T) {
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -124,14 +124,14 @@
 }
 
 // handOnSearch hands a search on to other agents that run, and ends it here. Those that
-// have answered that they don't hold the flow are preferred, as they need not ask their
-// upstreams.
+// have answered that they don't hold the flow, or aren't likely to, are preferred, as they need not
+// ask their upstreams.
 func (a *Agent) handOnSearch(now time.Time, key jasminemoor.FlowKey, s *search) {
 	delete(a.searches, key)
 	if s.hops >= maxHops {
 		return
 	}
-	to := slices.DeleteFunc(a.possibleHolders(now, key), func(agent netip.Addr) bool { return !s.notHolders[agent] })
+	to := slices.DeleteFunc(a.possibleHolders(now, key), func(agent netip.Addr) bool { return !s.notHolders[agent] && !s.unlikely[agent] })
 	if a.lastPeer.IsValid() && !slices.Contains(to, a.lastPeer) {
 		to = append(to, a.lastPeer)
 	}
