--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -166,7 +166,7 @@
 	s.setProcess(s.balancers, i, p)
 }
 
-func (s *site) startAgent(i int, service string, isFirstStart bool) {
+func (s *site) startAgent(i int, service string, isFirstStart bool) *jmpassnode.Agent {
 	settings := s.settings(2, i, isFirstStart)
 	settings.Service = service
 	s.setService(i, service)
@@ -177,6 +177,7 @@
 	p := s.start(a.Run, a.Leave, a.Drained())
 	p.control = a.Control
 	s.setProcess(s.agents, i, p)
+	return a
 }
 
 // setService has the settings of an instance name a service, or have a fault if it is empty.
--- a/internal/measure/jmflows/result.go
+++ b/internal/measure/jmflows/result.go
@@ -40,7 +40,11 @@
 	// those of which the network had lost the caller's last packet, or the reset.
 	ResetMax          float64
 	Abandoned, CutOff int
-	Windows           []Window
+	// Strays counts the packets of open flows that reached upstreams that don't hold them, and
+	// Strayed the flows that this broke; see strayLimit. Both are counted only with a fault of
+	// kind LeaveAgents.
+	Strays, Strayed int
+	Windows         []Window
 	// Unanswered is how many requests had been sent and not answered, each DrainStep. It
 	// does not count those whose callers have given up.
 	Unanswered []int
