jmdirectory: odd entries can't fill the answers to peers

An entry that names no upstream counts as a removed one, so each left a tombstone for a minute in every copy, and whole copies had them as well. A peer's answer may have 16 MB: with 100,000 such entries, whose keys have the 200 bytes that the store takes, it has 21.6 MB, and a process that is behind or has no copy gets none from a peer until the tombstones are dropped.

Change: removals of entries that the copy has never known are counted. Above 1,024 the oldest half and more are dropped and removalsSince rises, as at their expiry: a peer that lacks them gets the whole copy, which removes what it does not list. Whole copies have none of them, since they need none. Removals of upstreams that were known are kept as before; there are no more of these than upstreams.

Weighed: leaving out such tombstones at once (a removal that this process has not seen the entry of must still reach peers that have it: TestLoadMissesRemoval); telling odd entries from removals in the adapter (an odd value may replace an upstream's entry, which is a removal).

Evidence: TestManyOddEntriesFitAnswer, both forms failed before (21,600,146 and 21,600,300 bytes of at most 16,777,216). After: they pass; four copies are 4.4 and 1.1 MB larger.

--- a/internal/fleet/jmdirectory/replica.go
+++ b/internal/fleet/jmdirectory/replica.go
@@ -68,6 +68,7 @@
 	removalsSince jasminemoor.Revision
 	routing
 	upstreams   map[string]*knownUpstream
+	strangers   int // upstreams of which only the removal is known
 	histories   map[netip.AddrPort]*history
 	endings     endings
 	evacuations map[string]*knownEvacuation // by data centre
@@ -95,6 +96,34 @@
 	isGraceOver bool
 }
 
+// isStranger reports whether only its removal is known. Entries of other writers that name no
+// upstream count as removed.
+func (k *knownUpstream) isStranger() bool { return k.upstream == nil && k.last == nil }
+
+// maxStrangers bounds the strangers that a copy keeps. A whole copy has none of them.
+const maxStrangers = 1024
+
+// boundStrangers drops the oldest strangers. A peer that lacks the removals gets the full copy.
+func (r *replica) boundStrangers() {
+	if r.strangers <= maxStrangers {
+		return
+	}
+	var keys []string
+	for key, known := range r.upstreams {
+		if known.isStranger() {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(x, y string) int {
+		return cmp.Or(cmp.Compare(r.upstreams[x].revision, r.upstreams[y].revision), cmp.Compare(x, y))
+	})
+	for _, key := range keys[:len(keys)-maxStrangers/2] {
+		r.removalsSince = max(r.removalsSince, r.upstreams[key].revision)
+		delete(r.upstreams, key)
+	}
+	r.strangers = maxStrangers / 2
+}
+
 func (r *replica) init() {
 	if r.routes == nil {
 		r.routes = make(map[netip.AddrPort]*knownRoute)
@@ -136,6 +165,7 @@
 		r.removalsSince = max(r.removalsSince, c.Revision)
 	}
 	r.revision = max(r.revision, c.Revision)
+	r.boundStrangers()
 	if r.asOf.IsZero() {
 		r.routesKnownSince = now
 		r.recordFirstCopy(now)
@@ -176,10 +206,12 @@
 	if known == nil {
 		known = &knownUpstream{}
 		r.upstreams[item.Key] = known
+		r.strangers++
 	}
 	if revision <= known.revision {
 		return false
 	}
+	wasStranger := known.isStranger()
 	upstream := known.reconcile(revision, item.Upstream)
 	if isSame(known.upstream, upstream) {
 		known.revision = revision
@@ -193,6 +225,9 @@
 	if upstream != nil {
 		known.warmAt = now.Add(upstream.WarmIn)
 	}
+	if wasStranger && !known.isStranger() {
+		r.strangers--
+	}
 	return true
 }
 
@@ -218,7 +253,7 @@
 	}
 	items = r.deltaRoutes(request, isWhole)
 	for key, known := range r.upstreams {
-		if known.revision > since {
+		if known.revision > since && (!isWhole || !known.isStranger()) {
 			items = append(items, Item{Revision: known.revision, Upstream: &UpstreamItem{Key: key, Upstream: known.upstream}})
 		}
 	}
@@ -242,6 +277,7 @@
 		isNew = r.apply(now, &items[i]) || isNew
 	}
 	r.revision = max(r.revision, revision)
+	r.boundStrangers()
 	if r.asOf.IsZero() {
 		r.routesKnownSince = now
 		r.recordFirstCopy(now)
@@ -264,6 +300,9 @@
 			known.isExpired, hasChanged = true, true
 		}
 		if now.Sub(known.changedAt) > tombstoneRetention {
+			if known.isStranger() {
+				r.strangers--
+			}
 			r.removalsSince = max(r.removalsSince, known.revision)
 			delete(r.upstreams, key)
 		}
