--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -321,23 +321,24 @@
 	}
 	s.checkChanges()
 	s.caller.Balancers = s.readyBalancers
-	newest := netip.AddrPortFrom(shopAddress.Addr(), uint16(10_000+s.version))
-	servesNewest := func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		f, err := s.caller.Open(ctx, newest)
-		if err != nil {
-			return false
-		}
-		defer f.Close()
-		_, err = f.Do(ctx, fmt.Sprint("end-", time.Now().UnixNano()))
-		return err == nil
-	}
-	if !eventually(servesNewest, 8*time.Second) {
+	if !eventually(s.servesNewest, 8*time.Second) {
 		s.failf("no request is served under the newest configuration 8 s after the faults")
 	}
 }
 
+// servesNewest reports whether a request is served under the newest configuration.
+func (s *soak) servesNewest() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	f, err := s.caller.Open(ctx, netip.AddrPortFrom(shopAddress.Addr(), uint16(10_000+s.version)))
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	_, err = f.Do(ctx, fmt.Sprint("end-", time.Now().UnixNano()))
+	return err == nil
+}
+
 // eventually reports whether the condition holds within the limit.
 func eventually(condition func() bool, limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); {
