Searches are a type of their own, behind an interface of eight methods

search.go has the searches for holders and nothing else: `searches`, which knows of its agent what `searcher` lists. Agent has three fields fewer and one more.

No behaviour changes. Two lines of search_test.go that reach into Agent name the field anew.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -58,8 +58,7 @@
 	table          table
 	refused        map[jasminemoor.FlowKey]time.Time // when the upstream refused each flow
 	flowProbes     map[jasminemoor.FlowKey]flowProbe
-	searches       map[jasminemoor.FlowKey]*search
-	lastPeer       netip.Addr                        // the agent that asked or answered last
+	searches       searches
 	lostFlows      map[jasminemoor.FlowKey]time.Time // when each flow was found to have no holder
 	handedOn       map[jasminemoor.FlowKey]nextHop
 	// openings are the opening packets that wait for the first copy of the directory.
@@ -68,11 +67,9 @@
 	inheritance inheritance
 	// hasReportedStarting is set while balancers may know that there is no copy.
 	hasReportedStarting bool
-	// searchBudget limits the rate of packets that ask other agents for a flow's
-	// holder, and reportBudget that of reports to balancers that send no new flows.
+	// reportBudget limits the rate of reports to balancers that send no new flows.
 	// nextReport is the index of the balancer at which the round robin of these
 	// reports continues.
-	searchBudget tokenBucket
 	reportBudget tokenBucket
 	nextReport   int
 	balancers    []balancerState
@@ -93,16 +90,6 @@
 	out             []Message
 }
 
-// flowProbe is a packet that was sent to the own upstream to find out whether the
-// upstream holds the flow. A packet of the flow from the upstream proves that it does, the
-// returned packet that it does not.
-type flowProbe struct {
-	at       time.Time
-	balancer netip.Addr
-	hops     uint8
-	asker    netip.Addr // agent that asked for the holder, not valid if none did
-}
-
 // SetSnapshot replaces the agent's view of the directory.
 func (a *Agent) SetSnapshot(s Snapshot) {
 	before := a.snapshot.View
@@ -149,7 +136,7 @@
 		a.lostFlows = make(map[jasminemoor.FlowKey]time.Time)
 		a.handedOn = make(map[jasminemoor.FlowKey]nextHop)
 		a.flowProbes = make(map[jasminemoor.FlowKey]flowProbe)
-		a.searches = make(map[jasminemoor.FlowKey]*search)
+		a.searches = searches{agent: a, byFlow: make(map[jasminemoor.FlowKey]*search)}
 	}
 	if a.firstView.IsZero() && a.snapshot.View != nil {
 		a.firstView = now
@@ -318,6 +305,46 @@
 	return ReasonSearched
 }
 
+// startSearch searches for the holder of a flow among the other agents, or replaces the packet of a
+// search that is under way.
+func (a *Agent) startSearch(now time.Time, key jasminemoor.FlowKey, balancer netip.Addr, hops uint8, p *jasminemoor.Packet, packet []byte) {
+	a.searches.start(now, key, balancer, hops, p, packet, a.isLeaving)
+}
+
+// handleAsk decides on a packet of a flow whose holder another agent searches for.
+func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
+	key := p.Key()
+	a.searches.lastPeer = from
+	if f := a.heldFlow(key, p); f != nil {
+		if a.upstream.isDown {
+			a.resetFlow(now, key, f, p.Length > 0)
+			a.sendAbsent(from, key, 0)
+			return ReasonUpstreamDown
+		}
+		f.balancer = a.recordBalancer(now, h) + 1
+		reason := a.admit(now, key, f, p, packet)
+		a.sendHolder(h.Origin, key)
+		a.sendHolder(from, key)
+		return reason
+	}
+	if a.mayHold(now, key) {
+		if h.Flags&jmhop.FlagIfLikely != 0 && a.isUnlikely() {
+			a.sendAbsent(from, key, jmhop.FlagUnlikely)
+			return ReasonNotHeld
+		}
+		if probe, isProbing := a.flowProbes[key]; !isProbing || now.Sub(probe.at) >= flowProbeTimeout {
+			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, asker: from})
+			a.sendToUpstream(now, key)
+		}
+		return ReasonProbed
+	}
+	if !a.isNotHeld(now, key, p.Acknowledged) {
+		return ReasonUpstreamDown // not known, and a wrong answer could reset an open flow
+	}
+	a.sendAbsent(from, key, 0)
+	return ReasonNotHeld
+}
+
 // heldFlow returns the flow of a packet if the own upstream is known to hold it, nil
 // if not.
 func (a *Agent) heldFlow(key jasminemoor.FlowKey, p *jasminemoor.Packet) *flow {
@@ -414,6 +441,35 @@
 	a.queue.remove(key)
 }
 
+// sendAbsent informs an agent that asked that the own upstream does not hold a flow, or with
+// jmhop.FlagUnlikely, that it isn't likely to.
+func (a *Agent) sendAbsent(asker netip.Addr, key jasminemoor.FlowKey, flags uint8) {
+	header := jmhop.Header{Kind: jmhop.KindAbsent, Flags: flags, Origin: a.Self, Revision: a.revision()}
+	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: asker, Header: header})
+}
+
+// HandleAbsent handles an agent's answer that it does not hold a flow.
+func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []Message {
+	a.begin(now)
+	a.peers.record(now, h, a.revision())
+	a.searches.recordAbsent(now, from, h.Flags, key)
+	return a.out
+}
+
+// HandleHolder handles an agent's answer that it holds a flow, which ends the search.
+func (a *Agent) HandleHolder(now time.Time, key jasminemoor.FlowKey) {
+	a.begin(now)
+	a.searches.end(key)
+}
+
+// HandOnSearches hands the searches of an agent that is leaving on to other agents, as
+// their callers may not send another packet before the next agent runs.
+func (a *Agent) HandOnSearches(now time.Time) []Message {
+	a.begin(now)
+	a.searches.handOnAll(now)
+	return a.out
+}
+
 // Tick sends the reports that are due, ends old flow probes, advances the searches,
 // admits queued requests and evicts old entries. It is called several times in each
 // reportInterval. If shouldProbe is set, the upstream's port is to be probed and the
@@ -426,7 +482,7 @@
 	a.recall(now)
 	a.sendDueReports(now)
 	a.expireFlowProbes(now)
-	a.advanceSearches(now)
+	a.searches.advance(now, a.OnSearchTimeout)
 	if len(a.queue.requests) > 0 {
 		a.failOverdueRequests(now)
 		a.admitQueued(now)
--- a/internal/flow/jmpass/search.go
+++ b/internal/flow/jmpass/search.go
@@ -33,24 +33,41 @@
 	searchTimeout = 1700 * time.Millisecond
 	// maxSearches bounds the searches, each of which keeps a packet.
 	maxSearches = 4096
-	// flowProbeTimeout is how long an upstream may take to refuse a packet. Agent and
-	// upstream are on one instance. An upstream that does not refuse a packet may have
-	// crashed or may not run, so it is not known to hold the flow.
-	flowProbeTimeout = 40 * time.Millisecond
-	// flowProbeTTL is how long a flow probe waits for a packet of the upstream.
-	flowProbeTTL = searchTimeout
-	// maxFlowProbes bounds the flow probes.
-	maxFlowProbes = 4096
 	// handOnCount is how many agents a search is handed on to. One of them may be leaving
 	// as well.
 	handOnCount = 2
-	// refusedTTL is how long an upstream's refusal of a flow counts.
-	refusedTTL = 20 * time.Second
-	// lostFlowTTL is how long packets of a flow without a holder are answered with a
-	// reset and without another search.
-	lostFlowTTL = 5 * time.Second
 )
 
+// searches are an agent's searches for the holders of flows that it doesn't know.
+type searches struct {
+	agent  searcher
+	byFlow map[jasminemoor.FlowKey]*search
+	// budget limits the rate of packets that ask other agents for a flow's holder.
+	budget   tokenBucket
+	lastPeer netip.Addr // the agent that asked or answered last
+}
+
+// searcher is what searches need of the agent that they belong to.
+type searcher interface {
+	// mayHold reports whether the own upstream may hold a flow that the agent doesn't know, and
+	// isUnlikely whether it isn't likely to.
+	mayHold(now time.Time, key jasminemoor.FlowKey) bool
+	isUnlikely() bool
+	// probeFlow gives the packet of a search to the own upstream, and isUpstreamQuiet reports
+	// whether that sends nothing.
+	probeFlow(now time.Time, key jasminemoor.FlowKey, s *search)
+	isUpstreamQuiet(now time.Time) bool
+	// viewOf returns the revision of the agent's view of the directory. ok is false if there is
+	// none, or it has no route for a flow.
+	viewOf(key jasminemoor.FlowKey) (r jasminemoor.Revision, ok bool)
+	possibleHolders(now time.Time, key jasminemoor.FlowKey) []netip.Addr
+	// passOn sends the packet of a search to another agent.
+	passOn(to netip.Addr, key jasminemoor.FlowKey, s *search, header jmhop.Header)
+	// resetLost resets a flow that no other agent holds. It reports false if the own upstream may
+	// hold the flow, or the view may lack its holder.
+	resetLost(now time.Time, key jasminemoor.FlowKey, s *search) bool
+}
+
 // search is a search for a flow's holder among the other agents of the services
 // that its route has or had.
 type search struct {
@@ -82,75 +99,62 @@
 	notHolders    map[netip.Addr]bool
 }
 
-// startSearch searches for the holder of a flow, or replaces the packet of a search
+// start searches for the holder of a flow, or replaces the packet of a search
 // that is under way. If there are maxSearches already, it starts no other. An agent that
 // is leaving hands the search on.
-func (a *Agent) startSearch(now time.Time, key jasminemoor.FlowKey, balancer netip.Addr, hops uint8, p *jasminemoor.Packet, packet []byte) {
-	s := a.searches[key]
+func (c *searches) start(now time.Time, key jasminemoor.FlowKey, balancer netip.Addr, hops uint8, p *jasminemoor.Packet, packet []byte, isLeaving bool) {
+	s := c.byFlow[key]
 	if s == nil {
-		if len(a.searches) >= maxSearches {
+		if len(c.byFlow) >= maxSearches {
 			return
 		}
 		s = &search{started: now, notHolders: make(map[netip.Addr]bool)}
-		a.searches[key] = s
+		c.byFlow[key] = s
 	}
 	s.balancer, s.hops, s.ack, s.hasData = balancer, hops, p.Acknowledged, p.Length > 0
 	s.packet = append(s.packet[:0], packet...)
 	switch {
-	case a.isLeaving:
-		a.handOnSearch(now, key, s)
+	case isLeaving:
+		c.handOn(now, key, s)
 	case !s.hasAsked:
-		a.ask(now, key, s)
+		c.ask(now, key, s)
 	case s.triesUnlikely:
-		a.resetIfLost(now, key, s) // the own upstream may have answered last
+		c.resetIfLost(now, key, s) // the own upstream may have answered last
 	}
 }
 
-// isProbed reports whether a packet of a flow was sent to the own upstream, which has not
-// returned it.
-func (a *Agent) isProbed(key jasminemoor.FlowKey) bool {
-	_, isProbing := a.flowProbes[key]
-	return isProbing
-}
-
-// HandOnSearches hands the searches of an agent that is leaving on to other agents, as
-// their callers may not send another packet before the next agent runs.
-func (a *Agent) HandOnSearches(now time.Time) []Message {
-	a.begin(now)
-	for key, s := range a.searches {
-		a.handOnSearch(now, key, s)
+// handOnAll hands all searches on.
+func (c *searches) handOnAll(now time.Time) {
+	for key, s := range c.byFlow {
+		c.handOn(now, key, s)
 	}
-	return a.out
 }
 
-// handOnSearch hands a search on to other agents that run, and ends it here. Those that
+// handOn hands a search on to other agents that run, and ends it here. Those that
 // have answered that they don't hold the flow, or aren't likely to, are preferred, as they need not
 // ask their upstreams.
-func (a *Agent) handOnSearch(now time.Time, key jasminemoor.FlowKey, s *search) {
-	delete(a.searches, key)
+func (c *searches) handOn(now time.Time, key jasminemoor.FlowKey, s *search) {
+	delete(c.byFlow, key)
 	if s.hops >= maxHops {
 		return
 	}
-	to := slices.DeleteFunc(a.possibleHolders(now, key), func(agent netip.Addr) bool { return !s.notHolders[agent] && !s.unlikely[agent] })
-	if a.lastPeer.IsValid() && !slices.Contains(to, a.lastPeer) {
-		to = append(to, a.lastPeer)
-	}
-	header := jmhop.Header{
-		Kind: jmhop.KindForward, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Hops: s.hops + 1, Revision: a.revision(),
+	to := slices.DeleteFunc(c.agent.possibleHolders(now, key), func(agent netip.Addr) bool { return !s.notHolders[agent] && !s.unlikely[agent] })
+	if c.lastPeer.IsValid() && !slices.Contains(to, c.lastPeer) {
+		to = append(to, c.lastPeer)
 	}
 	for _, agent := range to[:min(len(to), handOnCount)] {
-		a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
+		c.agent.passOn(agent, key, s, jmhop.Header{Kind: jmhop.KindForward, Hops: s.hops + 1})
 	}
 }
 
 // ask takes the next step of a search. If the own upstream may hold the flow, it is
 // probed, but later if it isn't likely to. If no agent holds the flow, it is reset. Otherwise, and
 // if the own upstream sends nothing, the agents that have not answered are asked, within
-// searchBudget.
-func (a *Agent) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
-	if a.mayHold(now, key) && !a.isUnlikely() {
-		a.probeFlow(now, key, s)
-		if !a.isUpstreamQuiet(now) {
+// budget.
+func (c *searches) ask(now time.Time, key jasminemoor.FlowKey, s *search) {
+	if c.agent.mayHold(now, key) && !c.agent.isUnlikely() {
+		c.agent.probeFlow(now, key, s)
+		if !c.agent.isUpstreamQuiet(now) {
 			s.next = now.Add(askInterval)
 			return
 		}
@@ -158,15 +162,15 @@
 	if s.hasAsked && len(s.round) == 0 {
 		s.isInitialized = false // upstreams may have left since the last round
 	}
-	if a.resetIfLost(now, key, s) {
+	if c.resetIfLost(now, key, s) {
 		return
 	}
 	if len(s.round) == 0 {
 		s.asksAll = s.asksAll || s.hasAsked && s.hasTriedUnlikely()
-		a.tryUnlikely(now, key, s)
+		c.tryUnlikely(now, key, s)
 		s.round = append(s.round, s.asked()...)
 	}
-	a.askRound(now, key, s)
+	c.askRound(now, key, s)
 }
 
 // asked returns the agents that are asked in a round.
@@ -183,8 +187,8 @@
 // tryUnlikely has upstreams get the packet that are not likely to hold the flow: if all agents
 // that were asked have answered, or after unlikelyDelay. The holder's agent may be restarting
 // until then. It reports whether that is new.
-func (a *Agent) tryUnlikely(now time.Time, key jasminemoor.FlowKey, s *search) bool {
-	if s.triesUnlikely || !a.isUnlikely() && len(s.unlikely) == 0 {
+func (c *searches) tryUnlikely(now time.Time, key jasminemoor.FlowKey, s *search) bool {
+	if s.triesUnlikely || !c.agent.isUnlikely() && len(s.unlikely) == 0 {
 		return false
 	}
 	hasSilent := slices.ContainsFunc(s.asked(), func(agent netip.Addr) bool { return !s.unlikely[agent] })
@@ -192,30 +196,30 @@
 		return false
 	}
 	s.triesUnlikely = true
-	if a.mayHold(now, key) {
-		a.probeFlow(now, key, s)
+	if c.agent.mayHold(now, key) {
+		c.agent.probeFlow(now, key, s)
 	}
 	return true
 }
 
-// askRound asks the agents of a search's round, as many as searchBudget has room for.
-func (a *Agent) askRound(now time.Time, key jasminemoor.FlowKey, s *search) {
+// askRound asks the agents of a search's round, as many as budget has room for.
+func (c *searches) askRound(now time.Time, key jasminemoor.FlowKey, s *search) {
 	s.round = slices.DeleteFunc(s.round, func(agent netip.Addr) bool {
 		return s.notHolders[agent] || s.unlikely[agent] && !s.triesUnlikely
 	})
-	header := jmhop.Header{Kind: jmhop.KindAsk, Origin: s.balancer, DataCentre: a.dataCentreOf(s.balancer), Revision: a.revision()}
+	header := jmhop.Header{Kind: jmhop.KindAsk}
 	if !s.triesUnlikely {
 		header.Flags = jmhop.FlagIfLikely
 	}
 	for len(s.round) > 0 {
 		count := min(len(s.round), askChunk)
-		if !a.searchBudget.allow(now, count, askRate, askBurst) {
+		if !c.budget.allow(now, count, askRate, askBurst) {
 			// The budget is used up. Go on soon.
 			s.next = now.Add(askInterval / 4)
 			return
 		}
 		for _, agent := range s.round[:count] {
-			a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: agent, Header: header, HasPacket: true, Packet: s.packet})
+			c.agent.passOn(agent, key, s, header)
 		}
 		s.round = s.round[count:]
 		s.hasAsked = true
@@ -226,128 +230,38 @@
 
 // updateRemaining computes the agents that remain to be asked, if the view has
 // changed.
-func (a *Agent) updateRemaining(now time.Time, key jasminemoor.FlowKey, s *search) {
-	if s.isInitialized && s.revision == a.snapshot.Revision {
-		return
-	}
-	s.isInitialized, s.revision = true, a.snapshot.Revision
-	s.remaining = slices.DeleteFunc(a.possibleHolders(now, key), func(agent netip.Addr) bool { return s.notHolders[agent] })
-}
-
-// probeFlow sends the packet of a search to the own upstream, which was not probed
-// for the flow when the search began.
-func (a *Agent) probeFlow(now time.Time, key jasminemoor.FlowKey, s *search) {
-	if _, isProbing := a.flowProbes[key]; isProbing {
+func (c *searches) updateRemaining(now time.Time, key jasminemoor.FlowKey, s *search, r jasminemoor.Revision) {
+	if s.isInitialized && s.revision == r {
 		return
 	}
-	a.addFlowProbe(key, flowProbe{at: now, balancer: s.balancer, hops: s.hops})
-	a.markUnanswered(now)
-	a.out = append(a.out, Message{Kind: ToUpstream, Flow: key, Packet: s.packet})
-}
-
-// addFlowProbe records that a packet is sent to the own upstream. If there are
-// maxFlowProbes already, it does nothing.
-func (a *Agent) addFlowProbe(key jasminemoor.FlowKey, probe flowProbe) {
-	if _, isProbing := a.flowProbes[key]; isProbing || len(a.flowProbes) < maxFlowProbes {
-		a.flowProbes[key] = probe
-	}
-}
-
-// isUpstreamQuiet reports whether the own upstream has sent nothing for flowProbeTimeout
-// although it has got packets.
-func (a *Agent) isUpstreamQuiet(now time.Time) bool {
-	since := a.upstream.unansweredSince
-	return !since.IsZero() && now.Sub(since) >= flowProbeTimeout
+	s.isInitialized, s.revision = true, r
+	s.remaining = slices.DeleteFunc(c.agent.possibleHolders(now, key), func(agent netip.Addr) bool { return s.notHolders[agent] })
 }
 
 // resetIfLost resets a flow, which ends the search, if every agent that could hold it
-// has answered that it does not, the view from which these agents are listed is
-// recent and lacks none, and the own upstream does not hold the flow. It reports whether
-// it did.
-func (a *Agent) resetIfLost(now time.Time, key jasminemoor.FlowKey, s *search) bool {
-	if a.snapshot.View == nil || a.snapshot.Routes[key.Service()] == nil {
+// has answered that it does not, and so has the own upstream. It reports whether it did.
+func (c *searches) resetIfLost(now time.Time, key jasminemoor.FlowKey, s *search) bool {
+	revision, ok := c.agent.viewOf(key)
+	if !ok {
 		return false
 	}
-	a.updateRemaining(now, key, s)
-	if len(s.remaining) > 0 || !a.snapshot.isFresh(now) || a.isBehind(now) || !a.isListComplete(now, key) || !a.isNotHeld(now, key, s.ack) {
+	c.updateRemaining(now, key, s, revision)
+	if len(s.remaining) > 0 || !c.agent.resetLost(now, key, s) {
 		return false
 	}
-	delete(a.searches, key)
-	a.lostFlows[key] = now
-	if s.hasData {
-		a.sendFlowReset(now, key, s.balancer, a.lostRequestAge(now, now.Sub(s.started)))
-	}
-	a.out = append(a.out, Message{Kind: Reset, Flow: key, Sequence: s.ack})
-	a.Counts[ReasonAbsentEverywhere]++
+	delete(c.byFlow, key)
 	return true
 }
 
-// isNotHeld reports whether the own upstream is known not to hold a flow, whose caller
-// has last acknowledged the sequence number ack.
-func (a *Agent) isNotHeld(now time.Time, key jasminemoor.FlowKey, ack uint32) bool {
-	if _, isRefused := a.refused[key]; isRefused || a.upstream.isDown {
-		return true
-	}
-	f := a.table.get(key)
-	if !a.isTableComplete(now) {
-		return f == nil && a.isOfOtherService(now, key)
-	}
-	// The caller has not acknowledged the reply of this upstream, but that of another one.
-	isHalfOpen := f != nil && !f.isOpen && f.hasOpenReply && ack != f.openReply+1
-	return f == nil || isHalfOpen
-}
-
-// handleAsk decides on a packet of a flow whose holder another agent searches for.
-func (a *Agent) handleAsk(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) Reason {
-	key := p.Key()
-	a.lastPeer = from
-	if f := a.heldFlow(key, p); f != nil {
-		if a.upstream.isDown {
-			a.resetFlow(now, key, f, p.Length > 0)
-			a.sendAbsent(from, key, 0)
-			return ReasonUpstreamDown
-		}
-		f.balancer = a.recordBalancer(now, h) + 1
-		reason := a.admit(now, key, f, p, packet)
-		a.sendHolder(h.Origin, key)
-		a.sendHolder(from, key)
-		return reason
-	}
-	if a.mayHold(now, key) {
-		if h.Flags&jmhop.FlagIfLikely != 0 && a.isUnlikely() {
-			a.sendAbsent(from, key, jmhop.FlagUnlikely)
-			return ReasonNotHeld
-		}
-		if probe, isProbing := a.flowProbes[key]; !isProbing || now.Sub(probe.at) >= flowProbeTimeout {
-			a.addFlowProbe(key, flowProbe{at: now, balancer: h.Origin, asker: from})
-			a.sendToUpstream(now, key)
-		}
-		return ReasonProbed
-	}
-	if !a.isNotHeld(now, key, p.Acknowledged) {
-		return ReasonUpstreamDown // not known, and a wrong answer could reset an open flow
-	}
-	a.sendAbsent(from, key, 0)
-	return ReasonNotHeld
-}
-
-// sendAbsent informs an agent that asked that the own upstream does not hold a flow, or with
-// jmhop.FlagUnlikely, that it isn't likely to.
-func (a *Agent) sendAbsent(asker netip.Addr, key jasminemoor.FlowKey, flags uint8) {
-	header := jmhop.Header{Kind: jmhop.KindAbsent, Flags: flags, Origin: a.Self, Revision: a.revision()}
-	a.out = append(a.out, Message{Kind: ToPeer, Flow: key, To: asker, Header: header})
-}
-
-// HandleAbsent handles an agent's answer that it does not hold a flow.
-func (a *Agent) HandleAbsent(now time.Time, from netip.Addr, h *jmhop.Header, key jasminemoor.FlowKey) []Message {
-	a.begin(now)
-	a.peers.record(now, h, a.revision())
-	a.lastPeer = from
-	s := a.searches[key]
+// recordAbsent records an agent's answer that it does not hold a flow, or that it isn't likely to,
+// and takes the next step of the search.
+func (c *searches) recordAbsent(now time.Time, from netip.Addr, flags uint8, key jasminemoor.FlowKey) {
+	c.lastPeer = from
+	s := c.byFlow[key]
 	if s == nil || s.notHolders[from] {
-		return a.out
+		return
 	}
-	if h.Flags&jmhop.FlagUnlikely != 0 {
+	if flags&jmhop.FlagUnlikely != 0 {
 		if s.unlikely == nil {
 			s.unlikely = make(map[netip.Addr]bool)
 		}
@@ -355,66 +269,58 @@
 	} else {
 		s.notHolders[from] = true
 		s.remaining = slices.DeleteFunc(s.remaining, func(agent netip.Addr) bool { return agent == from })
-		if a.resetIfLost(now, key, s) {
-			return a.out
+		if c.resetIfLost(now, key, s) {
+			return
 		}
 	}
-	if a.tryUnlikely(now, key, s) {
+	if c.tryUnlikely(now, key, s) {
 		s.round = append(s.round[:0], s.asked()...)
-		a.askRound(now, key, s)
-		return a.out
+		c.askRound(now, key, s)
+		return
 	}
-	if s.asksAll || h.Flags&jmhop.FlagUnlikely != 0 {
-		return a.out
+	if s.asksAll || flags&jmhop.FlagUnlikely != 0 {
+		return
 	}
 	if s.initialAnswers++; s.initialAnswers >= initialAskCount {
 		s.asksAll = true
 		s.round = append(s.round[:0], s.remaining...)
-		a.askRound(now, key, s)
+		c.askRound(now, key, s)
 	}
-	return a.out
 }
 
-// HandleHolder handles an agent's answer that it holds a flow, which ends the search.
-func (a *Agent) HandleHolder(now time.Time, key jasminemoor.FlowKey) {
-	a.begin(now)
-	delete(a.searches, key)
+// end ends the search for a flow, and returns it, nil if there is none.
+func (c *searches) end(key jasminemoor.FlowKey) *search {
+	s := c.byFlow[key]
+	delete(c.byFlow, key)
+	return s
 }
 
-// expireFlowProbes ends the flow probes to which the upstream has sent nothing within
-// flowProbeTTL.
-func (a *Agent) expireFlowProbes(now time.Time) {
-	for key, probe := range a.flowProbes {
-		if now.Sub(probe.at) >= flowProbeTTL {
-			delete(a.flowProbes, key)
+// advance takes the next step of the searches for which it is due, and ends those that have timed
+// out, of which it calls onTimeout with the agents that have not answered.
+func (c *searches) advance(now time.Time, onTimeout func(flow jasminemoor.FlowKey, unanswered []netip.Addr)) {
+	for key, s := range c.byFlow {
+		if now.Sub(s.started) > searchTimeout {
+			delete(c.byFlow, key)
+			if onTimeout != nil {
+				onTimeout(key, s.remaining)
+			}
+			continue
 		}
-	}
-}
-
-// endFlowProbes ends all flow probes, as the upstream's process has ended, and informs the
-// agents that asked.
-func (a *Agent) endFlowProbes() {
-	for key, probe := range a.flowProbes {
-		if probe.asker.IsValid() {
-			a.sendAbsent(probe.asker, key, 0)
+		if !now.Before(s.next) {
+			c.ask(now, key, s)
 		}
 	}
-	clear(a.flowProbes)
 }
 
-// advanceSearches ends the searches that have timed out, and takes the next step of those
-// for which it is due.
-func (a *Agent) advanceSearches(now time.Time) {
-	for key, s := range a.searches {
-		if now.Sub(s.started) > searchTimeout {
-			delete(a.searches, key)
-			if a.OnSearchTimeout != nil {
-				a.OnSearchTimeout(key, s.remaining)
+// leaveOut has the searches that wait for agents whose upstreams have ended take their next step
+// with the next advance.
+func (c *searches) leaveOut(hasEnded func(agent netip.Addr) bool) {
+	for _, s := range c.byFlow {
+		if slices.ContainsFunc(s.remaining, hasEnded) {
+			s.remaining, s.round = slices.DeleteFunc(s.remaining, hasEnded), slices.DeleteFunc(s.round, hasEnded)
+			if len(s.remaining) == 0 {
+				s.next = time.Time{}
 			}
-			continue
-		}
-		if !now.Before(s.next) {
-			a.ask(now, key, s)
 		}
 	}
 }
--- a/internal/flow/jmpass/search_test.go
+++ b/internal/flow/jmpass/search_test.go
@@ -73,7 +73,7 @@
 		s := a.snapshot
 		s.AsOf = startTime.Add(lapseGrace)
 		a.SetSnapshot(s)
-		a.searches = make(map[jasminemoor.FlowKey]*search) // it has timed out
+		a.searches.byFlow = make(map[jasminemoor.FlowKey]*search) // it has timed out
 		_, _ = a.HandlePeer(s.AsOf, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
 		requireReset(t, a.HandleAbsent(s.AsOf, agentAddr(2), absentHeader, key))
 	})
@@ -88,7 +88,7 @@
 		s := a.snapshot
 		s.AsOf = startTime.Add(lapseGrace)
 		a.SetSnapshot(s)
-		a.searches = make(map[jasminemoor.FlowKey]*search) // it has timed out
+		a.searches.byFlow = make(map[jasminemoor.FlowKey]*search) // it has timed out
 		out, _ = a.HandlePeer(s.AsOf, balancerAddr, forwardHeader(0), dataPacket(callerSequence, 10), []byte("packet"))
 		require.Contains(t, kinds(out), Reset)
 	})
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -102,12 +102,7 @@
 		a.sendHolder(probe.balancer, key)
 		f.balancer = a.indexOf(probe.balancer) + 1
 	}
-	s := a.searches[key]
-	if s == nil {
-		return
-	}
-	delete(a.searches, key)
-	if !isProbed {
+	if s := a.searches.end(key); s != nil && !isProbed {
 		a.sendHolder(s.balancer, key)
 		f.balancer = a.indexOf(s.balancer) + 1
 		a.markUnanswered(now)
