Cold upstreams: agents watch their upstream's port, so that no restart is missed

Cause: the upstream ended and started again while its agent sent it nothing. No probe was refused and no packet returned, and the agent took the missing sign for a proof that the upstream still was the warm run that the directory lists. Class: a process that lacks knowledge acts as if all were well. The same cause elsewhere in the same decision: after a kill of the agent, a packet of an unknown flow counted as a proof that the upstream is older than the directory's lag; and the lag was measured by the clock, also while the store can't be read.

Change: while its service has a limit, an agent holds a connection to its upstream's port, without a request, and replaces it each 5 s. It ends with the upstream's process. Without one, and after one has ended, the upstream counts as restarted until a flow that it had accepted before shows that it is the same run, or a copy that is complete as of 4 s later still lists that run (10 s at most, where no copy says anything). Unknown flows prove nothing.

The stand-in of an upstream keeps connections open until it ends, as a server does that waits for a request (it closed them at once).

--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -26,8 +26,11 @@
 	// rounded down.
 	almostOne = 0.9
 	// entryLag is how long after a restart of its upstream an agent's copy of the
-	// directory may show the former one.
+	// directory may show the former one, if the copy is complete.
 	entryLag = 4 * time.Second
+	// maxWarmUp is how long after a restart an upstream of which the copy tells nothing,
+	// since the platform's store can't be read, may still warm up.
+	maxWarmUp = 10 * time.Second
 )
 
 // coldState is an agent's knowledge of whether its upstream warms up, and of the new flows
@@ -36,13 +39,11 @@
 	// planned counts the new flows of the last second, and hard keeps the hard limit.
 	planned jmadmission.Window
 	hard    jmadmission.Pace
-	// restartedAt is when the agent last saw a sign that the upstream has started again,
-	// and formerRun the run that the directory listed then.
+	// restartedAt is when the agent last saw proof that the upstream has started again,
+	// and formerRun the run that the directory listed at the last proof or doubt.
 	restartedAt time.Time
 	formerRun   upstreamRun
-	// isOlder is set if the upstream has sent a packet of a flow that was opened before
-	// the agent started: the upstream has not started together with the agent.
-	isOlder bool
+	watch       watch
 	// wasWarm is set if the upstream has been warm since the agent started.
 	wasWarm bool
 }
@@ -60,17 +61,17 @@
 	return r
 }
 
-// recordUnknownFlow records that the upstream has sent a packet of a flow that the agent
-// does not know.
-func (c *coldState) recordUnknownFlow(p *jasminemoor.Packet) {
-	if p.Flags&(jasminemoor.FlagOpen|jasminemoor.FlagReset|jasminemoor.FlagEnd) == 0 {
-		c.isOlder = true
-	}
+// recordRestart records that the upstream has ended or has started again.
+func (a *Agent) recordRestart(now time.Time) {
+	a.cold.restartedAt = now
+	a.cold.watch.epoch++
+	a.cold.watch.wasWarm = false
+	a.recordFormerRun()
 }
 
-// recordRestart records a sign that the upstream has ended or has started again.
-func (a *Agent) recordRestart(now time.Time) {
-	a.cold.restartedAt, a.cold.wasWarm = now, false
+// recordFormerRun records that the run that the directory lists may have ended.
+func (a *Agent) recordFormerRun() {
+	a.cold.wasWarm = false
 	if a.snapshot.View != nil {
 		a.cold.formerRun = runOf(a.snapshot.Upstreams[a.Upstream])
 	}
@@ -113,18 +114,23 @@
 	if own != nil && now.Before(own.WarmAt) {
 		return true
 	}
-	if !c.restartedAt.IsZero() && runOf(own) == c.formerRun && now.Sub(c.restartedAt) < entryLag {
-		return true
-	}
-	if !a.IsFirstStart && !c.isOlder && now.Sub(a.started) < entryLag {
+	a.updateWatch(now)
+	if runOf(own) == c.formerRun && (a.mayWarmUpSince(now, c.restartedAt) || a.mayWarmUpSince(now, c.watch.doubtedAt)) {
 		return true
 	}
 	if own != nil {
-		c.wasWarm = true
+		c.watch.doubtedAt, c.wasWarm = time.Time{}, true
 	}
 	return !c.wasWarm
 }
 
+// mayWarmUpSince reports whether an upstream that may have started at the given time may
+// still warm up although the directory lists the run before.
+func (a *Agent) mayWarmUpSince(now, startedAt time.Time) bool {
+	since := now.Sub(startedAt)
+	return !startedAt.IsZero() && since < maxWarmUp && min(a.snapshot.AsOf.Sub(startedAt), since) < entryLag
+}
+
 // setColdLimits sets the limits for a service's rate.
 func (a *Agent) setColdLimits(rate float64) {
 	overrun := a.ColdOverrun
@@ -142,9 +148,11 @@
 
 // advanceCold keeps the limits up to date. It is called at each tick.
 func (a *Agent) advanceCold(now time.Time) {
+	a.cold.watch.ticks++
 	if rate := a.serviceColdRate(); rate > 0 {
 		a.setColdLimits(rate)
 		a.cold.hard.Advance(now)
+		a.updateWatch(now)
 	}
 }
 
--- a/internal/flow/jmpass/table.go
+++ b/internal/flow/jmpass/table.go
@@ -38,6 +38,7 @@
 	hasOpenReply       bool // the upstream has replied to the opening packet
 	ended              endFlags
 	openReply          uint32 // sequence number of that reply
+	epoch              uint32 // watch.epoch when the upstream sent the flow's first packet
 	lastAck            uint32 // sequence number that the caller acknowledged last
 	dataEnd            uint32 // sequence number after the caller's newest data
 	answerEnd          uint32 // sequence number after the upstream's newest data
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -66,9 +66,10 @@
 	key := p.ReverseKey()
 	f := a.table.get(key)
 	if f == nil {
-		a.cold.recordUnknownFlow(p)
-		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen)}
+		f = &flow{opened: now, isOpen: !p.Flags.Has(jasminemoor.FlagOpen), epoch: a.cold.watch.epoch}
 		a.table.add(key, f)
+	} else {
+		a.cold.recordPacket(now, f, p)
 	}
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		f.hasOpenReply, f.openReply = true, p.Sequence
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -63,8 +63,14 @@
 	mu              sync.Mutex   // guards machine
 	machine         jmpass.Agent
 	shares          *jmlocal.Shares // in force, guarded by mu
-	silent          silentAgents
-	outbound        *net.UDPConn // receives the upstream's packets
+	// watched is the connection to the upstream that the machine relies on, nil if none.
+	// isWatching is set while watch runs, and watchedAt is when it last began. All three are
+	// guarded by mu.
+	watched    *net.TCPConn
+	isWatching bool
+	watchedAt  time.Time
+	silent     silentAgents
+	outbound   *net.UDPConn // receives the upstream's packets
 }
 
 // Leave makes the agent report to the balancers that it is leaving, and then end.
@@ -188,6 +194,7 @@
 	a.mu.Lock()
 	defer a.flush(goroutinePeers, s.writer)
 	defer a.mu.Unlock()
+	a.checkWatch(now, s)
 	a.Guard.Each(goroutinePeers, len(batch), func(i int) {
 		if !a.handlePeer(ctx, now, batch[i].Addr.Addr(), batch[i].Buffer[:batch[i].Length], s) {
 			a.Malformed.Add(1)
@@ -272,24 +279,27 @@
 			close(a.drained)
 			return
 		case now := <-ticker.C:
-			shouldProbe := false
-			a.Guard.Try(goroutineTicks, func() { shouldProbe = a.tick(now, s) })
+			shouldProbe, shouldWatch := false, false
+			a.Guard.Try(goroutineTicks, func() { shouldProbe, shouldWatch = a.tick(now, s) })
 			a.flush(goroutineTicks, s.writer)
 			if shouldProbe {
 				wg.Go(goroutineProbe, func() { a.Guard.Try(goroutineProbe, func() { a.probe(ctx) }) })
 			}
+			if shouldWatch {
+				wg.Go(goroutineWatch, func() { a.Guard.Try(goroutineWatch, func() { a.watch(ctx) }) })
+			}
 		}
 	}
 }
 
-func (a *Agent) tick(now time.Time, s *sender) (shouldProbe bool) {
+func (a *Agent) tick(now time.Time, s *sender) (shouldProbe, shouldWatch bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out, shouldProbe := a.machine.Tick(now)
 	s.send(out, nil)
 	a.logOutcomes(out)
 	a.logSilentAgents(now)
-	return shouldProbe
+	return shouldProbe, a.startWatch(now)
 }
 
 // logOutcomes logs the messages that do not result from a caller's or upstream's
@@ -360,7 +370,6 @@
 		_ = conn.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		result = jmpass.ProbeRefused
-		a.control.RecordRefusal()
 	case errors.Is(err, context.Canceled):
 		return
 	case isTimeout(err):
@@ -369,6 +378,14 @@
 		a.Log.WithError(err).Warn("upstream: port can't be probed")
 		return
 	}
+	a.recordProbe(result)
+}
+
+// recordProbe passes the result of a probe on.
+func (a *Agent) recordProbe(result jmpass.ProbeResult) {
+	if result == jmpass.ProbeRefused {
+		a.control.RecordRefusal()
+	}
 	if a.lastProbeResult.Swap(int32(result)) != int32(result) {
 		a.Log.WithField("Result", result.String()).Info("upstream: result of the probe has changed")
 	}
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -97,6 +97,11 @@
 }
 
 func (s *site) publish(version int, routes map[netip.AddrPort]string) {
+	s.publishLimit(version, routes, 0)
+}
+
+// publishLimit writes a configuration in which the shop has a limit for cold upstreams.
+func (s *site) publishLimit(version int, routes map[netip.AddrPort]string, coldRate float64) {
 	list := []any{}
 	for address, service := range routes {
 		list = append(list, map[string]any{
@@ -104,7 +109,7 @@
 			"route_type": "idempotent", "timeout_ms": 3000, "target_latency_ms": 200, "priority": 2, "service": service,
 		})
 	}
-	services := []any{map[string]any{"name": "shop"}, map[string]any{"name": "desk"}, map[string]any{"name": "lab"}}
+	services := []any{map[string]any{"name": "shop", "cold_per_s": coldRate}, map[string]any{"name": "desk"}, map[string]any{"name": "lab"}}
 	s.store.Put("op/config", map[string]any{"version": version, "routes": list, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000}})
 }
 
--- /dev/null
+++ b/internal/flow/jmpassnode/watch.go
@@ -0,0 +1,171 @@
+package jmpassnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/jasminemoor/jasminemoor/internal/flow/jmpass"
+)
+
+const (
+	// watchRenewal is how long a connection is held before another one replaces it. Servers
+	// close connections on which no request comes.
+	watchRenewal = 5 * time.Second
+	// minWatchRenewal is the least time between two connection attempts.
+	minWatchRenewal = time.Second
+)
+
+// goroutineWatch is the name of the goroutine that watches the upstream.
+const goroutineWatch = "watch"
+
+// watchKeepAlive ends a connection that has gone silent.
+var watchKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// startWatch reports whether the caller is to run watch now. It is called at each tick, with
+// a.mu locked.
+func (a *Agent) startWatch(now time.Time) bool {
+	if a.isWatching || !a.machine.ShouldWatch() || now.Sub(a.watchedAt) < minWatchRenewal {
+		return false
+	}
+	a.isWatching, a.watchedAt = true, now
+	return true
+}
+
+// watch holds a connection to the upstream's port while the machine asks for it, and tells the
+// machine when it is opened and when it ends. No request is sent, which would take one of the
+// upstream's slots.
+func (a *Agent) watch(ctx context.Context) {
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.isWatching = false
+	}()
+	conn, result := a.dialUpstream(ctx)
+	if conn != nil {
+		a.setWatch(conn)
+		a.holdWatch(ctx, conn)
+	} else if result == jmpass.ProbeRefused {
+		a.recordProbe(result)
+	}
+}
+
+// holdWatch returns when the connection, or one that has replaced it, has ended or ctx has.
+func (a *Agent) holdWatch(ctx context.Context, conn *net.TCPConn) {
+	for {
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		err := waitForEnd(conn, watchRenewal)
+		stop()
+		if ctx.Err() != nil || !errors.Is(err, os.ErrDeadlineExceeded) || !a.shouldWatch() {
+			break
+		}
+		next, _ := a.dialUpstream(ctx)
+		if next == nil {
+			continue
+		}
+		if !a.replaceWatch(conn, next) {
+			_ = next.Close()
+			break
+		}
+		_ = conn.Close()
+		conn = next
+	}
+	a.endWatch(conn)
+	_ = conn.Close()
+}
+
+// waitForEnd reads from a connection until it ends or the time has passed, in which case the
+// error is a timeout.
+func waitForEnd(conn *net.TCPConn, limit time.Duration) (err error) {
+	_ = conn.SetReadDeadline(time.Now().Add(limit))
+	buffer := make([]byte, 512)
+	for err == nil {
+		_, err = conn.Read(buffer)
+	}
+	return err
+}
+
+func (a *Agent) shouldWatch() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.machine.ShouldWatch()
+}
+
+// dialUpstream opens a connection to the upstream's port, nil if it can't.
+func (a *Agent) dialUpstream(ctx context.Context) (conn *net.TCPConn, result jmpass.ProbeResult) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	dialer := net.Dialer{KeepAliveConfig: watchKeepAlive}
+	c, err := dialer.DialContext(ctx, "tcp4", a.Settings.Upstream.String())
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, jmpass.ProbeRefused
+	case err != nil:
+		return nil, jmpass.ProbeSilent
+	}
+	return c.(*net.TCPConn), jmpass.ProbeAccepted // tcp4 has no other type
+}
+
+// setWatch has the machine rely on a connection that has been opened.
+func (a *Agent) setWatch(conn *net.TCPConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watched = conn
+	a.machine.HandleWatch(time.Now(), true)
+}
+
+// replaceWatch has the machine rely on another connection. It reports whether the former one
+// is still open, so that both are to the same process.
+func (a *Agent) replaceWatch(conn, next *net.TCPConn) (ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.watched != conn || hasEnded(conn) {
+		return false
+	}
+	a.watched = next
+	return true
+}
+
+// endWatch tells the machine that a connection has ended, unless checkWatch has.
+func (a *Agent) endWatch(conn *net.TCPConn) {
+	s, err := a.newSender(a.peers)
+	if err != nil {
+		a.Log.WithError(err).Error("process: socket can't be set up for writing")
+		return
+	}
+	a.mu.Lock()
+	if a.watched == conn {
+		a.watched = nil
+		s.send(a.machine.HandleWatch(time.Now(), false), nil)
+	}
+	a.mu.Unlock()
+	s.writer.flush()
+}
+
+// checkWatch tells the machine that the connection has ended, if it has: opening packets may be
+// read before watch gets to run. a.mu must be locked.
+func (a *Agent) checkWatch(now time.Time, s *sender) {
+	if a.watched != nil && hasEnded(a.watched) {
+		a.watched = nil
+		s.send(a.machine.HandleWatch(now, false), nil)
+	}
+}
+
+// hasEnded reports whether the other end has closed a connection, or it has failed.
+func hasEnded(conn *net.TCPConn) (ended bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+	return ended || err != nil
+}
--- a/internal/measure/jmflows/naive.go
+++ b/internal/measure/jmflows/naive.go
@@ -112,7 +112,10 @@
 func (*naiveAgent) HandleHolder(time.Time, jasminemoor.FlowKey)                {}
 func (*naiveAgent) HandlePoll(time.Time, netip.Addr) []jmpass.Message          { return nil }
 func (*naiveAgent) HandleProbe(time.Time, jmpass.ProbeResult) []jmpass.Message { return nil }
-func (*naiveAgent) Tick(time.Time) (out []jmpass.Message, shouldProbe bool)    { return nil, false }
+
+// HandleWatch does nothing.
+func (*naiveAgent) HandleWatch(time.Time, bool) []jmpass.Message            { return nil }
+func (*naiveAgent) Tick(time.Time) (out []jmpass.Message, shouldProbe bool) { return nil, false }
 
 // naiveRank returns the agents of the listed upstreams, the one with the highest
 // hash for the flow first and the others in no particular order.
--- a/internal/measure/jmflows/upstream.go
+++ b/internal/measure/jmflows/upstream.go
@@ -73,7 +73,10 @@
 	}
 }
 
-func (u *upstream) stop() { u.isUp = false }
+func (u *upstream) stop() {
+	u.isUp = false
+	u.node.endWatch()
+}
 
 // history returns what a process knows from the directory of the upstream's past; see
 // jmdirectory.Upstream. A process knows what it has seen, and from its first copy what
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -40,6 +40,7 @@
 	HandleHolder(now time.Time, key jasminemoor.FlowKey)
 	HandlePoll(now time.Time, from netip.Addr) []jmpass.Message
 	HandleProbe(now time.Time, result jmpass.ProbeResult) []jmpass.Message
+	HandleWatch(now time.Time, isHeld bool) []jmpass.Message
 	Tick(now time.Time) ([]jmpass.Message, bool)
 }
 
@@ -121,6 +122,8 @@
 	agent      agent
 	upstream   *upstream
 	isJoining  bool // it starts at Joining.At
+	// watched is which start of the upstream the agent holds a connection to, 0 if none.
+	watched int
 	// sawUpstreamDown is set if a probe of the agent has found that the upstream had ended.
 	sawUpstreamDown bool
 }
@@ -228,6 +231,7 @@
 	n.starts++
 	n.startedAt = n.world.now
 	n.isUp = true
+	n.watched = 0
 	run := n.starts
 	if n.upstream == nil {
 		n.balancer = n.world.Policy.newBalancer(n.addr, n.dataCentre)
@@ -255,6 +259,10 @@
 		if shouldProbe {
 			w.after(time.Millisecond, func() { n.probe(run) })
 		}
+		if n.watched == 0 && n.upstream.isUp {
+			n.watched = n.upstream.starts
+			n.send(n.agent.HandleWatch(w.now, true), nil)
+		}
 	}
 	w.after(tickInterval, func() { n.tick(run) })
 }
@@ -273,6 +281,14 @@
 	n.send(n.agent.HandleProbe(n.world.now, result), nil)
 }
 
+// endWatch ends the connection that an agent holds to its upstream.
+func (n *node) endWatch() {
+	if n.isUp && n.watched != 0 {
+		n.watched = 0
+		n.send(n.agent.HandleWatch(n.world.now, false), nil)
+	}
+}
+
 // publish gives every process a snapshot of the directory, once for all changes of the
 // same time. The replication of the directory has its own tests.
 func (w *World) publish() {
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -22,6 +23,7 @@
 	mu         sync.Mutex
 	conn       *net.UDPConn
 	tcp        net.Listener // for the agent's probes
+	held       []net.Conn   // connections on which no request has come
 	flows      map[netip.AddrPort]*upstreamFlow
 	runs       map[string]int // by request
 	opened     int
@@ -55,19 +57,33 @@
 	if u.runs == nil {
 		u.runs = make(map[string]int)
 	}
-	go acceptProbes(u.tcp)
+	go u.acceptProbes(u.tcp)
 	go readLoop(u.conn, u.handle)
 	return nil
 }
 
-// acceptProbes accepts each connection and closes it at once.
-func acceptProbes(l net.Listener) {
+// acceptProbes accepts connections, and keeps them open until the other end closes them or the
+// upstream ends, as a server does that waits for a request.
+func (u *Upstream) acceptProbes(l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		_ = conn.Close()
+		u.mu.Lock()
+		if u.tcp == l {
+			u.held = append(u.held, conn)
+		} else { // the upstream was restarted
+			_ = conn.Close()
+		}
+		u.mu.Unlock()
+		go func() {
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.held = slices.DeleteFunc(u.held, func(other net.Conn) bool { return other == conn })
+		}()
 	}
 }
 
@@ -77,6 +93,17 @@
 	defer u.mu.Unlock()
 	_ = u.conn.Close()
 	_ = u.tcp.Close()
+	for _, conn := range u.held {
+		_ = conn.Close()
+	}
+	u.held = nil
+}
+
+// Held returns the number of connections that its agent holds.
+func (u *Upstream) Held() (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.held)
 }
 
 // Runs returns how often each request has run.
