Cold upstreams: servers that close connections without a request early

Warm upstreams of short flows would have got no more new flows than cold ones for most of the time, if their server closes a connection without a request before the agent replaces it after 5 s: each end leaves a doubt for 4 s, unless a flow is open that disproves it.

After a connection has ended, the next ones are replaced after half of its time, 1 s at least, until another run of the upstream is listed, so that the end was that of the process.

Red without it: TestUpstreamClosesIdleConnections (servers that close after 2.5 s, a limit of 1 a second): the first request after the 9 s fails. With it 12 s pass, and none of the requests fails in the last 3 s.

--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -69,6 +69,7 @@
 	watched    *net.TCPConn
 	isWatching bool
 	watchedAt  time.Time
+	watchTerm  watchTerm // for watch only
 	silent     silentAgents
 	outbound   *net.UDPConn // receives the upstream's packets
 }
--- a/internal/flow/jmpassnode/connection_test.go
+++ b/internal/flow/jmpassnode/connection_test.go
@@ -50,3 +50,21 @@
 		})
 	}
 }
+
+// TestServerClosesIdleConnections has a server close connections before they are replaced. From
+// the second one on they are replaced in time, until the upstream starts again.
+func TestServerClosesIdleConnections(t *testing.T) {
+	var term watchTerm
+	former, next := listedRun{"i-1", 1}, listedRun{"i-1", 2}
+	require.Equal(t, watchRenewal, term.renewal())
+	term.recordEnd(former, 4*time.Second)
+	require.Equal(t, 2*time.Second, term.renewal())
+	term.recordRenewal(former)
+	require.Equal(t, 2*time.Second, term.renewal())
+	term.recordEnd(former, time.Second)
+	require.Equal(t, minWatchRenewal, term.renewal())
+	term.recordRenewal(next)
+	require.Equal(t, watchRenewal, term.renewal(), "the connection had ended as the upstream did")
+	term.recordEnd(next, 20*time.Second)
+	require.Equal(t, watchRenewal, term.renewal())
+}
--- a/internal/flow/jmpassnode/watch.go
+++ b/internal/flow/jmpassnode/watch.go
@@ -15,7 +15,7 @@
 
 const (
 	// watchRenewal is how long a connection is held before another one replaces it. Servers
-	// close connections on which no request comes.
+	// close connections on which no request comes, some earlier than that: see watchTerm.
 	watchRenewal = 5 * time.Second
 	// minWatchRenewal is the least time between two connection attempts.
 	minWatchRenewal = time.Second
@@ -27,6 +27,38 @@
 // watchKeepAlive ends a connection that has gone silent.
 var watchKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// watchTerm is how long connections to an upstream are held before others replace them.
+type watchTerm struct {
+	// shortened is half of the time that the last connection was open that ended, 0 if that
+	// was as its upstream had started again.
+	shortened time.Duration
+	// run is the upstream that was listed then.
+	run listedRun
+}
+
+// listedRun identifies a run of an upstream that the directory lists.
+type listedRun struct {
+	id   string
+	born int64
+}
+
+func (t *watchTerm) renewal() time.Duration {
+	if t.shortened == 0 {
+		return watchRenewal
+	}
+	return min(max(t.shortened, minWatchRenewal), watchRenewal)
+}
+
+// recordEnd records that a connection has ended after a time.
+func (t *watchTerm) recordEnd(run listedRun, after time.Duration) { *t = watchTerm{after / 2, run} }
+
+// recordRenewal records that another connection replaces one that is open.
+func (t *watchTerm) recordRenewal(run listedRun) {
+	if run != t.run {
+		*t = watchTerm{}
+	}
+}
+
 // startWatch reports whether the caller is to run watch now. It is called at each tick, with
 // a.mu locked.
 func (a *Agent) startWatch(now time.Time) bool {
@@ -57,11 +89,19 @@
 
 // holdWatch returns when the connection, or one that has replaced it, has ended or ctx has.
 func (a *Agent) holdWatch(ctx context.Context, conn *net.TCPConn) {
+	opened := time.Now()
 	for {
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-		err := waitForEnd(conn, watchRenewal)
+		err := waitForEnd(conn, a.watchTerm.renewal())
 		stop()
-		if ctx.Err() != nil || !errors.Is(err, os.ErrDeadlineExceeded) || !a.shouldWatch() {
+		if ctx.Err() != nil {
+			break
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			a.watchTerm.recordEnd(a.listedRun(), time.Since(opened))
+			break
+		}
+		if !a.shouldWatch() {
 			break
 		}
 		next, _ := a.dialUpstream(ctx)
@@ -73,7 +113,8 @@
 			break
 		}
 		_ = conn.Close()
-		conn = next
+		conn, opened = next, time.Now()
+		a.watchTerm.recordRenewal(a.listedRun())
 	}
 	a.endWatch(conn)
 	_ = conn.Close()
@@ -90,6 +131,15 @@
 	return err
 }
 
+// listedRun returns the run of the upstream that the directory lists.
+func (a *Agent) listedRun() (run listedRun) {
+	if s := a.control.Snapshot(); s != nil && s.Upstreams[a.Settings.Upstream] != nil {
+		u := s.Upstreams[a.Settings.Upstream]
+		run = listedRun{u.ID, u.Born}
+	}
+	return run
+}
+
 func (a *Agent) shouldWatch() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/flow/jmpassnode/watch_test.go
+++ b/internal/flow/jmpassnode/watch_test.go
@@ -54,3 +54,20 @@
 	require.Positive(t, opened)
 	require.Eventually(t, isHeld, 3*time.Second, 10*time.Millisecond)
 }
+
+// TestUpstreamClosesIdleConnections has upstreams close the connections of their agents, which
+// replace them in time once they know. The limit for cold upstreams is not in force then.
+func TestUpstreamClosesIdleConnections(t *testing.T) {
+	s := newSite(t)
+	for i := 1; i <= 3; i++ {
+		s.upstreams[i].CloseIdle(2500 * time.Millisecond)
+	}
+	s.publishLimit(2, map[netip.AddrPort]string{shop: "shop", desk: "desk"}, 1)
+	// The first connection ends after 2.5 s, and 4 s later the directory has shown the run.
+	time.Sleep(9 * time.Second)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		_, err := s.serve(shop, fmt.Sprint("request-", time.Now().UnixNano()))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -20,10 +20,12 @@
 	Name        string
 	ServiceTime time.Duration // time that each request takes
 
-	mu         sync.Mutex
-	conn       *net.UDPConn
-	tcp        net.Listener // for the agent's probes
-	held       []net.Conn   // connections on which no request has come
+	mu   sync.Mutex
+	conn *net.UDPConn
+	tcp  net.Listener // for the agent's probes
+	held []net.Conn   // connections on which no request has come
+	// maxIdle is after which time such a connection is closed, 0 for never.
+	maxIdle    time.Duration
 	flows      map[netip.AddrPort]*upstreamFlow
 	runs       map[string]int // by request
 	opened     int
@@ -71,6 +73,9 @@
 			return
 		}
 		u.mu.Lock()
+		if u.maxIdle > 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(u.maxIdle))
+		}
 		if u.tcp == l {
 			u.held = append(u.held, conn)
 		} else { // the upstream was restarted
@@ -99,6 +104,13 @@
 	u.held = nil
 }
 
+// CloseIdle has the upstream close connections on which no request has come for a time.
+func (u *Upstream) CloseIdle(after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.maxIdle = after
+}
+
 // Held returns the number of connections that its agent holds.
 func (u *Upstream) Held() (n int) {
 	u.mu.Lock()
