--- a/internal/flow/jmpass/handover.go
+++ b/internal/flow/jmpass/handover.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		a.table.add(each.Key, &flow{
-			isInherited: true, isOpen: !each.HasOpenReply, hasOpenReply: each.HasOpenReply, openReply: each.OpenReply,
+			isInherited: true, epoch: unknownEpoch, isOpen: !each.HasOpenReply, hasOpenReply: each.HasOpenReply, openReply: each.OpenReply,
 			lastAck: each.LastAck, dataEnd: each.DataEnd, opened: now, lastUsed: now,
 		})
 	}
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -19,9 +20,12 @@
 	Name        string
 	ServiceTime time.Duration // time that each request takes
 
-	mu         sync.Mutex
-	conn       *net.UDPConn
-	tcp        net.Listener // for the agent's probes
+	mu   sync.Mutex
+	conn *net.UDPConn
+	tcp  net.Listener // for the agent's probes
+	held []net.Conn   // connections on which no request has come
+	// maxIdle is after which time such a connection is closed, 0 for never.
+	maxIdle    time.Duration
 	flows      map[netip.AddrPort]*upstreamFlow
 	runs       map[string]int // by request
 	opened     int
@@ -55,19 +59,36 @@
 	if u.runs == nil {
 		u.runs = make(map[string]int)
 	}
-	go acceptProbes(u.tcp)
+	go u.acceptProbes(u.tcp)
 	go readLoop(u.conn, u.handle)
 	return nil
 }
 
-// acceptProbes accepts each connection and closes it at once.
-func acceptProbes(l net.Listener) {
+// acceptProbes accepts connections, and keeps them open until the other end closes them or the
+// upstream ends, as a server does that waits for a request.
+func (u *Upstream) acceptProbes(l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		_ = conn.Close()
+		u.mu.Lock()
+		if u.maxIdle > 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(u.maxIdle))
+		}
+		if u.tcp == l {
+			u.held = append(u.held, conn)
+		} else { // the upstream was restarted
+			_ = conn.Close()
+		}
+		u.mu.Unlock()
+		go func() {
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.held = slices.DeleteFunc(u.held, func(other net.Conn) bool { return other == conn })
+		}()
 	}
 }
 
@@ -77,6 +98,24 @@
 	defer u.mu.Unlock()
 	_ = u.conn.Close()
 	_ = u.tcp.Close()
+	for _, conn := range u.held {
+		_ = conn.Close()
+	}
+	u.held = nil
+}
+
+// CloseIdle has the upstream close connections on which no request has come for a time.
+func (u *Upstream) CloseIdle(after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.maxIdle = after
+}
+
+// Held returns the number of connections that its agent holds.
+func (u *Upstream) Held() (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.held)
 }
 
 // Runs returns how often each request has run.
