Agent: an upstream that is replaced without a sign gets no new flow before its service is known

What callers could see: requests run by another service (ROUTE), for up to 3 s, where the next upstream listens at once, or where no flow came meanwhile, so that no probe was refused.

Cause: the agent that doubts its upstream's service after a sign of its end had no sign there.

Change: agents whose settings can change hold the connection to the upstream's port that those of services with a limit hold since. It is looked at before opening packets are decided on. Its end, and the next connection after that, call the service into question until the settings are read, a tick later.

--- a/internal/flow/jmpass/watch.go
+++ b/internal/flow/jmpass/watch.go
@@ -30,6 +30,8 @@
 // watch is an agent's knowledge of whether its upstream may have started again.
 type watch struct {
 	isHeld bool // a connection to the upstream is open
+	// endedAt is when the last connection ended, zero if none has.
+	endedAt time.Time
 	// heardAt is when the connection ended, or a packet of an open flow last showed that the
 	// upstream's run had not changed since that flow was accepted. It is zero until there is a
 	// limit.
@@ -46,9 +48,9 @@
 }
 
 // ShouldWatch reports whether a connection to the upstream's port is to be held, of which
-// HandleWatch is told.
+// HandleWatch is told: while the next upstream may be of another service, or warm up.
 func (a *Agent) ShouldWatch() bool {
-	return a.serviceColdRate() > 0 && !a.upstream.isDown && !a.upstream.isSilent
+	return (a.CanReadSettings || a.serviceColdRate() > 0) && !a.upstream.isDown && !a.upstream.isSilent
 }
 
 // HandleWatch handles that a connection to the upstream's port has been opened, isHeld, or that
@@ -58,6 +60,9 @@
 	w := &a.cold.watch
 	if isHeld {
 		a.updateWatch(now)
+		if !w.isHeld && !w.endedAt.IsZero() {
+			a.doubtService(now)
+		}
 		if !w.doubtedAt.IsZero() {
 			// The upstream may have started until now.
 			w.doubtedAt, w.ticks = now, 0
@@ -65,7 +70,8 @@
 		w.isHeld = true
 		return a.out
 	}
-	w.isHeld, w.heardAt = false, now
+	w.isHeld, w.heardAt, w.endedAt = false, now, now
+	a.doubtService(now)
 	a.recordDoubt(now)
 	a.sendReports(now)
 	return a.out
--- a/internal/flow/jmpassnode/service_test.go
+++ b/internal/flow/jmpassnode/service_test.go
@@ -21,8 +21,13 @@
 		down time.Duration
 		age  time.Duration // of the former upstream
 		next string        // service that the settings name, empty if they have a fault
-		runs bool          // whether requests of the shop run at the next upstream
+		// isQuiet is set if no flow is opened while no upstream listens.
+		isQuiet bool
+		runs    bool // whether requests of the shop run at the next upstream
 	}{
+		"of another service, at once":                  {age: time.Hour, next: "desk"},
+		"of another service, without flows meanwhile":  {down: time.Second, age: time.Hour, next: "desk", isQuiet: true},
+		"of the same service, at once":                 {age: time.Hour, next: "shop", runs: true},
 		"of another service":                           {down: time.Second, age: time.Hour, next: "desk"},
 		"of another service, former one just started":  {down: time.Second, age: 5 * time.Second, next: "desk"},
 		"of the same service, former one just started": {down: time.Second, age: 5 * time.Second, next: "shop", runs: true},
@@ -42,14 +47,17 @@
 			deadline := time.Now().Add(tc.down + 5*time.Second)
 			for caller := range 8 {
 				wg.Go(func() {
+					if tc.isQuiet {
+						time.Sleep(tc.down + 50*time.Millisecond)
+					}
 					for i := 0; time.Now().Before(deadline); i++ {
 						_, _ = s.serve(shop, fmt.Sprintf("shop-%d-%d", caller, i))
 					}
 				})
 			}
+			s.setService(at, tc.next)
 			s.upstreams[at].Crash()
 			time.Sleep(tc.down)
-			s.setService(at, tc.next)
 			next := &jmpackets.Upstream{Address: addr(2, at, upstreamPort), Outbound: addr(2, at, outboundPort), Name: "next", ServiceTime: 5 * time.Millisecond}
 			require.NoError(t, next.Start(t.Context()))
 			t.Cleanup(next.Crash)
