TestOverload: routers poll readiness, instead of asking before each packet

Cause: the callers' stand-in got its balancers from readyBalancers, which asks all three over HTTP, on new connections, and returns those that answer within 0.1 s. The soak polls it every 0.2 s (pollReadiness); TestOverload called it for every packet that a caller sent. So each packet waited for three exchanges, which were also most of the load on balancers and callers, and wasn't sent at all if none answered in time.

Change: TestOverload polls as the soak does; polling begins with a set that isn't empty, as the platform's routers keep the last one. All checks are as they were.

--- a/internal/standin/jmprocess/overload_test.go
+++ b/internal/standin/jmprocess/overload_test.go
@@ -31,6 +31,7 @@
 	s.start()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
+	s.pollReadiness(ctx)
 	var wg sync.WaitGroup
 	var answered atomic.Int64
 	for i := range overload * soakSlots * *soakAgents {
--- a/internal/standin/jmprocess/soakcallers_test.go
+++ b/internal/standin/jmprocess/soakcallers_test.go
@@ -43,6 +43,9 @@
 func (s *soak) pollReadiness(ctx context.Context) {
 	var mu sync.Mutex
 	current := s.readyBalancers()
+	for len(current) == 0 && ctx.Err() == nil {
+		current = s.readyBalancers() // start has found all to be ready
+	}
 	s.caller.Balancers = func() []netip.AddrPort {
 		mu.Lock()
 		defer mu.Unlock()
