Model checker of pass-through flows: measure explore

The real jmpass.Balancer and jmpass.Agent run in fleets of 1 or 2 balancers, 2 or 3 agents and 1 or 2 flows; callers, upstreams and the directory are simulated. Each state is reached by replaying its steps, as machines can't be cloned, and rendered by reflection, without accessors in jmpass: times count relative to the present, maps in the order of their keys. Breadth first up to a bound, then seeded walks. Outputs of one call are ordered by flow, as agents go through maps.

Each is found breadth first and by walks.

The fleets leave these out (Fleet.IsInStep, Fleet.NeedsReset), so that exploring goes on.

Tried before: rendering addresses by fmt gave hashes that differ between runs of the program (a zone is a pointer); walks with the bounds of the breadth-first search ended with most flows served or reset (recovery within 25 ms), so they now have four times as many faults.

jmflows.Agent is exported, so that both models share the interface.

--- a/cmd/jasminemoor/main_test.go
+++ b/cmd/jasminemoor/main_test.go
@@ -63,6 +63,9 @@
 		"flag from file":       {"demo -config " + config, 2, "", "log-format is neither text nor json"},
 		"call, no name":        {"call -address 127.0.0.1:1", 2, "", "-address and -server-name are needed"},
 		"call, bad address":    {"call -address localhost", 2, "", "not an ip:port"},
+		"explore, no fleet":    {"measure explore -fleet none", 2, "", "measure explore knows no fleet none"},
+		"explore":              {"measure explore -fleet opening -states 100 -walks 5", 0, "opening: 5 walks", "depth 1"},
+		"explore, replay":      {"measure explore -fleet opening -replay send", 0, "step send 0 0", ""},
 		"call, no listener":    {"call -address 127.30.9.9:1 -server-name x -timeout 300ms", 3, "", "not run"},
 	}
 	for name, tc := range cases {
--- a/cmd/jasminemoor/measure.go
+++ b/cmd/jasminemoor/measure.go
@@ -23,10 +23,10 @@
 func measureCommand(t *terminal) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "measure",
-		ShortUsage:  "jasminemoor measure <placement|control|flows|bound> [flags]",
+		ShortUsage:  "jasminemoor measure <placement|control|flows|bound|explore> [flags]",
 		ShortHelp:   "Compare the load balancer's decisions with naive ones, in a model of the systems that it serves.",
 		FlagSet:     newFlagSet(t, "measure"),
-		Subcommands: []*ffcli.Command{measurePlacementCommand(t), measureControlCommand(t), measureFlowsCommand(t), measureBoundCommand(t)},
+		Subcommands: []*ffcli.Command{measurePlacementCommand(t), measureControlCommand(t), measureFlowsCommand(t), measureBoundCommand(t), measureExploreCommand(t)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/internal/measure/jmflows/naive.go
+++ b/internal/measure/jmflows/naive.go
@@ -19,7 +19,7 @@
 var Naive = Policy{
 	Name:        "naive",
 	newBalancer: func(self netip.Addr, _ string) balancer { return &naiveBalancer{self: self} },
-	newAgent:    func(n *node, _ bool) agent { return &naiveAgent{self: n.addr} },
+	newAgent:    func(n *node, _ bool) Agent { return &naiveAgent{self: n.addr} },
 }
 
 type naiveBalancer struct {
--- a/internal/measure/jmflows/world.go
+++ b/internal/measure/jmflows/world.go
@@ -31,8 +31,8 @@
 	Tick(now time.Time) []netip.Addr
 }
 
-// agent is a policy's implementation of an agent. See jmpass.Agent.
-type agent interface {
+// Agent is a policy's implementation of an agent. See jmpass.Agent.
+type Agent interface {
 	SetSnapshot(s jmpass.Snapshot)
 	HandlePeer(now time.Time, from netip.Addr, h *jmhop.Header, p *jasminemoor.Packet, packet []byte) ([]jmpass.Message, jmpass.Reason)
 	HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) ([]jmpass.Message, jmpass.Reason)
@@ -47,7 +47,7 @@
 type Policy struct {
 	Name        string
 	newBalancer func(self netip.Addr, dataCentre string) balancer
-	newAgent    func(n *node, isFirstStart bool) agent
+	newAgent    func(n *node, isFirstStart bool) Agent
 }
 
 // Product is the policy of the balancers and agents of jasminemoor.
@@ -56,7 +56,7 @@
 	newBalancer: func(self netip.Addr, dataCentre string) balancer {
 		return &jmpass.Balancer{Self: self, DataCentre: dataCentre}
 	},
-	newAgent: func(n *node, isFirstStart bool) agent {
+	newAgent: func(n *node, isFirstStart bool) Agent {
 		a := &jmpass.Agent{
 			Self: n.addr, Upstream: n.upstream.addr, Service: service, IsFirstStart: isFirstStart,
 			Incarnation: jasminemoor.Incarnation(n.starts), ColdOverrun: coldOverrun, ColdSlack: coldSlack,
@@ -118,7 +118,7 @@
 	startedAt  time.Time
 	isUp       bool
 	balancer   balancer
-	agent      agent
+	agent      Agent
 	upstream   *upstream
 	isJoining  bool // it starts at Joining.At
 	// sawUpstreamDown is set if a probe of the agent has found that the upstream had ended.
