Agent: an answer opens a half-open flow, and a half-open flow may be held

What callers saw (found by the model checker, not by users): a flow whose upstream holds it gets no answer and no reset, or a lost flow gets no reset; the caller waits for its deadline.

Cause: an agent that was restarted has an entry from a copy of the opening packet, or from the upstream's reply to it, and takes it for all that it needs to know of the flow: it neither gives the flow's packets to its upstream (mayHold) nor says that the flow isn't held (isNotHeld), and an answer with data does not change that, though only the holder sends one.

Change: data from the upstream makes the entry an open one, and an entry that isn't open doesn't keep the agent from probing its upstream while its table may lack flows. The upstream's answer or refusal then decides, as for flows that the table lacks.

Evidence: jmexplore's TestHeldFlowOfRestartedAgent and TestLostFlowWithCopyOfOpening, red always on the code before, pass; the first needs only the first change.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -369,10 +369,10 @@
 }
 
 // mayHold reports whether the upstream may hold a flow whose beginning the agent has not
-// seen. The upstream's refusal is the proof that it does not, unless the flow's route is
+// seen, or of which it has seen a copy of the opening packet only. The upstream's refusal is the proof that it does not, unless the flow's route is
 // known not to have had the service.
 func (a *Agent) mayHold(now time.Time, key jasminemoor.FlowKey) bool {
-	if a.isTableComplete(now) || a.table.get(key) != nil || a.upstream.isDown {
+	if f := a.table.get(key); a.isTableComplete(now) || f != nil && f.isOpen || a.upstream.isDown {
 		return false
 	}
 	if _, isRefused := a.refused[key]; isRefused {
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -79,6 +79,8 @@
 	}
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		f.hasOpenReply, f.openReply = true, p.Sequence
+	} else if p.Length > 0 {
+		f.isOpen = true
 	}
 	a.recordResult(now, f, p, isFailure)
 	if took := a.table.recordUpstream(now, f, p); took > 0 && a.OnAnswer != nil {
