--- a/internal/measure/jmexplore/fleet.go
+++ b/internal/measure/jmexplore/fleet.go
@@ -53,8 +53,7 @@
 	// IsInStep has each revision of the directory reach all processes at once, but for those
 	// that have no copy.
 	IsInStep bool
-	// NeedsReset requires a lost flow to be reset also while its service has no upstream at all,
-	// or if an agent that was restarted has seen a reply to its opening packet since then.
+	// NeedsReset requires a lost flow to be reset also while its service has no upstream at all.
 	NeedsReset bool
 	// Without are kinds of step that are left out.
 	Without []StepKind
@@ -96,8 +95,6 @@
 	agent    jmflows.Agent
 	copy     directoryCopy
 	upstream *upstream
-	// openReplies has the flows to whose opening packets the agent has seen replies.
-	openReplies []jasminemoor.FlowKey
 }
 
 // datagram is a message on its way.
@@ -194,7 +191,7 @@
 // startProcess starts a balancer or an agent without a copy of the directory.
 func (w *world) startProcess(p *process, isFirstStart bool) {
 	p.starts++
-	p.isUp, p.copy, p.openReplies = true, directoryCopy{}, nil
+	p.isUp, p.copy = true, directoryCopy{}
 	if p.upstream == nil {
 		p.balancer = &jmpass.Balancer{Self: p.addr, DataCentre: dataCentre}
 		return
@@ -359,9 +356,6 @@
 // agentReceive gives an agent a packet of its upstream.
 func (w *world) agentReceive(p *process, d *datagram) {
 	packet := decode(d.body)
-	if packet.Flags.Has(jasminemoor.FlagOpen|jasminemoor.FlagAck) && !slices.Contains(p.openReplies, packet.ReverseKey()) {
-		p.openReplies = append(p.openReplies, packet.ReverseKey())
-	}
 	out, _ := p.agent.HandleUpstream(w.now, packet, []byte(d.body), false)
 	w.send(p, out, d.body)
 }
@@ -431,7 +425,7 @@
 }
 
 // isLost reports whether an open flow was neither reset nor served since it had served
-// requests. Unless the fleet needs resets, two faults that are known don't count; see
+// requests. Unless the fleet needs resets, one of a service without upstreams doesn't count; see
 // Fleet.NeedsReset.
 func (w *world) isLost(c *caller, served int) bool {
 	if !c.isOpen || c.isEnded || c.served > served {
@@ -442,8 +436,5 @@
 	}
 	newest := w.directory.newest()
 	service := newest.routes[w.callerOf(c.key)]
-	isHalfOpen := slices.ContainsFunc(w.nodes(), func(n *process) bool {
-		return n.starts > 1 && slices.Contains(n.openReplies, c.key)
-	})
-	return !isHalfOpen && slices.ContainsFunc(newest.entries, func(e entry) bool { return e.isListed && e.service == service })
+	return slices.ContainsFunc(newest.entries, func(e entry) bool { return e.isListed && e.service == service })
 }
--- a/internal/measure/jmexplore/state.go
+++ b/internal/measure/jmexplore/state.go
@@ -24,7 +24,6 @@
 		r.text(p.service)
 		r.value(reflect.ValueOf(p.copy))
 		r.value(reflect.ValueOf(p.upstream))
-		r.value(reflect.ValueOf(p.openReplies))
 	}
 	for i := range w.wire {
 		d := &w.wire[i]
