Agent: settings are read once a process listens at the upstream's address again

Found while reading the merged code. When the connection to the upstream ends, its settings were read at once, and their service held until the next connection, up to 1 s later.

Change: after such an end the port is probed in the next tick, and only settings that are read after it has accepted a connection name the service.

The entry of a run that has ended does not say that the next one is leaving: that is now told by the run that was listed when the port refused, as the run that a closed connection calls into question goes on mostly.

--- a/internal/flow/jmpass/cold.go
+++ b/internal/flow/jmpass/cold.go
@@ -67,6 +67,7 @@
 	a.cold.watch.epoch++
 	a.cold.watch.wasWarm = false
 	a.recordFormerRun()
+	a.service.ended = a.cold.formerRun
 }
 
 // recordFormerRun records that the run that the directory lists may have ended.
@@ -82,7 +83,7 @@
 func (a *Agent) recordLoss(now time.Time, f *flow) {
 	if f.ended == 0 && now.Sub(f.lastUsed) < activeTime {
 		a.recordRestart(now)
-		a.doubtService(now)
+		a.doubtService(now, true)
 	}
 }
 
--- a/internal/flow/jmpass/service.go
+++ b/internal/flow/jmpass/service.go
@@ -19,6 +19,11 @@
 	// settings were read, zero if none has. listed is the run that the directory listed then.
 	doubtedAt time.Time
 	listed    upstreamRun
+	// isPortUnknown is set if no process is known to listen since then. The settings are
+	// read once one does, as they may change until it starts.
+	isPortUnknown bool
+	// ended is the last run that the directory listed when it had ended.
+	ended upstreamRun
 }
 
 // SetService replaces the service of the agent's upstream. Open flows of the former one go on.
@@ -32,21 +37,24 @@
 // HandleSettings sets the service that the settings name, which were read after the given time.
 func (a *Agent) HandleSettings(service string, readAfter time.Time) {
 	a.SetService(service)
-	if readAfter.After(a.service.doubtedAt) {
+	if !a.service.isPortUnknown && readAfter.After(a.service.doubtedAt) {
 		a.service.doubtedAt = time.Time{}
 	}
 }
 
 // NeedsSettings reports whether the settings are to be read again and passed to
 // HandleSettings, as another process may have taken the upstream's address.
-func (a *Agent) NeedsSettings() bool { return !a.service.doubtedAt.IsZero() }
+func (a *Agent) NeedsSettings() bool {
+	return !a.service.doubtedAt.IsZero() && !a.service.isPortUnknown
+}
 
-// doubtService records that another process may have taken the upstream's address.
-func (a *Agent) doubtService(now time.Time) {
+// doubtService records that another process may have taken the upstream's address, and whether
+// one listens there.
+func (a *Agent) doubtService(now time.Time, isListening bool) {
 	if !a.CanReadSettings {
 		return
 	}
-	a.service.doubtedAt = now
+	a.service.doubtedAt, a.service.isPortUnknown = now, !isListening
 	if a.snapshot.View != nil {
 		a.service.listed = runOf(a.snapshot.Upstreams[a.Upstream])
 	}
@@ -67,5 +75,5 @@
 	if own == nil || own.State != jasminemoor.UpstreamLeaving {
 		return false
 	}
-	return !own.IsRemoved || a.cold.restartedAt.IsZero() || runOf(own) != a.cold.formerRun
+	return !own.IsRemoved || runOf(own) != a.service.ended
 }
--- a/internal/flow/jmpass/service_test.go
+++ b/internal/flow/jmpass/service_test.go
@@ -31,6 +31,21 @@
 			a.HandleProbe(now.Add(-time.Second), ProbeRefused)
 			a.HandleUpstream(now, upstreamPacket(jasminemoor.FlagOpen|jasminemoor.FlagAck, 0), nil, false)
 		},
+		"connection ends, then the port accepts": func(a *Agent, now time.Time) {
+			a.HandleWatch(now.Add(-time.Second), true)
+			a.HandleWatch(now.Add(-time.Second), false)
+			require.False(t, a.NeedsSettings(), "they may change until a process listens")
+			a.HandleSettings("shop", now.Add(-time.Millisecond))
+			_, shouldProbe := a.Tick(now.Add(-time.Millisecond))
+			require.True(t, shouldProbe)
+			a.HandleProbe(now, ProbeAccepted)
+		},
+		"connection ends, then another is held": func(a *Agent, now time.Time) {
+			a.HandleWatch(now.Add(-time.Second), true)
+			a.HandleWatch(now.Add(-time.Second), false)
+			a.HandleSettings("shop", now.Add(-time.Millisecond))
+			a.HandleWatch(now, true)
+		},
 		"packet of an open flow is returned": func(a *Agent, _ time.Time) {
 			openFlow(t, a)
 			p := dataPacket(callerSequence+1, 10)
@@ -88,7 +103,7 @@
 // TestEntryLapsesWhileLeaving sends a new flow to an agent whose upstream was leaving when its
 // entry lapsed, as the upstream does not reach the platform.
 func TestEntryLapsesWhileLeaving(t *testing.T) {
-	a := newAgent(false, snapshot(2, leaving(1), removed(1)))
+	a := newAgent(false, snapshot(2, leaving(1), removed(1), func(v *jmdirectory.View) { v.Upstreams[upstreamAddr(1)].ID = "i-1" }))
 	out, reason := a.HandlePeer(startTime, balancerAddr, forwardHeader(0), openingPacket(shop), nil)
 	require.Nil(t, find(out, ToUpstream))
 	require.Equal(t, ReasonLeaving, reason)
--- a/internal/flow/jmpass/watch.go
+++ b/internal/flow/jmpass/watch.go
@@ -30,8 +30,6 @@
 // watch is an agent's knowledge of whether its upstream may have started again.
 type watch struct {
 	isHeld bool // a connection to the upstream is open
-	// endedAt is when the last connection ended, zero if none has.
-	endedAt time.Time
 	// heardAt is when the connection ended, or a packet of an open flow last showed that the
 	// upstream's run had not changed since that flow was accepted. It is zero until there is a
 	// limit.
@@ -60,8 +58,8 @@
 	w := &a.cold.watch
 	if isHeld {
 		a.updateWatch(now)
-		if !w.isHeld && !w.endedAt.IsZero() {
-			a.doubtService(now)
+		if a.service.isPortUnknown {
+			a.doubtService(now, true)
 		}
 		if !w.doubtedAt.IsZero() {
 			// The upstream may have started until now.
@@ -70,8 +68,8 @@
 		w.isHeld = true
 		return a.out
 	}
-	w.isHeld, w.heardAt, w.endedAt = false, now, now
-	a.doubtService(now)
+	w.isHeld, w.heardAt = false, now
+	a.doubtService(now, false)
 	a.recordDoubt(now)
 	a.sendReports(now)
 	return a.out
--- a/internal/flow/jmpassnode/service_test.go
+++ b/internal/flow/jmpassnode/service_test.go
@@ -25,13 +25,14 @@
 		isQuiet bool
 		runs    bool // whether requests of the shop run at the next upstream
 	}{
-		"of another service, at once":                  {age: time.Hour, next: "desk"},
-		"of another service, without flows meanwhile":  {down: time.Second, age: time.Hour, next: "desk", isQuiet: true},
-		"of the same service, at once":                 {age: time.Hour, next: "shop", runs: true},
-		"of another service":                           {down: time.Second, age: time.Hour, next: "desk"},
-		"of another service, former one just started":  {down: time.Second, age: 5 * time.Second, next: "desk"},
-		"of the same service, former one just started": {down: time.Second, age: 5 * time.Second, next: "shop", runs: true},
-		"settings have a fault":                        {down: time.Second, age: 5 * time.Second},
+		"of another service, at once":                          {age: time.Hour, next: "desk"},
+		"of another service, settings change before any probe": {down: 100 * time.Millisecond, age: time.Hour, next: "desk", isQuiet: true},
+		"of another service, without flows meanwhile":          {down: time.Second, age: time.Hour, next: "desk", isQuiet: true},
+		"of the same service, at once":                         {age: time.Hour, next: "shop", runs: true},
+		"of another service":                                   {down: time.Second, age: time.Hour, next: "desk"},
+		"of another service, former one just started":          {down: time.Second, age: 5 * time.Second, next: "desk"},
+		"of the same service, former one just started":         {down: time.Second, age: 5 * time.Second, next: "shop", runs: true},
+		"settings have a fault":                                {down: time.Second, age: 5 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -55,9 +56,9 @@
 					}
 				})
 			}
-			s.setService(at, tc.next)
 			s.upstreams[at].Crash()
 			time.Sleep(tc.down)
+			s.setService(at, tc.next)
 			next := &jmpackets.Upstream{Address: addr(2, at, upstreamPort), Outbound: addr(2, at, outboundPort), Name: "next", ServiceTime: 5 * time.Millisecond}
 			require.NoError(t, next.Start(t.Context()))
 			t.Cleanup(next.Crash)
