Agent: a closed port resets no flow of an upstream that still answers

Cause: an upstream that ends in an orderly way closes its port some milliseconds before its last flows. Agents now hold a connection to the port, and its end led to a probe at once, whose refusal counts as the end of the process: all open flows were reset.

Change: a connection that can't be opened again calls the upstream's service and its warmth into question, as its end does, and nothing else. It is tried again each 0.2 s. Only a probe after unanswered packets proves the end.

--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -179,12 +179,12 @@
 }
 
 // shouldProbe reports whether the upstream's port is to be probed now, and records that
-// it is. It is probed while the upstream is down or silent, after the
-// connection to it has ended, if the upstream leaves packets unanswered, and at the agent's start unless IsFirstStart is set.
+// it is. It is probed while the upstream is down or silent, if the upstream leaves
+// packets unanswered, and at the agent's start unless IsFirstStart is set.
 func (a *Agent) shouldProbe(now time.Time) bool {
 	u := &a.upstream
 	isOverdue := !u.unansweredSince.IsZero() && now.Sub(u.unansweredSince) > upstreamTimeout || u.probed.IsZero() && !a.IsFirstStart
-	if !isOverdue && !u.isDown && !u.isSilent && !a.service.isPortUnknown || now.Sub(u.probed) < probeInterval {
+	if !isOverdue && !u.isDown && !u.isSilent || now.Sub(u.probed) < probeInterval {
 		return false
 	}
 	u.probed = now
--- a/internal/flow/jmpass/watch.go
+++ b/internal/flow/jmpass/watch.go
@@ -75,6 +75,19 @@
 	return a.out
 }
 
+// HandleClosedPort handles that the upstream's port refuses a connection that was to be held. The
+// upstream may be about to end, and still serve its flows.
+func (a *Agent) HandleClosedPort(now time.Time) {
+	a.begin(now)
+	a.recordRestart(now)
+	a.cold.hard.Remit()
+	a.doubtService(now, false)
+}
+
+// IsPortUnknown reports whether the connection to the upstream's port has ended, and no process is
+// known to listen there since.
+func (a *Agent) IsPortUnknown() bool { return a.service.isPortUnknown }
+
 // recordDoubt records that the upstream may have ended and started again.
 func (a *Agent) recordDoubt(now time.Time) {
 	w := &a.cold.watch
--- a/internal/flow/jmpassnode/watch.go
+++ b/internal/flow/jmpassnode/watch.go
@@ -19,6 +19,9 @@
 	watchRenewal = 5 * time.Second
 	// minWatchRenewal is the least time between two connection attempts.
 	minWatchRenewal = time.Second
+	// closedPortInterval is the least time between two attempts after a connection has ended:
+	// its upstream gets no new flows until a process listens.
+	closedPortInterval = 200 * time.Millisecond
 )
 
 // goroutineWatch is the name of the goroutine that watches the upstream.
@@ -62,7 +65,11 @@
 // startWatch reports whether the caller is to run watch now. It is called at each tick, with
 // a.mu locked.
 func (a *Agent) startWatch(now time.Time) bool {
-	if a.isWatching || !a.machine.ShouldWatch() || now.Sub(a.watchedAt) < minWatchRenewal {
+	interval := minWatchRenewal
+	if a.machine.IsPortUnknown() {
+		interval = closedPortInterval
+	}
+	if a.isWatching || !a.machine.ShouldWatch() || now.Sub(a.watchedAt) < interval {
 		return false
 	}
 	a.isWatching, a.watchedAt = true, now
@@ -83,7 +90,9 @@
 		a.setWatch(conn)
 		a.holdWatch(ctx, conn)
 	} else if result == jmpass.ProbeRefused {
-		a.recordProbe(result)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.machine.HandleClosedPort(time.Now())
 	}
 }
 
