Searches ask upstreams whose address a newer entry has

With the same entry under the name of a service that the configuration has, the flows were still reset.

Cause: a view keeps one upstream an address, the one that started last. That decides where new flows go. It also decided who is asked for an open flow, so the displaced upstream was left out of the search, and the answers of the others counted as proof. For the first MaxFlowAge after a start the past of the routes is not known and all services are asked, which hid it.

Change: a view keeps the displaced upstreams by service (Unplaced), for searches only. New flows go where they went. Where the address was really given to another service, its agent answers the question, so lost flows are reset a round trip later.

--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -1,6 +1,7 @@
 package jmdirectory
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -26,6 +27,9 @@
 	CompleteAt time.Time
 	// Upstreams holds the newest entry of each address.
 	Upstreams map[netip.AddrPort]*Upstream
+	// Unplaced holds, by service, the upstreams that get no new flows but may hold open ones:
+	// a newer entry has their address.
+	Unplaced map[string][]*Upstream
 	// Agents holds the newest entry of each agent's address.
 	Agents map[netip.Addr]*Upstream
 	// EndingCount grows with each upstream that was found to have ended.
@@ -141,6 +145,7 @@
 		Routes:           make(map[netip.AddrPort]*Route, len(r.routes)),
 		Services:         make(map[string]*Service),
 		Upstreams:        make(map[netip.AddrPort]*Upstream, len(r.upstreams)),
+		Unplaced:         make(map[string][]*Upstream),
 	}
 	for addr, known := range r.routes {
 		if known.route != nil {
@@ -149,13 +154,19 @@
 	}
 	v.Agents = make(map[netip.Addr]*Upstream, len(r.upstreams))
 	for key, known := range r.upstreams {
-		if u := r.upstreamView(now, known); u != nil {
-			r.addEvacuation(now, u)
-			r.addHistory(u)
-			u.HasEnded = r.endings.has(&u.ListedUpstream)
+		u := known.view(now)
+		if u == nil {
+			continue
+		}
+		r.addEvacuation(now, u)
+		r.addHistory(u)
+		u.HasEnded = r.endings.has(&u.ListedUpstream)
+		if r.isNamed(u.Service) {
 			v.add(u)
-		} else if left := known.upstream; left != nil {
-			v.Unnamed[key] = left.Service
+			continue
+		}
+		if !u.IsRemoved {
+			v.Unnamed[key] = u.Service
 		}
 	}
 	v.addLimits()
@@ -168,7 +179,10 @@
 		s.Upstreams = append(s.Upstreams, u)
 	}
 	for _, s := range v.Services {
-		slices.SortFunc(s.Upstreams, func(a, b *Upstream) int { return a.Address.Compare(b.Address) })
+		slices.SortFunc(s.Upstreams, compareUpstreams)
+	}
+	for _, upstreams := range v.Unplaced {
+		slices.SortFunc(upstreams, compareUpstreams)
 	}
 	return v
 }
@@ -191,14 +205,22 @@
 }
 
 // add adds an upstream to Upstreams and to Agents, except where a newer one has the
-// same address.
+// same address. The older one is unplaced.
 func (v *View) add(u *Upstream) {
-	if other := v.Upstreams[u.Address]; other == nil || isNewer(u, other) {
-		v.Upstreams[u.Address] = u
-	}
 	if other := v.Agents[u.Address.Addr()]; other == nil || isNewer(u, other) {
 		v.Agents[u.Address.Addr()] = u
 	}
+	if other := v.Upstreams[u.Address]; other != nil {
+		if isNewer(other, u) {
+			u, other = other, u
+		}
+		v.Unplaced[other.Service] = append(v.Unplaced[other.Service], other)
+	}
+	v.Upstreams[u.Address] = u
+}
+
+func compareUpstreams(a, b *Upstream) int {
+	return cmp.Or(a.Address.Compare(b.Address), strings.Compare(a.ID, b.ID))
 }
 
 // isNewer reports whether u replaces other at an address that both have: a new
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -55,12 +55,16 @@
 	}
 	known := holderServices(route, a.oldestFlow(now))
 	for i, name := range a.searchedServices(now, route) {
-		service := a.snapshot.Services[name]
-		if service == nil {
-			continue
+		mayHold := func(u *jmdirectory.Upstream) bool { return i < len(known) || !a.startedInKnownPast(u) }
+		if service := a.snapshot.Services[name]; service != nil {
+			for _, u := range a.possibleHoldersOf(now, key, service) {
+				if mayHold(u) {
+					agents = append(agents, u.Address.Addr())
+				}
+			}
 		}
-		for _, u := range a.possibleHoldersOf(now, key, service) {
-			if i < len(known) || !a.startedInKnownPast(u) {
+		for _, u := range a.snapshot.Unplaced[name] {
+			if mayHold(u) && a.mayHoldFlows(now, u) && !slices.Contains(agents, u.Address.Addr()) {
 				agents = append(agents, u.Address.Addr())
 			}
 		}
@@ -144,6 +148,7 @@
 	}
 	started, listed := 0, 0
 	for _, name := range services {
+		listed += len(a.snapshot.Unplaced[name])
 		service := a.snapshot.Services[name]
 		if service == nil {
 			return false
--- a/internal/flow/jmpassnode/passnode_test.go
+++ b/internal/flow/jmpassnode/passnode_test.go
@@ -20,6 +20,7 @@
 	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdecision"
 	"github.com/jasminemoor/jasminemoor/internal/flow/jmpassnode"
 	"github.com/jasminemoor/jasminemoor/internal/settings/jmlocal"
+	"github.com/jasminemoor/jasminemoor/internal/settings/jmtree"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmpackets"
 	"github.com/jasminemoor/jasminemoor/internal/standin/jmstore"
 	jmadapter "github.com/jasminemoor/jasminemoor/platform"
@@ -42,18 +43,19 @@
 
 // site is a small installation on loopback.
 type site struct {
-	t         *testing.T
-	store     *jmstore.Store
-	server    *httptest.Server
-	mu        sync.Mutex
-	balancers map[int]*process
-	agents    map[int]*process
-	upstreams map[int]*jmpackets.Upstream
-	services  map[int]string // in the settings of the agents, by instance
-	caller    *jmpackets.Caller
-	seeds     []netip.AddrPort // of processes that start
-	hook      *logtest.Hook
-	log       *logrus.Logger
+	t          *testing.T
+	store      *jmstore.Store
+	server     *httptest.Server
+	mu         sync.Mutex
+	balancers  map[int]*process
+	agents     map[int]*process
+	upstreams  map[int]*jmpackets.Upstream
+	services   map[int]string // in the settings of the agents, by instance
+	caller     *jmpackets.Caller
+	seeds      []netip.AddrPort // of processes that start
+	maxFlowAge jmtree.Duration  // of processes that start
+	hook       *logtest.Hook
+	log        *logrus.Logger
 }
 
 // process is a running balancer or agent.
@@ -72,9 +74,15 @@
 }
 
 func newSite(t *testing.T) *site {
+	t.Helper()
+	return newSiteWithFlowAge(t, 0)
+}
+
+// newSiteWithFlowAge starts a site whose processes know how old flows may be, unless it is 0.
+func newSiteWithFlowAge(t *testing.T, maxFlowAge time.Duration) *site {
 	t.Helper()
 	s := &site{
-		t: t, store: &jmstore.Store{}, balancers: make(map[int]*process), agents: make(map[int]*process),
+		t: t, maxFlowAge: jmtree.Duration(maxFlowAge), store: &jmstore.Store{}, balancers: make(map[int]*process), agents: make(map[int]*process),
 		upstreams: make(map[int]*jmpackets.Upstream), services: make(map[int]string),
 	}
 	s.log, s.hook = logtest.NewNullLogger()
@@ -118,6 +126,11 @@
 
 // publishLimit writes a configuration in which the shop has a limit for cold upstreams.
 func (s *site) publishLimit(version int, routes map[netip.AddrPort]string, coldRate float64) {
+	s.publishServices(version, routes, map[string]any{"name": "shop", "cold_per_s": coldRate}, map[string]any{"name": "desk"}, map[string]any{"name": "lab"})
+}
+
+// publishServices writes a configuration that lists services.
+func (s *site) publishServices(version int, routes map[netip.AddrPort]string, services ...any) {
 	list := []any{}
 	for address, service := range routes {
 		list = append(list, map[string]any{
@@ -125,7 +138,6 @@
 			"route_type": "idempotent", "timeout_ms": 3000, "target_latency_ms": 200, "priority": 2, "service": service,
 		})
 	}
-	services := []any{map[string]any{"name": "shop", "cold_per_s": coldRate}, map[string]any{"name": "desk"}, map[string]any{"name": "lab"}}
 	s.store.Put("op/config", map[string]any{"version": version, "routes": list, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000}})
 }
 
@@ -148,7 +160,7 @@
 func (s *site) settings(kind, i int, isFirstStart bool) *jmlocal.Settings {
 	return &jmlocal.Settings{
 		Name: fmt.Sprintf("%d-%d", kind, i), Address: addr(kind, i, 0).Addr(), DataCentre: "here",
-		FirstPort: peerPort, LastPort: peerPort + 15, IsFirstStart: isFirstStart, Seeds: s.seeds,
+		FirstPort: peerPort, LastPort: peerPort + 15, IsFirstStart: isFirstStart, Seeds: s.seeds, MaxFlowAge: s.maxFlowAge,
 		Packets: addr(kind, i, packetsPort), Ready: addr(kind, i, readyPort),
 		Outbound: addr(kind, i, outboundPort), Upstream: addr(2, i, upstreamPort),
 	}
