Searches ask upstreams of services that the configuration does not name

Callers saw: a route moves from one service to another, and the configuration does not name the former one any more. All processes are killed and start again; upstreams run all the time. Each open flow of the route was reset by the system.

A process that was there before the change knows the former service. One that starts later does not, and asks the services in its view instead, which lack it: the answers of all others counted as proof.

Change: such upstreams are in views as unplaced ones. They get no new flows and displace nobody, and are asked while the past of the routes is not known. Their agents count as senders where no other entry has their address. An entry of another writer at an address without an agent keeps lost flows from being reset for MaxFlowAge after a start of the whole fleet, as nobody answers for it.

TestOddEntriesChangeNoView compares all parts of views but the unplaced upstreams of the foreign service, which this change adds, and now checks that their agents are only at addresses that have no other.

--- a/internal/fleet/jmdirectory/named_test.go
+++ b/internal/fleet/jmdirectory/named_test.go
@@ -134,6 +134,14 @@
 			}
 			want, got := valid.view(now), all.view(now)
 			got.Unnamed = want.Unnamed
+			// Only searches for holders read these.
+			delete(got.Unplaced, "exporter")
+			for addr, u := range got.Agents {
+				if u.Service == "exporter" {
+					require.NotContains(t, want.Agents, addr)
+					delete(got.Agents, addr)
+				}
+			}
 			require.Equal(t, want, got, "seed %d, revision %d, entry %+v %+v", seed, revision, e, e.Upstream)
 		}
 	}
--- a/internal/fleet/jmdirectory/unplaced_test.go
+++ b/internal/fleet/jmdirectory/unplaced_test.go
@@ -27,10 +27,11 @@
 		desk    []string
 		holds   string // the ID of the upstream that the address has
 	}{
-		"one entry":                          {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2)}, nil, nil, "a"},
-		"newer entry of another service":     {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), later}, []string{"a"}, nil, "x-1"},
-		"which is removed":                   {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), later, removed}, nil, []string{"x-1"}, "a"},
-		"service that is not named any more": {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), namedRouting(2, 5, "shop")}, nil, nil, "a"},
+		"one entry":                               {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2)}, nil, nil, "a"},
+		"newer entry of another service":          {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), later}, []string{"a"}, nil, "x-1"},
+		"which is removed":                        {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), later, removed}, nil, []string{"x-1"}, "a"},
+		"service that is not named any more":      {[]jasminemoor.Entry{namedRouting(1, 1, "shop", "desk"), upstreamEntry(1, 2), namedRouting(2, 5, "shop")}, nil, nil, "a"},
+		"newer entry of a service, not yet named": {[]jasminemoor.Entry{namedRouting(1, 1, "shop"), upstreamEntry(1, 2), later}, nil, []string{"x-1"}, "a"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -54,3 +55,17 @@
 		})
 	}
 }
+
+// TestUpstreamsOfServiceThatIsNotNamed has a configuration leave a service out. Its upstreams get
+// no new flows, but are known to searches and as senders of packets.
+func TestUpstreamsOfServiceThatIsNotNamed(t *testing.T) {
+	var r replica
+	own := upstreamEntry(1, 2)
+	own.Upstream.Service = "desk"
+	r.applyEntries(startTime, &jasminemoor.DirectoryChanges{Revision: 2, Entries: []jasminemoor.Entry{namedRouting(1, 1, "shop"), own}}, true)
+	v := r.view(startTime)
+	require.Equal(t, []string{own.Upstream.ID}, idsOf(v.Unplaced["desk"]))
+	require.NotContains(t, v.Services, "desk")
+	require.Empty(t, v.Upstreams)
+	require.Equal(t, own.Upstream.ID, v.Agents[agentAddr(1)].ID)
+}
--- a/internal/fleet/jmdirectory/view.go
+++ b/internal/fleet/jmdirectory/view.go
@@ -28,7 +28,7 @@
 	// Upstreams holds the newest entry of each address.
 	Upstreams map[netip.AddrPort]*Upstream
 	// Unplaced holds, by service, the upstreams that get no new flows but may hold open ones:
-	// a newer entry has their address.
+	// a newer entry has their address, or the configuration does not name their service.
 	Unplaced map[string][]*Upstream
 	// Agents holds the newest entry of each agent's address.
 	Agents map[netip.Addr]*Upstream
@@ -165,10 +165,12 @@
 			v.add(u)
 			continue
 		}
+		v.Unplaced[u.Service] = append(v.Unplaced[u.Service], u)
 		if !u.IsRemoved {
 			v.Unnamed[key] = u.Service
 		}
 	}
+	v.addUnnamedAgents()
 	v.addLimits()
 	for _, u := range v.Upstreams {
 		s := v.Services[u.Service]
@@ -219,6 +221,18 @@
 	v.Upstreams[u.Address] = u
 }
 
+// addUnnamedAgents adds the agents of unplaced upstreams at addresses without another one.
+func (v *View) addUnnamedAgents() {
+	for _, upstreams := range v.Unplaced {
+		for _, u := range upstreams {
+			addr := u.Address.Addr()
+			if other := v.Agents[addr]; other == nil || v.Upstreams[other.Address] != other && isNewer(u, other) {
+				v.Agents[addr] = u
+			}
+		}
+	}
+}
+
 func compareUpstreams(a, b *Upstream) int {
 	return cmp.Or(a.Address.Compare(b.Address), strings.Compare(a.ID, b.ID))
 }
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -151,7 +151,10 @@
 		listed += len(a.snapshot.Unplaced[name])
 		service := a.snapshot.Services[name]
 		if service == nil {
-			return false
+			if len(a.snapshot.Unplaced[name]) == 0 {
+				return false
+			}
+			continue
 		}
 		for _, u := range service.Upstreams {
 			listed++
--- a/internal/flow/jmpass/routepast.go
+++ b/internal/flow/jmpass/routepast.go
@@ -46,7 +46,9 @@
 	if a.isPastKnown(now) {
 		return services
 	}
-	for _, name := range slices.Sorted(maps.Keys(a.snapshot.Services)) {
+	others := slices.AppendSeq(slices.Sorted(maps.Keys(a.snapshot.Services)), maps.Keys(a.snapshot.Unplaced))
+	slices.Sort(others)
+	for _, name := range slices.Compact(others) {
 		if !slices.Contains(services, name) {
 			services = append(services, name)
 		}
--- a/internal/flow/jmpassnode/displaced_test.go
+++ b/internal/flow/jmpassnode/displaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -51,3 +52,30 @@
 		})
 	}
 }
+
+// TestUnnamedServiceResetsNoFlow has a route leave a service, which the configuration does not name
+// any more, and kills all processes. Open flows at its upstreams must not be reset.
+func TestUnnamedServiceResetsNoFlow(t *testing.T) {
+	s := newSite(t)
+	flows := s.openMany(20)
+	s.publishServices(2, map[netip.AddrPort]string{shop: "desk", desk: "desk"}, map[string]any{"name": "desk"})
+	s.awaitVersion(2)
+	for _, p := range s.agents {
+		p.kill()
+	}
+	for _, p := range s.balancers {
+		p.kill()
+	}
+	for i, service := range s.services {
+		s.startAgent(i, service, false)
+	}
+	for i := 1; i <= 2; i++ {
+		s.startBalancer(i, false)
+	}
+	require.Eventually(t, func() bool { return len(s.rotation()) == 2 }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(2500 * time.Millisecond) // until a first list counts as whole
+	for i, f := range flows {
+		_, err := s.do(f, fmt.Sprint("open-", i))
+		require.NoError(t, err, "flow %d", i)
+	}
+}
