Property test of searches: newer entries of another writer, services without a name

TestSearchIncludesHolder now has another writer put newer entries at the addresses of upstreams, of the shop, the desk and a service that no configuration names, and has configurations that list both services or neither. These draw from random numbers of their own.

--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -21,7 +21,8 @@
 // TestSearchIncludesHolder runs random histories of two services: upstreams crash with or
 // without their agents and start again, at times for the other service, all lose power,
 // entries lapse and return, others join and leave, the route moves between the services,
-// is split over both or dropped, data centres are evacuated and taken back, the platform is
+// is split over both or dropped, the configuration lists both services or neither, another writer
+// puts newer entries at the addresses of upstreams, data centres are evacuated and taken back, the platform is
 // restored from a copy in every other history, and each agent's copy of the directory lags by
 // up to half a second, and by as much as it misses steps.
 // Agents take flows as the rule lets them. Then agents old and new must find each flow's
@@ -29,7 +30,7 @@
 func TestSearchIncludesHolder(t *testing.T) {
 	for seed := range uint64(*holderSeeds) {
 		l := &listing{
-			rand: rand.New(rand.NewPCG(seed, 1)), now: startTime,
+			rand: rand.New(rand.NewPCG(seed, 1)), odd: rand.New(rand.NewPCG(seed, 2)), now: startTime,
 			entries: make(map[string]jasminemoor.Entry), lives: make(map[netip.Addr]*life),
 			dataCentres: []string{"a", "b", "c", "d"}[:2+seed%3],
 		}
@@ -54,6 +55,7 @@
 			l.change(l.lives[addr], died, lapsed)
 		}
 		l.changeEvacuations()
+		l.changeOddEntries()
 		if l.rand.IntN(10) == 0 {
 			l.startUpstream(agentAddr(100 + step)) // joins
 		}
--- a/internal/flow/jmpass/listing_test.go
+++ b/internal/flow/jmpass/listing_test.go
@@ -15,6 +15,7 @@
 // listing simulates the platform's list of upstreams, and the upstreams themselves.
 type listing struct {
 	rand     *rand.Rand
+	odd      *rand.Rand // of what another writer and the names of services do
 	now      time.Time
 	revision jasminemoor.Revision
 	entries  map[string]jasminemoor.Entry
@@ -98,7 +99,7 @@
 	if l.config.Routing != nil {
 		version = l.config.Routing.Version + 1
 	}
-	c := &jasminemoor.Routing{Version: version}
+	c := &jasminemoor.Routing{Version: version, Services: l.listedServices()}
 	services := [][]string{{"shop"}, {"desk"}, {"shop", "desk"}, {"desk", "shop"}, nil}
 	if names := services[l.rand.IntN(len(services))]; len(names) > 0 {
 		r := jasminemoor.Route{Address: shop}
@@ -111,6 +112,33 @@
 	l.history = append(l.history, listingChange{l.now, l.config})
 }
 
+// listedServices returns the services that a configuration lists besides those of its routes: both,
+// or none.
+func (l *listing) listedServices() []jasminemoor.ServiceLimits {
+	if l.odd.IntN(2) == 0 {
+		return []jasminemoor.ServiceLimits{}
+	}
+	return []jasminemoor.ServiceLimits{{Service: "shop"}, {Service: "desk"}}
+}
+
+// changeOddEntries lets another writer put an entry at the address of an upstream, with a later
+// start, or remove one, with a low probability.
+func (l *listing) changeOddEntries() {
+	if l.odd.IntN(8) != 0 {
+		return
+	}
+	key := fmt.Sprint("x/", l.odd.IntN(4))
+	if _, found := l.entries[key]; found {
+		l.write(key, nil)
+		return
+	}
+	addrs := slices.SortedFunc(maps.Keys(l.lives), netip.Addr.Compare)
+	l.write(key, &jasminemoor.ListedUpstream{
+		ID: key, Service: []string{"shop", "desk", "exporter"}[l.odd.IntN(3)],
+		Address: netip.AddrPortFrom(addrs[l.odd.IntN(len(addrs))], 8080), Slots: 1, Born: l.now.UnixMilli(), DataCentre: l.dataCentres[0],
+	})
+}
+
 func (l *listing) changeEvacuations() {
 	for _, name := range l.dataCentres {
 		l.changeEvacuation(name)
