--- a/internal/standin/jmprocess/soak_test.go
+++ b/internal/standin/jmprocess/soak_test.go
@@ -92,6 +92,8 @@
 	faulty    map[string]bool // targets that have a fault now
 	upstreams []*jmpackets.Upstream
 	crashes   []int // number of crashes of each upstream
+	// reused are the services of upstreams whose address has gone to another service.
+	reused map[int]string
 	// born and coldUntil are when each upstream started, and when it has warmed up.
 	born, coldUntil []time.Time
 	settledAt       time.Time // when the system has been calm for long enough; zero before
@@ -155,7 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.Put(fmt.Sprintf("servers/i-%d-%d", i, s.crashes[i-1]), map[string]any{
-		"service": soakService(i), "address": soakAddr(addrAgent, i, soakUpstreamPort).String(), "zone": s.changes.dataCentre(i), "max_concurrency": soakSlots, "state": state,
+		"service": s.serviceOf(i), "address": soakAddr(addrAgent, i, soakUpstreamPort).String(), "zone": s.changes.dataCentre(i), "max_concurrency": soakSlots, "state": state,
 		"version": "v1", "seq": 1, "born": s.born[i-1].UnixMilli(), "cold_left_ms": max(time.Until(s.coldUntil[i-1]), 0).Milliseconds(),
 	})
 }
@@ -179,6 +181,14 @@
 	s.startProcess("agent", addrAgent, i, isFirstStart)
 }
 
+// serviceOf returns the service of the upstream that has an address now.
+func (s *soak) serviceOf(i int) string {
+	if name := s.reused[i]; name != "" {
+		return name
+	}
+	return soakService(i)
+}
+
 // upstream returns the upstream with a number, from 1 on.
 func (s *soak) upstream(i int) *jmpackets.Upstream {
 	s.mu.Lock()
@@ -231,6 +241,20 @@
 // startProcess starts an agent or a balancer. isFirstStart says that the whole system
 // starts for the first time.
 func (s *soak) startProcess(role string, kind, i int, isFirstStart bool) {
+	name := fmt.Sprint(role, "-", i)
+	path := s.writeSettings(role, kind, i, isFirstStart)
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(s.t, err)
+	p := &jmprocess.Process{Name: name, Args: []string{"passthrough", role, "-settings", path}}
+	require.NoError(s.t, p.Start(s.binary, log))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logs = append(s.logs, log)
+	s.processes[name] = p
+}
+
+// writeSettings writes the settings file of a process, and returns its path.
+func (s *soak) writeSettings(role string, kind, i int, isFirstStart bool) (path string) {
 	name := fmt.Sprint(role, "-", i)
 	settings := jmlocal.Settings{
 		Name: name, Address: soakAddr(kind, i, 0).Addr(), DataCentre: s.changes.dataCentre(i), FirstPort: soakPeerPort, LastPort: soakPeerPort + 15,
@@ -238,21 +262,14 @@
 		Ready: soakAddr(kind, i, soakReadyPort), Platform: jmlocal.Platform{Address: s.storePath(name, kind, i).Address},
 	}
 	if kind == addrAgent {
-		settings.Outbound, settings.Upstream, settings.Service = soakAddr(addrAgent, i, soakOutboundPort), soakAddr(addrAgent, i, soakUpstreamPort), soakService(i)
+		settings.Outbound, settings.Upstream, settings.Service = soakAddr(addrAgent, i, soakOutboundPort), soakAddr(addrAgent, i, soakUpstreamPort), s.serviceOf(i)
 	}
 	s.changes.apply(&settings)
 	text, err := json.Marshal(settings)
 	require.NoError(s.t, err)
-	path := filepath.Join(s.dir, name+".json")
+	path = filepath.Join(s.dir, name+".json")
 	require.NoError(s.t, os.WriteFile(path, text, 0o600))
-	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(s.t, err)
-	p := &jmprocess.Process{Name: name, Args: []string{"passthrough", role, "-settings", path}}
-	require.NoError(s.t, p.Start(s.binary, log))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.logs = append(s.logs, log)
-	s.processes[name] = p
+	return path
 }
 
 // crashCounts returns the number of crashes of each upstream, by its name.
