Agent: the slots are those of the upstream's own entry

Change: an agent takes the slots from its own service's entry, also where that is unplaced.

Evidence: TestSlotsOfOwnEntry, before: 1 slot for 2. What callers lost by it was not measured.

--- a/internal/flow/jmpass/queue.go
+++ b/internal/flow/jmpass/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmoverload"
 	"github.com/jasminemoor/jasminemoor/internal/load/jmshares"
 )
@@ -316,14 +317,29 @@
 
 // slots returns how many requests the upstream works on at a time.
 func (a *Agent) slots() int {
-	if a.snapshot.View != nil {
-		if own := a.snapshot.Upstreams[a.Upstream]; own != nil && own.Slots > 0 {
-			return own.Slots
-		}
+	if own := a.ownEntry(); own != nil && own.Slots > 0 {
+		return own.Slots
 	}
 	return defaultSlots
 }
 
+// ownEntry returns the entry of the own upstream, nil if there is none. It may be unplaced.
+func (a *Agent) ownEntry() *jmdirectory.Upstream {
+	if a.snapshot.View == nil {
+		return nil
+	}
+	own := a.snapshot.Upstreams[a.Upstream]
+	if own != nil && own.Service == a.Service {
+		return own
+	}
+	for _, u := range a.snapshot.Unplaced[a.Service] {
+		if u.Address == a.Upstream {
+			return u
+		}
+	}
+	return own
+}
+
 // dropExpired drops the queued requests whose callers have given up.
 func (a *Agent) dropExpired(now time.Time) {
 	for _, r := range a.queue.expire(now) {
--- a/internal/flow/jmpass/queue_test.go
+++ b/internal/flow/jmpass/queue_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminemoor/jasminemoor"
+	"github.com/jasminemoor/jasminemoor/internal/fleet/jmdirectory"
 	"github.com/jasminemoor/jasminemoor/internal/wire/jmhop"
 )
 
@@ -428,3 +429,17 @@
 	}
 	require.NotNil(t, find(sendRequest(a, startTime, n), ToUpstream))
 }
+
+// TestSlotsOfOwnEntry lists a newer entry of another service at the upstream's address. The slots
+// are those of its own entry, so that requests on its open flows don't wait for those of the other.
+func TestSlotsOfOwnEntry(t *testing.T) {
+	a := newAgent(true, snapshot(2))
+	require.Equal(t, 2, a.slots())
+	a.SetSnapshot(snapshot(2, func(v *jmdirectory.View) {
+		v.Unplaced = map[string][]*jmdirectory.Upstream{"shop": {v.Upstreams[upstreamAddr(1)]}}
+		v.Upstreams[upstreamAddr(1)] = &jmdirectory.Upstream{ListedUpstream: jasminemoor.ListedUpstream{
+			Service: "desk", Address: upstreamAddr(1), Slots: 1,
+		}}
+	}))
+	require.Equal(t, 2, a.slots())
+}
