A first list counts as complete among entries of former runs

Change: unplaced upstreams count only where their service has no others, as the address of a displaced one is that of an upstream that counts already.

Evidence: TestListAmongFormerEntries, red before.

--- a/internal/fleet/jmdirectory/named.go
+++ b/internal/fleet/jmdirectory/named.go
@@ -9,9 +9,9 @@
 	"github.com/jasminemoor/jasminemoor"
 )
 
-// Only upstreams of services that the configuration names are in views: those that it lists,
+// Only upstreams of services that the configuration names get new flows: those that it lists,
 // and those that its routes have or, as far as this copy knows, had. Entries of other services
-// are kept, since a later configuration may name them.
+// are kept, since a later configuration may name them. In views they are unplaced.
 
 func serviceNames(services []jasminemoor.ServiceLimits) (names []string) {
 	if services == nil {
@@ -92,7 +92,8 @@
 	return isNew
 }
 
-// upstreamView returns an upstream's form in views, or nil if it is in none.
+// upstreamView returns an upstream's form in views, or nil if it is in none or its service is not
+// named.
 func (r *replica) upstreamView(now time.Time, known *knownUpstream) *Upstream {
 	u := known.view(now)
 	if u == nil || !r.isNamed(u.Service) {
--- a/internal/flow/jmpass/holders.go
+++ b/internal/flow/jmpass/holders.go
@@ -148,12 +148,12 @@
 	}
 	started, listed := 0, 0
 	for _, name := range services {
-		listed += len(a.snapshot.Unplaced[name])
 		service := a.snapshot.Services[name]
 		if service == nil {
 			if len(a.snapshot.Unplaced[name]) == 0 {
 				return false
 			}
+			listed += len(a.snapshot.Unplaced[name])
 			continue
 		}
 		for _, u := range service.Upstreams {
--- a/internal/flow/jmpass/holders_test.go
+++ b/internal/flow/jmpass/holders_test.go
@@ -167,3 +167,20 @@
 		require.Equal(t, ranked[0].upstream.Address.Addr(), find(out[len(out)-1:], ToPeer).To, rank)
 	}
 }
+
+// TestListAmongFormerEntries has all upstreams start again, as after a power failure, while the
+// entries of their former runs have not lapsed. These don't keep the first list from counting as
+// complete, as their addresses are those of upstreams that have just started.
+func TestListAmongFormerEntries(t *testing.T) {
+	s := snapshot(3, justStarted, func(v *jmdirectory.View) {
+		v.Unplaced = make(map[string][]*jmdirectory.Upstream)
+		for _, u := range v.Upstreams {
+			former := *u
+			former.StartedAfter = time.Time{}
+			v.Unplaced[u.Service] = append(v.Unplaced[u.Service], &former)
+		}
+	})
+	a := newAgent(false, s)
+	a.begin(startTime)
+	require.True(t, a.isListComplete(startTime, openingPacket(shop).Key()))
+}
