--- a/review/standin2/caller.go
+++ b/review/standin2/caller.go
@@ -77,11 +77,19 @@
 func (c *caller) open(ctx context.Context, service netip.AddrPort) (f *callerFlow, err error) {
 	c.mu.Lock()
 	c.port++
+	port := c.port
+	c.mu.Unlock()
+	return c.openFrom(ctx, port, service)
+}
+
+// openFrom opens a flow from a port that is free.
+func (c *caller) openFrom(ctx context.Context, port uint16, service netip.AddrPort) (f *callerFlow, err error) {
 	f = &callerFlow{
-		caller: c, local: netip.AddrPortFrom(c.address.Addr(), c.port), service: service,
+		caller: c, local: netip.AddrPortFrom(c.address.Addr(), port), service: service,
 		sequence: rand.Uint32(), packets: make(chan jmpackets.Packet, 64),
 	}
-	c.flows[c.port] = f
+	c.mu.Lock()
+	c.port, c.flows[port] = max(c.port, port), f
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 1400*time.Millisecond)
 	defer cancel()
--- a/review/standin2/closingport.go
+++ b/review/standin2/closingport.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	serviceOrders = "orders"
-	drainTime     = 3 * time.Second // drain_ms
+	drainTime = 3 * time.Second // drain_ms
 	// longWork is the work of a request at the end of the drain, and shortWork that of others. The
 	// site's order bookings take 52 ms in the mean and 310 ms at most.
 	longWork  = 300 * time.Millisecond
@@ -23,10 +22,11 @@
 // closingPort takes backends away in an orderly way. The last request of each still runs when it
 // closes its health port, as part of its exit.
 func closingPort(ctx context.Context, f *fleet, hasTrouble bool) (isBroken bool, err error) {
-	if err = startFleet(ctx, f, 2, drains+2); err != nil {
+	addFleet(f, 2, drains+2)
+	if err = startAll(ctx, f, stable); err != nil {
 		return false, err
 	}
-	c := &caller{address: netip.AddrPortFrom(f.ip(50, 1), portPackets), balancers: f.balancers, record: f.record}
+	c := &caller{address: netip.AddrPortFrom(f.ip(kindClient, 1), portPackets), balancers: f.balancers, record: f.record}
 	if err = c.start(); err != nil {
 		return false, err
 	}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -7,12 +7,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,11 +39,24 @@
 	heartbeat   = 1200 * time.Millisecond
 	flowMaxAge  = "60s"
 	slots       = 5
+	maxSeeds    = 3
 	dirMode     = 0o700
 	fileMode    = 0o600
 	readyLimit  = 15 * time.Second
 	stable      = 4 * time.Second // stable_window_ms
-	idleTimeout = 12000           // idle_timeout_ms, in milliseconds
+	idleTimeout = 15000           // idle_timeout_ms, in milliseconds
+	graceTime   = 6 * time.Second // grace_s
+	// restartDelay is how long after its end the platform starts a process again.
+	restartDelay = time.Second
+)
+
+// Third bytes of the addresses.
+const (
+	kindBalancer = 10
+	kindAgent    = 20
+	kindClient   = 50
+	kindRoute    = 60
+	kindStore    = 100 // and that of the machine
 )
 
 // machine is one process of the fleet with the addresses of its machine.
@@ -58,8 +73,9 @@
 	id       string // of the upstream's entry
 	seq      int
 	born     time.Time
-	mu       sync.Mutex // guards seq and state
-	state    string     // of the upstream's entry
+	isDown   atomic.Bool // between SIGTERM and the next start
+	mu       sync.Mutex  // guards seq and state
+	state    string      // of the upstream's entry
 
 }
 
@@ -70,8 +86,11 @@
 	record   *record
 	store    jmstore.Store
 	machines []*machine
+	seeds    []netip.AddrPort
 	version  uint64
 	closers  []func()
+	restarts sync.WaitGroup
+	arrivals arrivals
 }
 
 func (f *fleet) ip(kind, n byte) netip.Addr {
@@ -80,10 +99,14 @@
 
 // add adds a machine that is not started yet.
 func (f *fleet) add(name string, kind, n byte, service string) {
-	f.machines = append(f.machines, &machine{
-		name: name, addr: f.ip(kind, n), store: f.ip(kind+100, n), isAgent: service != "", service: service,
-		id: "i-" + name, born: time.Now(),
-	})
+	m := &machine{
+		name: name, addr: f.ip(kind, n), store: f.ip(kind+kindStore, n), isAgent: service != "", service: service,
+		id: "i-" + name,
+	}
+	f.machines = append(f.machines, m)
+	if !m.isAgent && len(f.seeds) < maxSeeds {
+		f.seeds = append(f.seeds, netip.AddrPortFrom(m.addr, portControl))
+	}
 }
 
 // listenStore has the store serve a machine at an address of its own.
@@ -100,15 +123,9 @@
 
 // settings returns the settings file of a machine, as the template of the deploy file has it.
 func (f *fleet) settings(m *machine, isFirst bool) map[string]any {
-	seeds := []string{}
-	for _, other := range f.machines {
-		if !other.isAgent && len(seeds) < 3 {
-			seeds = append(seeds, netip.AddrPortFrom(other.addr, portControl).String())
-		}
-	}
 	s := map[string]any{
 		"Name": m.name, "Address": m.addr, "DataCentre": "a", "FirstPort": portPeers, "LastPort": portPeers + 15,
-		"Seeds": seeds, "IsFirstStart": isFirst, "MaxFlowAge": flowMaxAge,
+		"Seeds": f.seeds, "IsFirstStart": isFirst, "MaxFlowAge": flowMaxAge,
 		"Packets": netip.AddrPortFrom(m.addr, portPackets), "Ready": netip.AddrPortFrom(m.addr, portReady),
 		"Operator": netip.AddrPortFrom(m.addr, 9464),
 		"Platform": map[string]any{"Address": netip.AddrPortFrom(m.store, portStore)},
@@ -154,13 +171,15 @@
 func (f *fleet) startUpstream(ctx context.Context, m *machine) error {
 	m.upstream = &upstream{
 		address: netip.AddrPortFrom(m.addr, portApp), outbound: netip.AddrPortFrom(m.addr, portOutbound),
-		name: "b-" + m.name, record: f.record,
+		name: "b-" + m.name, record: f.record, arrivals: &f.arrivals,
 	}
 	if err := m.upstream.start(ctx); err != nil {
 		return err
 	}
+	m.born = time.Now()
 	f.closers = append(f.closers, m.upstream.end)
 	f.setState(m, stateReady)
+	go f.beat(ctx, m)
 	return nil
 }
 
@@ -199,13 +218,13 @@
 	f.store.Put("servers/"+m.id, value)
 }
 
-// beat writes the heartbeats of the upstreams until ctx ends.
-func (f *fleet) beat(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i++ {
-		time.Sleep(heartbeat / time.Duration(len(f.machines)))
-		if m := f.machines[i%len(f.machines)]; m.isAgent {
-			f.register(m)
-		}
+// beat writes the heartbeats of an upstream until ctx ends. Those of different upstreams come at
+// different times.
+func (f *fleet) beat(ctx context.Context, m *machine) {
+	time.Sleep(rand.N(heartbeat))
+	for ctx.Err() == nil {
+		f.register(m)
+		time.Sleep(heartbeat)
 	}
 }
 
@@ -215,8 +234,8 @@
 	service string
 }
 
-// configure writes a configuration and returns when it was confirmed.
-func (f *fleet) configure(routes []route, services ...string) (version uint64, at time.Time) {
+// configure writes a configuration, which is confirmed when it returns.
+func (f *fleet) configure(routes []route, services ...string) (version uint64) {
 	f.version += 2 + f.version%3
 	list := make([]map[string]any, 0, len(routes))
 	for _, r := range routes {
@@ -232,7 +251,42 @@
 	f.store.Put("op/config", map[string]any{
 		"version": f.version, "routes": list, "services": named, "limits": map[string]any{"idle_timeout_ms": idleTimeout},
 	})
-	return f.version, time.Now()
+	return f.version
+}
+
+// start starts the stand-ins and the process of a machine.
+func (f *fleet) start(ctx context.Context, m *machine, isFirst bool) error {
+	if err := f.listenStore(ctx, m); err != nil {
+		return err
+	}
+	if m.isAgent {
+		if err := f.startUpstream(ctx, m); err != nil {
+			return err
+		}
+	}
+	return f.startProcess(m, isFirst)
+}
+
+// stopFor stops a process with SIGTERM. It calls then once the process has ended and restartDelay
+// has passed, and starts the process again. It does nothing for a machine that is down.
+func (f *fleet) stopFor(m *machine, then func()) {
+	if m.isDown.Swap(true) {
+		return
+	}
+	f.record.line("%s gets SIGTERM", m.name)
+	_ = m.process.Signal(syscall.SIGTERM)
+	f.restarts.Go(func() {
+		if err := m.process.Wait(graceTime); err != nil {
+			f.record.line("%s: %v", m.name, err)
+		}
+		time.Sleep(restartDelay)
+		then()
+		if err := f.startProcess(m, false); err != nil {
+			f.record.line("%s: %v", m.name, err)
+		}
+		m.isDown.Store(false)
+		f.record.line("%s is started again", m.name)
+	})
 }
 
 // awaitReady waits until all processes say that they are ready.
@@ -275,6 +329,7 @@
 
 // close ends all processes and stand-ins that were started.
 func (f *fleet) close() {
+	f.restarts.Wait()
 	for _, m := range f.machines {
 		if m.process != nil {
 			_ = m.process.Signal(syscall.SIGCONT)
--- a/review/standin2/setup.go
+++ b/review/standin2/setup.go
@@ -7,42 +7,43 @@
 	"time"
 )
 
+// Services of the configurations.
+const (
+	serviceOrders = "orders"
+	serviceSheets = "sheets"
+)
+
 // baseRoutes returns the routes of the first configuration.
 func baseRoutes(f *fleet) (routes []route) {
 	for i := range 8 {
-		routes = append(routes, route{netip.AddrPortFrom(f.ip(60, 1), uint16(8000+i)), serviceOrders})
+		routes = append(routes, route{netip.AddrPortFrom(f.ip(kindRoute, 1), uint16(8000+i)), serviceOrders})
 	}
 	return routes
 }
 
-// startFleet starts balancers, and agents with their upstreams.
-func startFleet(ctx context.Context, f *fleet, balancers, agents byte) error {
+// addFleet adds balancers, and agents of one service.
+func addFleet(f *fleet, balancers, agents byte) {
 	for i := range balancers {
-		f.add("front-"+string('1'+rune(i)), 10, i+1, "")
+		f.add("front-"+string('1'+rune(i)), kindBalancer, i+1, "")
 	}
 	for i := range agents {
-		f.add("side-"+string('1'+rune(i)), 20, i+1, serviceOrders)
+		f.add("side-"+string('1'+rune(i)), kindAgent, i+1, serviceOrders)
 	}
-	f.configure(baseRoutes(f), serviceOrders)
+}
+
+// startAll starts all machines, and waits until their processes are ready and for a time after that.
+func startAll(ctx context.Context, f *fleet, wait time.Duration) error {
+	f.configure(baseRoutes(f), serviceOrders, serviceSheets)
 	for _, m := range f.machines {
-		if err := f.listenStore(ctx, m); err != nil {
-			return err
-		}
-		if m.isAgent {
-			if err := f.startUpstream(ctx, m); err != nil {
-				return err
-			}
-		}
-		if err := f.startProcess(m, true); err != nil {
+		if err := f.start(ctx, m, true); err != nil {
 			return err
 		}
 	}
-	go f.beat(ctx)
 	if err := f.awaitReady(ctx); err != nil {
 		return err
 	}
-	time.Sleep(stable)
-	f.record.line("all processes are ready, and have been undisturbed for %v", stable)
+	time.Sleep(wait)
+	f.record.line("all processes have been ready for %v", wait)
 	return nil
 }
 
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -29,6 +29,7 @@
 	outbound netip.AddrPort
 	name     string
 	record   *record
+	arrivals *arrivals
 
 	isLeaving atomic.Bool
 	health    *http.Server
@@ -126,9 +127,11 @@
 		}
 		u.reply(&p, jmpackets.Syn|jmpackets.Ack, f.sequence, f.expected)
 	case f == nil || !f.isOpen && p.Ack != f.sequence+1:
+		u.arrivals.add(&p, false)
 		b[18] |= jmpackets.Bounced
 		u.write(b)
 	default:
+		u.arrivals.add(&p, true)
 		u.handleOpen(f, &p)
 	}
 }
