--- a/review/standin2/arrivals.go
+++ b/review/standin2/arrivals.go
@@ -13,9 +13,6 @@
 const (
 	flowBound  = 2 * time.Second
 	strayCount = 3
-	// apart is how far apart two arrivals at other backends are at least to count as two. Copies of
-	// one packet for several backends arrive at once.
-	apart = 50 * time.Millisecond
 )
 
 // flowID identifies a flow by its ends.
@@ -43,23 +40,22 @@
 	}
 }
 
-// astray returns the flows of which, for flowBound, strayCount packets reached other backends and
-// none their own. The time after the last packet that reached its own backend is left out, as the
-// client may have given up.
-func (a *arrivals) astray(report func(id flowID, after, until time.Time, others []time.Time)) (count int) {
+// astray returns the number of flows of which strayCount packets reached other backends within
+// flowBound, from the first of them on, and none their own. The time after the last packet that
+// reached its own backend is left out, as the client may have given up.
+func (a *arrivals) astray(report func(id flowID, until time.Time, others []time.Time)) (count int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, own := range a.own {
 		for i := 1; i < len(own); i++ {
 			var others []time.Time
 			for _, at := range a.others[id] {
-				isBetween := at.After(own[i-1]) && at.Before(own[i])
-				if isBetween && (len(others) == 0 || at.Sub(others[len(others)-1]) >= apart) {
+				if at.After(own[i-1]) && at.Before(own[i]) && (len(others) == 0 || at.Sub(others[0]) <= flowBound) {
 					others = append(others, at)
 				}
 			}
-			if own[i].Sub(own[i-1]) >= flowBound && isDense(others) {
-				report(id, own[i-1], own[i], others)
+			if len(others) >= strayCount && own[i].Sub(others[0]) >= flowBound {
+				report(id, own[i], others)
 				count++
 				break
 			}
@@ -67,13 +63,3 @@
 	}
 	return count
 }
-
-// isDense reports whether strayCount of the times lie within flowBound.
-func isDense(times []time.Time) bool {
-	for i := strayCount - 1; i < len(times); i++ {
-		if times[i].Sub(times[i-strayCount+1]) <= flowBound {
-			return true
-		}
-	}
-	return false
-}
--- a/review/standin2/closingport.go
+++ b/review/standin2/closingport.go
@@ -22,7 +22,7 @@
 // closingPort takes backends away in an orderly way. The last request of each still runs when it
 // closes its health port, as part of its exit.
 func closingPort(ctx context.Context, f *fleet, hasTrouble bool) (isBroken bool, err error) {
-	addFleet(f, 2, drains+2)
+	addFleet(f, 2, drains+4)
 	if err = startAll(ctx, f, stable); err != nil {
 		return false, err
 	}
--- a/review/standin2/overlap.go
+++ b/review/standin2/overlap.go
@@ -51,9 +51,8 @@
 	}
 	wg.Wait()
 	f.restarts.Wait()
-	count := f.arrivals.astray(func(id flowID, after, until time.Time, others []time.Time) {
-		f.record.line("flow %s: none of its packets reached its backend from %.3f to %.3f, and others got some at %s",
-			id.caller, f.record.at(after), f.record.at(until), f.record.list(others))
+	count := f.arrivals.astray(func(id flowID, until time.Time, others []time.Time) {
+		f.record.line("flow %s: packets reached other backends at %s, and its own got the next one at %.3f", id.caller, f.record.list(others), f.record.at(until))
 	})
 	f.record.line("%d requests answered, %d not; %d open flows went astray for %v", answered.Load(), failed.Load(), count, flowBound)
 	return count > 0, nil
