Flows: a closed port alone does not end an upstream's flows

Cause: an upstream that exits in an orderly way closes its port first and finishes its requests then. Its agent probed the port after 150 ms without a packet, and took the refusal for the end of the process. The same conclusion was used on five more paths: the answer "not held" to other agents, the list inherited from the agent before, the completeness of the table, the announcement to all processes (after 1 s, or as the agent leaves), and the probe at an agent's start.

Change: a refusal keeps new flows away. A port that accepts again is another process's.

--- a/internal/fleet/jmdirectory/endings.go
+++ b/internal/fleet/jmdirectory/endings.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// endingDelay is how long an agent's upstream must have refused connections before
-	// the agent announces that. Until then the agent itself says of each flow that it is
+	// endingDelay is how long an agent's upstream must have been down before the agent
+	// announces that. Until then the agent itself says of each flow that it is
 	// not held. After a power failure most upstreams are back and listed by then.
 	endingDelay = time.Second
 	// endingInterval is how often a process sends endings that it knows to an agent at
@@ -54,9 +54,9 @@
 	// unsent are those that are to be forwarded with the next Tick.
 	unsent   []endedUpstream
 	lastSent time.Time
-	// refusedSince is when the own upstream first refused a connection, refusedAt when it
-	// last did. Both are zero before.
-	refusedSince, refusedAt time.Time
+	// downSince is when the own upstream's process was first found to have ended, and downAt
+	// when it last was. Both are zero before.
+	downSince, downAt time.Time
 }
 
 // has reports whether an upstream is known to have ended.
@@ -93,15 +93,15 @@
 	return list
 }
 
-// RecordRefusal records that the own upstream's port refuses connections: no process
-// listens there at now, so those that started earlier have ended. An upstream that has
-// been refusing for endingDelay is announced.
-func (m *Machine) RecordRefusal(now time.Time) {
+// RecordEnd records that no process runs at the own upstream's address at now, so those that
+// started earlier have ended. The end of an upstream that has been down for endingDelay is
+// announced.
+func (m *Machine) RecordEnd(now time.Time) {
 	e := &m.replica.endings
-	if e.refusedAt.IsZero() || now.Sub(e.refusedAt) > endingDelay {
-		e.refusedSince = now
+	if e.downAt.IsZero() || now.Sub(e.downAt) > endingDelay {
+		e.downSince = now
 	}
-	e.refusedAt = now
+	e.downAt = now
 }
 
 // Leave announces at once that the own upstream has ended, if it has. Without that, its
@@ -124,16 +124,16 @@
 	return own
 }
 
-// addOwnEnding adds the ending of the own upstream, if a connection was refused. That
+// addOwnEnding adds the ending of the own upstream, if it was found down. That
 // proves the end of the processes that had started before. One that may just have
 // started is not named, as it may not have listened yet: agent and upstream have the same
 // clock, but that may have been set. Nor is one that the copy does not list.
 func (m *Machine) addOwnEnding(out *Output, now time.Time) {
 	e := &m.replica.endings
-	if e.refusedSince.IsZero() {
+	if e.downSince.IsZero() {
 		return
 	}
-	latestBorn := e.refusedSince.Add(-clockTolerance).UnixMilli()
+	latestBorn := e.downSince.Add(-clockTolerance).UnixMilli()
 	for _, known := range m.replica.upstreams {
 		u := known.upstream
 		if u == nil {
@@ -163,7 +163,7 @@
 // as they need, and sends some to an agent that may have started later.
 func (m *Machine) tickEndings(out *Output, now time.Time) {
 	e := &m.replica.endings
-	if !e.refusedSince.IsZero() && e.refusedAt.Sub(e.refusedSince) >= endingDelay {
+	if !e.downSince.IsZero() && e.downAt.Sub(e.downSince) >= endingDelay {
 		m.addOwnEnding(out, now)
 	}
 	m.sendUnsent(out, now)
--- a/internal/fleet/jmdirectory/endings_test.go
+++ b/internal/fleet/jmdirectory/endings_test.go
@@ -44,7 +44,7 @@
 // refuse has upstream 7 refuse connections for a time, as its agent probes it.
 func (f *fleet) refuse(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.step() {
-		f.machines[agentAddr(7)].RecordRefusal(f.now)
+		f.machines[agentAddr(7)].RecordEnd(f.now)
 	}
 }
 
@@ -59,7 +59,7 @@
 func TestEndingsReachAll(t *testing.T) {
 	t.Run("leaves at once", func(t *testing.T) {
 		f := newFleetWithStarts(t, 10, 60)
-		f.machines[agentAddr(7)].RecordRefusal(f.now)
+		f.machines[agentAddr(7)].RecordEnd(f.now)
 		f.leave()
 		f.run(time.Second)
 		knowing, live := f.knowing(7)
@@ -89,7 +89,7 @@
 // without the platform.
 func TestEndingsReachLateStarters(t *testing.T) {
 	f := newFleetWithStarts(t, 3, 60)
-	f.machines[agentAddr(7)].RecordRefusal(f.now)
+	f.machines[agentAddr(7)].RecordEnd(f.now)
 	f.leave()
 	f.run(2 * time.Second)
 	f.add(agentAddr(9), netip.AddrPortFrom(agentAddr(9), 8080))
@@ -144,20 +144,20 @@
 	hasEnded := func(m *Machine, now time.Time) bool { return m.View(now).Upstreams[address].HasEnded }
 	t.Run("ended", func(t *testing.T) {
 		m := newMachine()
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		require.True(t, m.Leave(startTime).HasNewView)
 		require.True(t, hasEnded(m, startTime))
 	})
 	t.Run("the next one, with the same id", func(t *testing.T) {
 		m := newMachine()
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		_ = m.Leave(startTime)
 		apply(m, 2, startTime.Add(time.Second), next(startTime.Add(time.Second), "i-1"))
 		require.False(t, hasEnded(m, startTime.Add(time.Second)))
 	})
 	t.Run("the next one is listed before the announcement", func(t *testing.T) {
 		m := newMachine()
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		apply(m, 2, startTime, next(startTime.Add(time.Second), "i-1"))
 		_ = m.Leave(startTime.Add(2 * time.Second))
 		require.False(t, hasEnded(m, startTime.Add(2*time.Second)))
@@ -166,13 +166,13 @@
 	t.Run("one that has just started may not listen yet", func(t *testing.T) {
 		m := newMachine()
 		apply(m, 2, startTime, next(startTime.Add(-clockTolerance/2), "i-9"))
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		_ = m.Leave(startTime)
 		require.False(t, hasEnded(m, startTime))
 	})
 	t.Run("an old refusal says nothing of a later upstream", func(t *testing.T) {
 		m := newMachine()
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		later := startTime.Add(time.Minute)
 		apply(m, 2, later, next(startTime.Add(time.Second), "i-9"))
 		_ = m.Leave(later)
@@ -184,7 +184,7 @@
 		e := upstreamEntry(1, 0)
 		e.Key = "u/i-9"
 		apply(m, 3, startTime, e)
-		m.RecordRefusal(startTime)
+		m.RecordEnd(startTime)
 		_ = m.Leave(startTime)
 		require.False(t, hasEnded(m, startTime))
 	})
@@ -201,7 +201,7 @@
 // than maxEndings.
 func TestEndingsExpire(t *testing.T) {
 	f := newFleetWithStarts(t, 0, 20)
-	f.machines[agentAddr(7)].RecordRefusal(f.now)
+	f.machines[agentAddr(7)].RecordEnd(f.now)
 	f.leave()
 	f.run(2 * endingRetention)
 	knowing, live := f.knowing(7)
--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -36,6 +36,9 @@
 	// as long, a flow that its table lacks counts as not held. If it is not set,
 	// defaultMaxFlowAge is used.
 	MaxFlowAge time.Duration
+	// DrainTime is how long an upstream serves at least after the directory has listed it as
+	// leaving. If it is not set, defaultDrainTime is used.
+	DrainTime time.Duration
 	// ColdOverrun and ColdSlack bound the new flows that the upstream gets in any second
 	// while it warms up: the rate of its service times ColdOverrun plus ColdSlack. A
 	// ColdOverrun of 0 counts as 1.
@@ -50,6 +53,9 @@
 	// OnRelease, if not nil, is called with each decision on an opening packet that has waited
 	// for a copy of the directory. m is the last message that results, nil for none.
 	OnRelease func(now time.Time, reason Reason, p *jasminemoor.Packet, packet []byte, m *Message)
+	// OnEnd, if not nil, is called when the upstream's process is found to have ended, with the
+	// proof, the time since its port was found closed and the age of the copy of the directory.
+	OnEnd func(proof EndProof, closedFor, age time.Duration)
 	// OnOverload, if not nil, is called with nil when an overload of the upstream begins,
 	// and with what became of its requests when it ends.
 	OnOverload func(episode *jmoverload.Episode)
@@ -78,8 +84,9 @@
 	byAddr       map[netip.Addr]uint32
 	started      time.Time
 	firstView    time.Time // when the agent first had a view of the directory
-	// sawUpstreamDown is set if a probe has found, since the agent started, that
-	// the upstream's process had ended. The upstream then holds no flow from
+	freshSince   time.Time // since when the view has been fresh, zero if it is not
+	// sawUpstreamDown is set if the upstream's process was found, since the agent
+	// started, to have ended. The upstream then holds no flow from
 	// before the agent's start.
 	sawUpstreamDown bool
 	swept           time.Time
@@ -135,6 +142,7 @@
 	if a.firstView.IsZero() && a.snapshot.View != nil {
 		a.firstView = now
 	}
+	a.recordFreshness(now)
 }
 
 // handleOpen decides on an opening packet. If the own upstream must not get the
@@ -202,7 +210,7 @@
 	if a.isEvacuated() {
 		return ReasonEvacuated
 	}
-	if a.upstream.isDown || a.upstream.isSilent || own != nil && own.HasEnded {
+	if !a.upstream.takesFlows() || own != nil && own.HasEnded {
 		return ReasonUpstreamDown
 	}
 	if a.isOutOfRank(p.Key()) {
@@ -464,8 +472,8 @@
 	return a.out
 }
 
-// Tick sends the reports that are due, ends old flow probes, advances the searches,
-// admits queued requests and evicts old entries. It is called several times in each
+// Tick sends the reports that are due, ends old flow probes, resets the flows of an upstream
+// that has ended, advances the searches, admits queued requests and evicts old entries. It is called several times in each
 // reportInterval. If shouldProbe is set, the upstream's port is to be probed and the
 // result passed to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
@@ -476,6 +484,7 @@
 	a.recall(now)
 	a.sendDueReports(now)
 	a.expireFlowProbes(now)
+	a.checkSilence(now)
 	a.searches.advance(now, a.OnSearchTimeout)
 	if len(a.queue.requests) > 0 {
 		a.failOverdueRequests(now)
--- a/internal/flow/jmpass/firstcopy.go
+++ b/internal/flow/jmpass/firstcopy.go
@@ -41,7 +41,7 @@
 	if !a.knowsRoutes() {
 		return ReasonNoView
 	}
-	if !a.upstream.isDown && !a.isServiceKnown() {
+	if a.upstream.closedSince.IsZero() && !a.isServiceKnown() {
 		return ReasonServiceUnknown
 	}
 	route := a.snapshot.Routes[p.Destination]
--- a/internal/flow/jmpass/report.go
+++ b/internal/flow/jmpass/report.go
@@ -145,7 +145,7 @@
 	switch {
 	case a.isLeaving:
 		r.State = jmhop.ReportLeaving
-	case a.upstream.isDown || a.upstream.isSilent:
+	case !a.upstream.takesFlows():
 		r.State = jmhop.ReportUpstreamDown
 	case !a.knowsRoutes():
 		r.State, a.hasReportedStarting = jmhop.ReportStarting, true
--- a/internal/flow/jmpass/upstream.go
+++ b/internal/flow/jmpass/upstream.go
@@ -20,14 +20,25 @@
 	// unansweredSince is when the first packet was sent to the upstream since the
 	// upstream's last one, zero if there is none.
 	unansweredSince time.Time
+	unanswered      int // packets since then
 	probed          time.Time
-	isDown          bool // a probe was refused: the process has ended
-	isSilent        bool // a probe got no answer
+	// closedSince is when a probe was first refused, zero if the port is not known to be
+	// closed. The upstream gets no new flows then, but may still serve those that it has.
+	closedSince time.Time
+	isDown      bool // the port is closed, and the process has ended
+	isSilent    bool // a probe got no answer
+	// hasAnswered is set if the upstream has sent a packet of a flow that it holds since the
+	// agent's start.
+	hasAnswered bool
 }
 
+// takesFlows reports whether the upstream can take new flows, as far as is known.
+func (u *upstreamState) takesFlows() bool { return u.closedSince.IsZero() && !u.isSilent }
+
 // markUnanswered records that a packet is sent to the upstream.
 func (a *Agent) markUnanswered(now time.Time) {
 	a.table.stall.recordSent(now)
+	a.upstream.unanswered++
 	if a.upstream.unansweredSince.IsZero() {
 		a.upstream.unansweredSince = now
 	}
@@ -37,14 +48,18 @@
 // its raw bytes, and isFailure is set if it begins an answer that reports a failure.
 func (a *Agent) HandleUpstream(now time.Time, p *jasminemoor.Packet, packet []byte, isFailure bool) (out []Message, reason Reason) {
 	a.begin(now)
-	if a.upstream.isDown {
+	u := &a.upstream
+	if u.isDown || !u.closedSince.IsZero() && p.Flags.Has(jasminemoor.FlagOpen) {
+		// It accepts flows, as the next process does.
 		a.doubtService(now, true)
+		u.closedSince = time.Time{}
 	}
-	a.upstream = upstreamState{probed: a.upstream.probed}
+	*u = upstreamState{probed: u.probed, closedSince: u.closedSince, hasAnswered: u.hasAnswered}
 	a.table.recordHeard(now)
 	if p.Flags.Has(jasminemoor.FlagReturned) {
 		reason = a.handleReturned(now, p, packet)
 	} else {
+		u.hasAnswered = true
 		reason = a.handleAnswer(now, p, isFailure)
 	}
 	a.Counts[reason]++
@@ -179,12 +194,12 @@
 }
 
 // shouldProbe reports whether the upstream's port is to be probed now, and records that
-// it is. It is probed while the upstream is down or silent, if the upstream leaves
-// packets unanswered, and at the agent's start unless IsFirstStart is set.
+// it is. It is probed while it is closed or silent, if the upstream leaves packets
+// unanswered, and at the agent's start unless IsFirstStart is set.
 func (a *Agent) shouldProbe(now time.Time) bool {
 	u := &a.upstream
 	isOverdue := !u.unansweredSince.IsZero() && now.Sub(u.unansweredSince) > upstreamTimeout || u.probed.IsZero() && !a.IsFirstStart
-	if !isOverdue && !u.isDown && !u.isSilent || now.Sub(u.probed) < probeInterval {
+	if !isOverdue && u.takesFlows() || now.Sub(u.probed) < probeInterval {
 		return false
 	}
 	u.probed = now
@@ -197,7 +212,7 @@
 // The results of a probe.
 const (
 	ProbeAccepted ProbeResult = iota // the upstream accepts connections
-	ProbeRefused                     // no process listens: that of the upstream has ended
+	ProbeRefused                     // no process listens: that of the upstream has ended or is about to
 	ProbeSilent                      // the attempt got no answer
 )
 
@@ -219,28 +234,23 @@
 	u := &a.upstream
 	switch result {
 	case ProbeAccepted:
-		if u.isDown || a.service.isPortUnknown {
+		if !u.closedSince.IsZero() {
+			a.sawUpstreamDown = true // a process that ends does not listen again
+		}
+		if !u.closedSince.IsZero() || a.service.isPortUnknown {
 			a.doubtService(now, true)
 		}
 		a.table.stall.isAlive = !a.table.stall.since.IsZero()
-		u.isDown, u.isSilent, u.unansweredSince = false, false, time.Time{}
+		*u = upstreamState{probed: u.probed, hasAnswered: u.hasAnswered}
 	case ProbeRefused:
-		a.table.stall = stall{ticked: a.table.stall.ticked}
-		a.sawUpstreamDown = true
 		a.recordRestart(now)
 		a.cold.hard.Remit()
-		if !u.isDown {
-			u.isDown = true
-			a.endFlowProbes()
-			for _, key := range sortedFlows(a.table.flows) {
-				f := a.table.flows[key]
-				switch {
-				case f.isInherited:
-					a.drop(key)
-				case f.isOpen:
-					a.resetFlow(now, key, f, false)
-				}
-			}
+		isNew := u.closedSince.IsZero()
+		if isNew {
+			u.closedSince = now
+		}
+		a.checkRefusal(now)
+		if isNew {
 			a.sendReports(now)
 		}
 	case ProbeSilent:
--- a/internal/flow/jmpass/watch.go
+++ b/internal/flow/jmpass/watch.go
@@ -48,7 +48,7 @@
 // ShouldWatch reports whether a connection to the upstream's port is to be held, of which
 // HandleWatch is told: while the next upstream may be of another service, or warm up.
 func (a *Agent) ShouldWatch() bool {
-	return (a.CanReadSettings || a.serviceColdRate() > 0) && !a.upstream.isDown && !a.upstream.isSilent
+	return (a.CanReadSettings || a.serviceColdRate() > 0) && a.upstream.takesFlows()
 }
 
 // HandleWatch handles that a connection to the upstream's port has been opened, isHeld, or that
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -101,6 +101,7 @@
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.CanReadSettings = a.ReadSettings != nil
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
+	a.machine.DrainTime = time.Duration(s.DrainTime)
 	a.machine.ColdOverrun, a.machine.ColdSlack = s.ColdOverrun, s.ColdSlack
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
@@ -110,7 +111,7 @@
 		a.addLimit(fields, reason, flow)
 	}
 	a.machine.OnAnswer, a.machine.OnSearchTimeout, a.machine.OnOverload = a.OnAnswer, a.logSearchTimeout, a.logOverload
-	a.machine.OnRelease = a.logDecision
+	a.machine.OnRelease, a.machine.OnEnd = a.logDecision, a.logEnd
 	a.control = &Control{Directory: a.Directory, Log: a.Log, OnSnapshot: a.setSnapshot, Upstream: s.Upstream}
 	if err = a.open(ctx); err != nil {
 		return err
@@ -325,25 +326,18 @@
 func (a *Agent) tickLoop(ctx context.Context, wg *jmguard.Group, s *sender) {
 	ticker := time.NewTicker(agentTickInterval)
 	defer ticker.Stop()
+	leaving, leaveBy := a.leaving, time.Time{}
 	for {
+		if !leaveBy.IsZero() && (!a.mayBeEnding() || !time.Now().Before(leaveBy)) {
+			a.finish(ctx, s)
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-a.leaving:
-			a.announceEnding(ctx)
-			a.mu.Lock()
-			s.send(a.machine.Leave(time.Now()), nil)
-			s.send(a.machine.HandOnSearches(time.Now()), nil)
-			s.send(a.machine.AdmitBeforeLeaving(time.Now()), nil)
-			a.mu.Unlock()
-			s.writer.flush()
-			time.Sleep(leaveGrace)
-			a.mu.Lock()
-			s.send(a.machine.HandOverFlows(time.Now()), nil)
-			a.mu.Unlock()
-			s.writer.flush()
-			close(a.drained)
-			return
+		case <-leaving:
+			a.probeBeforeLeaving(ctx)
+			leaving, leaveBy = nil, time.Now().Add(maxEndWait)
 		case now := <-ticker.C:
 			shouldProbe, shouldWatch := false, false
 			a.Guard.Try(goroutineTicks, func() { shouldProbe, shouldWatch = a.tick(now, s) })
@@ -361,6 +355,23 @@
 	}
 }
 
+// finish tells the other processes that the agent ends, and what they can't ask it any more.
+func (a *Agent) finish(ctx context.Context, s *sender) {
+	a.announceEnding(ctx)
+	a.mu.Lock()
+	s.send(a.machine.Leave(time.Now()), nil)
+	s.send(a.machine.HandOnSearches(time.Now()), nil)
+	s.send(a.machine.AdmitBeforeLeaving(time.Now()), nil)
+	a.mu.Unlock()
+	s.writer.flush()
+	time.Sleep(leaveGrace)
+	a.mu.Lock()
+	s.send(a.machine.HandOverFlows(time.Now()), nil)
+	a.mu.Unlock()
+	s.writer.flush()
+	close(a.drained)
+}
+
 func (a *Agent) tick(now time.Time, s *sender) (shouldProbe, shouldWatch bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -452,9 +463,6 @@
 
 // recordProbe passes the result of a probe on.
 func (a *Agent) recordProbe(result jmpass.ProbeResult) {
-	if result == jmpass.ProbeRefused {
-		a.control.RecordRefusal()
-	}
 	if a.lastProbeResult.Swap(int32(result)) != int32(result) {
 		a.Log.WithField("Result", result.String()).Info("upstream: result of the probe has changed")
 	}
@@ -463,16 +471,23 @@
 		a.Log.WithError(err).Error("process: socket can't be set up for writing")
 		return
 	}
-	a.handleProbe(result, s)
+	hasEnded := a.handleProbe(result, s)
 	s.writer.flush()
+	if hasEnded {
+		a.control.RecordEnd()
+	}
 }
 
-func (a *Agent) handleProbe(result jmpass.ProbeResult, s *sender) {
+// handleProbe passes the result of a probe to the machine and reports whether the upstream's
+// process has ended.
+func (a *Agent) handleProbe(result jmpass.ProbeResult, s *sender) (hasEnded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := a.machine.HandleProbe(time.Now(), result)
 	s.send(out, nil)
 	a.logOutcomes(out)
+	_, hasEnded = a.machine.UpstreamEnd()
+	return hasEnded
 }
 
 func isTimeout(err error) bool {
--- a/internal/settings/jmlocal/settings.go
+++ b/internal/settings/jmlocal/settings.go
@@ -34,6 +34,9 @@
 	IsFirstStart bool
 	// MaxFlowAge is the age from which a flow may be lost, 0 if the platform gives none.
 	MaxFlowAge jmtree.Duration
+	// DrainTime is how long upstreams serve at least after the platform has confirmed that they
+	// are leaving, 0 if the platform does not say.
+	DrainTime jmtree.Duration
 	// ColdOverrun and ColdSlack say how far an upstream that warms up may go beyond the
 	// rate that it bears: rate * ColdOverrun + ColdSlack new flows in any second. They
 	// are 1 and 0 if the platform gives none.
@@ -165,6 +168,8 @@
 	switch {
 	case s.MaxFlowAge < 0:
 		return eris.Errorf("MaxFlowAge %s is negative", time.Duration(s.MaxFlowAge))
+	case s.DrainTime < 0:
+		return eris.Errorf("DrainTime %s is negative", time.Duration(s.DrainTime))
 	case s.ColdOverrun < 0:
 		return eris.Errorf("ColdOverrun %g is negative", s.ColdOverrun)
 	case s.ColdSlack < 0:
@@ -196,6 +201,7 @@
 	appendIf("Ready", s.Ready != next.Ready)
 	appendIf("Upstream", s.Upstream != next.Upstream)
 	appendIf("MaxFlowAge", s.MaxFlowAge != next.MaxFlowAge)
+	appendIf("DrainTime", s.DrainTime != next.DrainTime)
 	appendIf("ColdOverrun", s.ColdOverrun != next.ColdOverrun)
 	appendIf("ColdSlack", s.ColdSlack != next.ColdSlack)
 	return fields
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -104,6 +104,24 @@
 	u.held = nil
 }
 
+// ClosePort closes the port that agents probe, as the first part of an orderly end. Flows go on.
+func (u *Upstream) ClosePort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.tcp.Close()
+	for _, conn := range u.held {
+		_ = conn.Close()
+	}
+	u.held = nil
+}
+
+// SetServiceTime sets the time that each request takes from now on.
+func (u *Upstream) SetServiceTime(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ServiceTime = d
+}
+
 // CloseIdle has the upstream close connections on which no request has come for a time.
 func (u *Upstream) CloseIdle(after time.Duration) {
 	u.mu.Lock()
