Flows: packets that no process takes prove the end of an upstream

Cause: without a recent entry the agent went by unanswered packets alone.

Change: while the port is closed and the end not proven, packets to the upstream go over a connected socket, on which the kernel reports datagrams for which no process has a socket. The last packet with data of an open flow is sent once more if it has no answer, as its caller's next one may come 0.4 s later; a process takes it for a retransmission.

--- a/internal/flow/jmpass/ended.go
+++ b/internal/flow/jmpass/ended.go
@@ -34,6 +34,7 @@
 	EndNotAnnounced          // it was not leaving, and so did not close its port itself
 	EndRemoved               // it was leaving, and its entry was removed
 	EndUnlisted              // the directory has no entry of it
+	EndRefused               // no process has the socket for its packets
 	EndUnresponsive          // it leaves packets unanswered that a process answers
 )
 
@@ -46,6 +47,8 @@
 		return "entry removed"
 	case EndUnlisted:
 		return "not listed"
+	case EndRefused:
+		return "packet refused"
 	case EndUnresponsive:
 		return "packets unanswered"
 	}
@@ -97,6 +100,20 @@
 	}
 }
 
+// HandleRefusedPacket handles that a packet reached no process, which was sent to the upstream
+// while its port was closed.
+func (a *Agent) HandleRefusedPacket(now time.Time) []Message {
+	a.begin(now)
+	if !a.upstream.closedSince.IsZero() && !a.upstream.isDown {
+		a.recordEnd(now, EndRefused)
+	}
+	return a.out
+}
+
+// UnansweredSince returns when the first packet was sent to the upstream since its last one, zero
+// if there is none.
+func (a *Agent) UnansweredSince() time.Time { return a.upstream.unansweredSince }
+
 // UpstreamEnd returns whether the upstream's port is closed, and whether its process is known to
 // have ended.
 func (a *Agent) UpstreamEnd() (isClosed, hasEnded bool) {
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -80,7 +80,8 @@
 	watched    *net.TCPConn
 	isWatching bool
 	watchedAt  time.Time
-	watchTerm  watchTerm // for watch only
+	watchTerm  watchTerm  // for watch only
+	direct     directConn // guarded by mu
 	silent     silentAgents
 	outbound   *net.UDPConn // receives the upstream's packets
 }
@@ -121,11 +122,12 @@
 		return err
 	}
 	defer a.outbound.Close()
+	defer a.closeDirect()
 	// A sender is for one goroutine: these are for the reader of peers, the tick
 	// loop and the reader of the upstream.
 	var senders [3]*sender
 	for i, conn := range []*net.UDPConn{a.peers, a.peers, a.outbound} {
-		if senders[i], err = a.newSender(conn); err != nil {
+		if senders[i], err = a.newAgentSender(conn); err != nil {
 			return err
 		}
 	}
@@ -296,6 +298,9 @@
 			return false
 		}
 		out, reason := a.machine.HandlePeer(now, from, &h, &p, body)
+		if reason == jmpass.ReasonHeld && !p.Flags.Has(jasminemoor.FlagOpen) {
+			a.direct.keep(now, &p, body)
+		}
 		s.send(out, body)
 		a.logDecision(now, reason, &p, body, last(out))
 	default:
@@ -378,6 +383,7 @@
 	out, shouldProbe := a.machine.Tick(now)
 	s.send(out, nil)
 	a.logOutcomes(out)
+	a.updateDirect(now, s)
 	a.logSilentAgents(now)
 	return shouldProbe, a.startWatch(now)
 }
@@ -466,7 +472,7 @@
 	if a.lastProbeResult.Swap(int32(result)) != int32(result) {
 		a.Log.WithField("Result", result.String()).Info("upstream: result of the probe has changed")
 	}
-	s, err := a.newSender(a.peers)
+	s, err := a.newAgentSender(a.peers)
 	if err != nil {
 		a.Log.WithError(err).Error("process: socket can't be set up for writing")
 		return
@@ -483,9 +489,11 @@
 func (a *Agent) handleProbe(result jmpass.ProbeResult, s *sender) (hasEnded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := a.machine.HandleProbe(time.Now(), result)
+	now := time.Now()
+	out := a.machine.HandleProbe(now, result)
 	s.send(out, nil)
 	a.logOutcomes(out)
+	a.updateDirect(now, s)
 	_, hasEnded = a.machine.UpstreamEnd()
 	return hasEnded
 }
--- a/internal/flow/jmpassnode/ended_test.go
+++ b/internal/flow/jmpassnode/ended_test.go
@@ -91,17 +91,33 @@
 	}
 }
 
-// TestCrashedUpstreamIsReset crashes an upstream with a request. Its caller can try elsewhere soon.
+// TestCrashedUpstreamIsReset crashes an upstream with a request. Its caller can try elsewhere soon,
+// whether or not the directory shows that the upstream did not end by itself.
 func TestCrashedUpstreamIsReset(t *testing.T) {
-	s := newSite(t)
-	f := s.openAt("shop1")
-	u := s.upstreams[1]
-	u.SetServiceTime(time.Second)
-	began := time.Now()
-	time.AfterFunc(50*time.Millisecond, u.Crash)
-	_, err := s.do(f, "lost")
-	require.ErrorIs(t, err, jmpackets.ErrReset)
-	took := time.Since(began)
-	t.Logf("reset after %s", took)
-	require.Less(t, took, 600*time.Millisecond)
+	for name, prepare := range map[string]func(s *site){
+		"listed": func(*site) {},
+		"leaving": func(s *site) {
+			s.register(1, "shop", "draining")
+			s.awaitLeaving()
+		},
+		"store is lost": func(s *site) {
+			s.store.SetFault(netip.Addr{}, jmstore.FaultSilent)
+			time.Sleep(4 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			f := s.openAt("shop1")
+			prepare(s)
+			u := s.upstreams[1]
+			u.SetServiceTime(time.Second)
+			began := time.Now()
+			time.AfterFunc(50*time.Millisecond, u.Crash)
+			_, err := s.do(f, "lost")
+			require.ErrorIs(t, err, jmpackets.ErrReset)
+			took := time.Since(began)
+			t.Logf("reset after %s", took)
+			require.Less(t, took, 600*time.Millisecond)
+		})
+	}
 }
--- a/internal/flow/jmpassnode/sender.go
+++ b/internal/flow/jmpassnode/sender.go
@@ -52,6 +52,7 @@
 	peerPort   uint16
 	callerPort uint16
 	upstream   netip.AddrPort
+	direct     *directConn // goes before upstream while it is open; nil for balancers
 	writer     *batchWriter
 	header     [jmhop.HeaderSize]byte
 	body       []byte // scratch space
@@ -72,7 +73,9 @@
 	switch m.Kind {
 	case jmpass.ToUpstream:
 		s.codec.Restore(packet)
-		s.writer.add(s.upstream, packet, nil)
+		if !s.direct.write(packet) {
+			s.writer.add(s.upstream, packet, nil)
+		}
 	case jmpass.ToCaller:
 		s.writer.add(netip.AddrPortFrom(m.Flow.Caller().Addr(), s.callerPort), packet, nil)
 	case jmpass.Reset:
--- a/internal/flow/jmpassnode/watch.go
+++ b/internal/flow/jmpassnode/watch.go
@@ -192,7 +192,7 @@
 
 // endWatch tells the machine that a connection has ended, unless checkWatch has.
 func (a *Agent) endWatch(conn *net.TCPConn) {
-	s, err := a.newSender(a.peers)
+	s, err := a.newAgentSender(a.peers)
 	if err != nil {
 		a.Log.WithError(err).Error("process: socket can't be set up for writing")
 		return
