Explore: upstreams that leave and close their ports

Two fleets, steps "leave" and "close", and a bound on how late packets between an agent and its upstream are.

--- a/internal/measure/jmexplore/directory.go
+++ b/internal/measure/jmexplore/directory.go
@@ -27,10 +27,11 @@
 
 // entry is the entry of a node's upstream.
 type entry struct {
-	isListed bool
-	service  string
-	born     time.Time
-	removed  time.Time // zero if it never was
+	isListed  bool
+	isLeaving bool
+	service   string
+	born      time.Time
+	removed   time.Time // zero if it never was
 }
 
 // directoryCopy is a process's copy of the directory.
@@ -71,6 +72,7 @@
 		if u := n.upstream; u.isUp && u.starts != u.listed {
 			e, u.listed = entry{isListed: true, service: u.service, born: w.now}, u.starts
 		}
+		e.isLeaving = e.isLeaving || n.upstream.isUp && !n.upstream.left.IsZero()
 		if slices.Contains(lapsed, i) {
 			e.isListed, e.removed = false, w.now
 		}
@@ -168,6 +170,9 @@
 			},
 			IsRemoved: !e.isListed, RemovedAt: e.removed,
 		}
+		if e.isLeaving {
+			u.State = jasminemoor.UpstreamLeaving
+		}
 		if e.born.After(w.directory.history[c.first].at) {
 			u.StartedAfter = e.born.Add(-startUncertainty)
 		}
--- a/internal/measure/jmexplore/ends.go
+++ b/internal/measure/jmexplore/ends.go
@@ -79,6 +79,10 @@
 	starts  int
 	listed  int // value of starts of the run that the directory lists
 	ended   time.Time
+	// left is when the upstream was listed as leaving, zero if it was not. isClosed is set if its
+	// port is closed, while it still serves its flows.
+	left     time.Time
+	isClosed bool
 	flows   map[jasminemoor.FlowKey]*upstreamFlow
 	// accepted has the flows that this upstream and those before it have accepted.
 	accepted []jasminemoor.FlowKey
@@ -95,6 +99,7 @@
 func (u *upstream) start(service string) {
 	u.starts++
 	u.isUp, u.service, u.flows = true, service, make(map[jasminemoor.FlowKey]*upstreamFlow)
+	u.left, u.isClosed = time.Time{}, false
 }
 
 // killUpstream ends an upstream's process, with its flows and the packets that wait for it.
--- a/internal/measure/jmexplore/fleet.go
+++ b/internal/measure/jmexplore/fleet.go
@@ -26,6 +26,11 @@
 	// viewRetention how long views keep it after that.
 	entryLapse    = 4 * time.Second
 	viewRetention = 6 * time.Second
+	// drainTime is how long an upstream keeps its port open at least once it is listed as leaving.
+	drainTime = 3 * time.Second
+	// maxLocalDelay is how long an upstream may take to read a packet and answer it, or its agent to
+	// read the answer.
+	maxLocalDelay = 100 * time.Millisecond
 	// maxTime bounds the time of a run, as flows are dropped by the idle timeout of 30 s.
 	maxTime = 25 * time.Second
 	// recoveryTime is how long after the last fault a lost flow may go without a reset.
@@ -55,6 +60,9 @@
 	IsInStep bool
 	// NeedsReset requires a lost flow to be reset also while its service has no upstream at all.
 	NeedsReset bool
+	// CanLeave has upstreams leave in an orderly way. Packets between an agent and its upstream are
+	// late by maxLocalDelay at most then.
+	CanLeave bool
 	// Without are kinds of step that are left out.
 	Without []StepKind
 	// MaxFaults and MaxSends bound the faults, and the packets that callers send, where all
@@ -243,6 +251,9 @@
 func (w *world) tick() {
 	w.now = w.now.Add(tickInterval)
 	w.wire = slices.DeleteFunc(w.wire, func(d datagram) bool { return !d.isLocal() && w.now.Sub(d.at) > maxDelay })
+	if w.fleet.CanLeave {
+		w.deliverLocal()
+	}
 	for _, p := range w.processes {
 		if !p.isUp {
 			continue
@@ -260,7 +271,7 @@
 			continue
 		}
 		result := jmpass.ProbeRefused
-		if p.upstream.isUp {
+		if p.upstream.isUp && !p.upstream.isClosed {
 			result = jmpass.ProbeAccepted
 		}
 		w.note("probe of %s: %s", p.addr, result)
@@ -381,6 +392,16 @@
 	}
 }
 
+// deliverLocal delivers the packets between agents and their upstreams that are late.
+func (w *world) deliverLocal() {
+	isLate := func(d datagram) bool { return d.isLocal() && w.now.Sub(d.at) >= maxLocalDelay }
+	for at := slices.IndexFunc(w.wire, isLate); at >= 0 && w.violation == ""; at = slices.IndexFunc(w.wire, isLate) {
+		d := w.wire[at]
+		w.wire = slices.Delete(w.wire, at, at+1)
+		w.deliver(d)
+	}
+}
+
 // recover ends all faults, and checks that each lost flow is reset and any other is served
 // within recoveryTime.
 func (w *world) recover() {
--- a/internal/measure/jmexplore/fleets.go
+++ b/internal/measure/jmexplore/fleets.go
@@ -49,5 +49,16 @@
 			Name: "moved", Balancers: 2, Nodes: []string{shop, desk}, Flows: []string{shop}, Services: []string{shop, desk},
 			Prefix: steps(open), IsInStep: true, MaxFaults: 2, MaxSends: 3,
 		},
+		{
+			Name: "closing", Balancers: 2, Nodes: []string{shop, shop}, Flows: []string{shop},
+			Prefix: steps(open + "; leave 2; leave 3; pass 2100; pass 2100"), IsInStep: true, CanLeave: true,
+			Without: []StepKind{Leave, Reuse, Move, Join, Revive}, MaxFaults: 3, MaxSends: 4,
+		},
+		{
+			// A copy that lags says that the upstreams are ready.
+			Name: "leaving", Balancers: 1, Nodes: []string{shop, shop}, Flows: []string{shop},
+			Prefix: steps(open), CanLeave: true,
+			Without: []StepKind{Reuse, Move, Join, Revive}, MaxFaults: 3, MaxSends: 4,
+		},
 	}
 }
--- a/internal/measure/jmexplore/state.go
+++ b/internal/measure/jmexplore/state.go
@@ -59,7 +59,7 @@
 // reference of searches to their agent, and the rates of messages, which so few flows don't
 // exhaust. A snapshot follows from the copy. z is an address's zone, which has a pointer.
 var ignored = []string{
-	"Counts", "out", "scratch", "reports", "snapshot", "view", "z", "agent", "budget", "reportBudget", "due", "OnAnswer", "OnSearchTimeout", "OnRelease", "OnOverload",
+	"Counts", "out", "scratch", "reports", "snapshot", "view", "z", "agent", "budget", "reportBudget", "due", "OnAnswer", "OnSearchTimeout", "OnRelease", "OnEnd", "OnOverload",
 }
 
 func (r *renderer) value(v reflect.Value) {
--- a/internal/measure/jmexplore/step.go
+++ b/internal/measure/jmexplore/step.go
@@ -31,6 +31,8 @@
 	Revive  StepKind = "revive"  // the upstream of process At starts again
 	Reuse   StepKind = "reuse"   // process At and its upstream end, and run service To instead
 	Join    StepKind = "join"    // process At starts with its upstream, for the first time
+	Leave   StepKind = "leave"   // the upstream of process At is listed as leaving
+	Close   StepKind = "close"   // the upstream of process At, which is leaving, closes its port
 	Lapse   StepKind = "lapse"   // the entry of the upstream of process At is removed
 	Move    StepKind = "move"    // the route of flow At moves to service To
 )
@@ -83,7 +85,7 @@
 // isFault reports whether a step counts against Fleet.MaxFaults.
 func (s Step) isFault() bool {
 	switch s.Kind {
-	case Lose, Double, Restart, Stop, Kill, Reuse, Join, Lapse, Move:
+	case Lose, Double, Restart, Stop, Kill, Reuse, Join, Leave, Lapse, Move:
 		return true
 	}
 	return false
@@ -127,6 +129,7 @@
 	for i := range w.processes {
 		add(Step{Kind: Copy, At: i}, Step{Kind: OldCopy, At: i}, Step{Kind: Restart, At: i}, Step{Kind: Stop, At: i}, Step{Kind: Start, At: i})
 		add(Step{Kind: Kill, At: i}, Step{Kind: Revive, At: i}, Step{Kind: Join, At: i}, Step{Kind: Lapse, At: i})
+		add(Step{Kind: Leave, At: i}, Step{Kind: Close, At: i})
 		for s := range w.fleet.Services {
 			add(Step{Reuse, i, s})
 		}
@@ -199,9 +202,14 @@
 		return !p.upstream.isUp
 	case Reuse:
 		return p.service != w.fleet.Services[s.To]
+	case Leave:
+		return w.fleet.CanLeave && p.upstream.isUp && p.upstream.left.IsZero()
+	case Close:
+		u := p.upstream
+		return u.isUp && !u.left.IsZero() && !u.isClosed && w.now.Sub(u.left) >= drainTime
 	case Lapse:
 		e := w.directory.newest().entries[s.At-w.fleet.Balancers]
-		return e.isListed && !p.upstream.isUp && w.now.Sub(p.upstream.ended) >= entryLapse
+		return e.isListed && !p.upstream.isUp && (e.isLeaving || w.now.Sub(p.upstream.ended) >= entryLapse)
 	}
 	return false
 }
@@ -274,6 +282,11 @@
 		p.upstream.start(p.service)
 		w.startProcess(p, false)
 		w.publish()
+	case Leave:
+		p.upstream.left = w.now
+		w.publish()
+	case Close:
+		p.upstream.isClosed = true
 	case Lapse:
 		w.publish(s.At - w.fleet.Balancers)
 	}
