Flows: a copy of the directory is not trusted right after a stall of the agent

An agent that stands still for seconds finds beacons in its socket whose age counts from when they were sent. Its copy seemed recent then although it may lack that the upstream is leaving, so a closed port was taken for a crash. Found by reading; TestStalledAgentHasOldCopy fails on the commit before in both orders of probe and tick.

Change: for 0.5 s after a stall of 250 ms the copy proves nothing. A crash is found later by as much then.

The soak has every other upstream that is replaced leave in an orderly way: it closes its port and serves on for 0.7 s; the agent of every fourth is killed.

--- a/internal/flow/jmpass/ended.go
+++ b/internal/flow/jmpass/ended.go
@@ -86,7 +86,7 @@
 	if a.OnEnd != nil {
 		a.OnEnd(proof, now.Sub(u.closedSince), now.Sub(a.snapshot.AsOf))
 	}
-	a.table.stall = stall{ticked: a.table.stall.ticked}
+	a.table.stall = stall{ticked: a.table.stall.ticked, resumedAt: a.table.stall.resumedAt}
 	a.sawUpstreamDown, u.isDown = true, true
 	a.endFlowProbes()
 	for _, key := range sortedFlows(a.table.flows) {
@@ -122,7 +122,8 @@
 
 // listedEnd returns what the directory shows of the end of the upstream, whose port is closed.
 func (a *Agent) listedEnd(now time.Time) (proof EndProof) {
-	if a.snapshot.View == nil || now.Sub(a.snapshot.AsOf) >= a.drainTime()-drainMargin || now.Before(a.snapshot.CompleteAt) {
+	isRecent := now.Sub(a.snapshot.AsOf) < a.drainTime()-drainMargin && a.table.stall.hasSettled(now)
+	if a.snapshot.View == nil || !isRecent || now.Before(a.snapshot.CompleteAt) {
 		return EndUnproven
 	}
 	entries := a.entriesOfAddress()
--- a/internal/flow/jmpass/ended_test.go
+++ b/internal/flow/jmpass/ended_test.go
@@ -172,8 +172,10 @@
 	}
 	for ; now.Sub(startTime.Add(maxViewAge)) < lapseGrace; now = now.Add(probeInterval) {
 		a.SetSnapshot(snapshotAt(now, lapsed))
+		_, _ = a.Tick(now)
 		require.Nil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
 	}
+	_, _ = a.Tick(now)
 	require.NotNil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
 }
 
@@ -190,3 +192,41 @@
 	out, _ := a.Tick(startTime.Add(10 * time.Second))
 	require.Nil(t, find(out, Reset))
 }
+
+// TestStalledAgentHasOldCopy stalls an agent while its upstream begins to leave. A beacon that has
+// waited for the agent makes its copy seem recent, and the port is closed by then.
+func TestStalledAgentHasOldCopy(t *testing.T) {
+	for name, isTicked := range map[string]bool{"the probe ends first": false, "a tick comes first": true} {
+		t.Run(name, func(t *testing.T) {
+			a := newAgent(true, snapshot(3))
+			openFlow(t, a)
+			_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(jmhop.FlagKnown), dataPacket(callerSequence+1, 10), nil)
+			_, _ = a.Tick(startTime)
+			now := startTime.Add(4 * time.Second)
+			a.SetSnapshot(snapshotAt(now))
+			if isTicked {
+				_, _ = a.Tick(now)
+			}
+			require.Nil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
+			a.SetSnapshot(snapshotAt(now, leaving(1)))
+			for range 5 {
+				now = now.Add(probeInterval)
+				_, _ = a.Tick(now)
+				a.SetSnapshot(snapshotAt(now, leaving(1)))
+				require.Nil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
+			}
+		})
+	}
+	a := newAgent(true, snapshot(3))
+	openFlow(t, a)
+	_, _ = a.HandlePeer(startTime, balancerAddr, forwardHeader(jmhop.FlagKnown), dataPacket(callerSequence+1, 10), nil)
+	_, _ = a.Tick(startTime)
+	now := startTime.Add(4 * time.Second)
+	for end := now.Add(settleTime); now.Before(end); now = now.Add(25 * time.Millisecond) {
+		a.SetSnapshot(snapshotAt(now))
+		_, _ = a.Tick(now)
+		require.Nil(t, find(a.HandleProbe(now, ProbeRefused), Reset))
+	}
+	_, _ = a.Tick(now)
+	require.NotNil(t, find(a.HandleProbe(now, ProbeRefused), Reset), "it has crashed")
+}
--- a/internal/flow/jmpass/stall.go
+++ b/internal/flow/jmpass/stall.go
@@ -22,13 +22,24 @@
 	isAlive bool
 	// endedAt is when the upstream, or the agent, went on after the latest stall.
 	endedAt time.Time
-	ticked  time.Time
+	// resumedAt is when the agent itself last went on after a stall.
+	resumedAt time.Time
+	ticked    time.Time
+}
+
+// settleTime is how long after a stall of the agent a copy of the directory may be older than
+// it seems, by messages that have waited for the agent.
+const settleTime = 500 * time.Millisecond
+
+// hasSettled reports whether the agent has not stalled lately.
+func (s *stall) hasSettled(now time.Time) bool {
+	return s.ticked.IsZero() || now.Sub(s.ticked) <= agentStall && (s.resumedAt.IsZero() || now.Sub(s.resumedAt) >= settleTime)
 }
 
 // recordTick records that the agent runs.
 func (s *stall) recordTick(now time.Time) {
 	if !s.ticked.IsZero() && now.Sub(s.ticked) > agentStall {
-		s.endedAt = now
+		s.endedAt, s.resumedAt = now, now
 	}
 	s.ticked = now
 }
--- a/internal/measure/jmexplore/ends.go
+++ b/internal/measure/jmexplore/ends.go
@@ -83,7 +83,7 @@
 	// port is closed, while it still serves its flows.
 	left     time.Time
 	isClosed bool
-	flows   map[jasminemoor.FlowKey]*upstreamFlow
+	flows    map[jasminemoor.FlowKey]*upstreamFlow
 	// accepted has the flows that this upstream and those before it have accepted.
 	accepted []jasminemoor.FlowKey
 }
--- a/internal/standin/jmprocess/soakchanges_test.go
+++ b/internal/standin/jmprocess/soakchanges_test.go
@@ -25,6 +25,8 @@
 	evacuationLag = 5 * time.Second // after which no new flows go to an evacuated data centre
 	settledTime   = 1500 * time.Millisecond
 	lapseTime     = 5 * time.Second // after which the entry of an upstream that ended is removed
+	drainTime     = 3200 * time.Millisecond
+	closedTime    = 700 * time.Millisecond // for which an upstream serves with a closed port
 )
 
 // soakChanges are changes by the operator while faults are injected. They have random
@@ -189,11 +191,28 @@
 	s.startProcess("agent", addrAgent, i, false)
 }
 
+// closeUpstream has upstream i leave and close its port, while it serves its flows. Its agent may
+// be killed then.
+func (s *soak) closeUpstream(i int) {
+	s.recordFault("upstream %d leaves", i)
+	s.registerUpstream(i, "draining")
+	time.Sleep(drainTime)
+	s.recordFault("upstream %d closes its port", i)
+	s.upstream(i).ClosePort()
+	if i%4 == 0 {
+		s.restartAgent(i)
+	}
+	time.Sleep(closedTime)
+}
+
 // replaceUpstream ends the oldest of the extra upstreams for good, has its agent leave and
-// starts another upstream in the same service.
+// starts another upstream in the same service. Every other one ends in an orderly way.
 func (s *soak) replaceUpstream() {
 	c := s.changes
 	i := c.extras[0]
+	if i%2 == 0 {
+		s.closeUpstream(i)
+	}
 	s.recordFault("upstream %d ends for good", i)
 	s.mu.Lock()
 	s.crashes[i-1]++
