Flows: unanswered packets end no upstream where refusals are reported

A leaving upstream that reads no packets while it works on its last request (a program with one thread) was taken for ended after three unanswered packets and 250 ms, if its agent had just been started again: silence was the proof.

Change: an agent finds out at its start whether the kernel reports a datagram that no process takes, with one to a free port of its own. If so, only such a report counts, not silence.

--- a/internal/flow/jmpass/agent.go
+++ b/internal/flow/jmpass/agent.go
@@ -39,6 +39,9 @@
 	// DrainTime is how long an upstream serves at least after the directory has listed it as
 	// leaving. If it is not set, defaultDrainTime is used.
 	DrainTime time.Duration
+	// ReportsRefusals is set if HandleRefusedPacket is called for a packet that no process takes.
+	// Then packets that are only unanswered don't show that the upstream has ended.
+	ReportsRefusals bool
 	// ColdOverrun and ColdSlack bound the new flows that the upstream gets in any second
 	// while it warms up: the rate of its service times ColdOverrun plus ColdSlack. A
 	// ColdOverrun of 0 counts as 1.
@@ -473,9 +476,9 @@
 }
 
 // Tick sends the reports that are due, ends old flow probes, resets the flows of an upstream
-// that has ended, advances the searches, admits queued requests and evicts old entries. It is called several times in each
-// reportInterval. If shouldProbe is set, the upstream's port is to be probed and the
-// result passed to HandleProbe.
+// that has ended, advances the searches, admits queued requests and evicts old entries. It is
+// called several times in each reportInterval. If shouldProbe is set, the upstream's port is
+// to be probed and the result passed to HandleProbe.
 func (a *Agent) Tick(now time.Time) (out []Message, shouldProbe bool) {
 	a.begin(now)
 	a.table.stall.recordTick(now)
--- a/internal/flow/jmpass/ended.go
+++ b/internal/flow/jmpass/ended.go
@@ -64,13 +64,13 @@
 }
 
 // checkSilence checks whether the process of an upstream whose port is closed has ended, by the
-// packets that it leaves unanswered.
+// packets that it leaves unanswered, where nothing better is to be had.
 func (a *Agent) checkSilence(now time.Time) {
 	u, limit := &a.upstream, minSilence
 	if u.hasAnswered {
 		limit = a.table.requestTimeout(now)
 	}
-	if u.closedSince.IsZero() || u.isDown || u.unanswered < minUnanswered {
+	if a.ReportsRefusals || u.closedSince.IsZero() || u.isDown || u.unanswered < minUnanswered {
 		return
 	}
 	// What keeps the agent from running may keep the upstream.
--- a/internal/flow/jmpass/ended_test.go
+++ b/internal/flow/jmpass/ended_test.go
@@ -230,3 +230,20 @@
 	_, _ = a.Tick(now)
 	require.NotNil(t, find(a.HandleProbe(now, ProbeRefused), Reset), "it has crashed")
 }
+
+// TestSilenceIsNoEndWhereRefusalsAreReported has an upstream that is leaving read no packets for long
+// while it works. Where the kernel says that no process takes a packet, only that counts.
+func TestSilenceIsNoEndWhereRefusalsAreReported(t *testing.T) {
+	a := newAgent(true, snapshot(3))
+	a.ReportsRefusals = true
+	openFlow(t, a)
+	a.SetSnapshot(snapshot(3, leaving(1)))
+	now := startTime
+	for ; now.Sub(startTime) < 3*minRequestTimeout; now = now.Add(25 * time.Millisecond) {
+		_, _ = a.HandlePeer(now, balancerAddr, forwardHeader(jmhop.FlagKnown), dataPacket(callerSequence+1, 10), nil)
+		requireEndUntold(t, a.HandleProbe(now, ProbeRefused))
+		out, _ := a.Tick(now)
+		requireEndUntold(t, out)
+	}
+	require.NotNil(t, find(a.HandleRefusedPacket(now), Reset))
+}
--- a/internal/flow/jmpassnode/agent.go
+++ b/internal/flow/jmpassnode/agent.go
@@ -102,7 +102,7 @@
 	a.machine.Self, a.machine.Upstream, a.machine.Service = s.Address, s.Upstream, s.Service
 	a.machine.CanReadSettings = a.ReadSettings != nil
 	a.machine.IsFirstStart, a.machine.MaxFlowAge = s.IsFirstStart, time.Duration(s.MaxFlowAge)
-	a.machine.DrainTime = time.Duration(s.DrainTime)
+	a.machine.DrainTime, a.machine.ReportsRefusals = time.Duration(s.DrainTime), reportsRefusals(s.Address)
 	a.machine.ColdOverrun, a.machine.ColdSlack = s.ColdOverrun, s.ColdSlack
 	a.machine.Incarnation = jasminemoor.NewIncarnation(time.Now())
 	a.SetShares(s.Shares)
--- a/internal/flow/jmpassnode/direct.go
+++ b/internal/flow/jmpassnode/direct.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -42,18 +43,42 @@
 
 // hasRefusal reports whether a datagram was refused.
 func (d *directConn) hasRefusal() bool {
-	if d.conn == nil || d.isRefused {
-		return d.isRefused
+	if d.conn != nil && !d.isRefused {
+		d.isRefused = hasRefused(d.conn)
 	}
-	raw, err := d.conn.SyscallConn()
+	return d.isRefused
+}
+
+// hasRefused reports whether a datagram that was sent on a connected socket was refused.
+func hasRefused(conn *net.UDPConn) (isRefused bool) {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
 	_ = raw.Control(func(fd uintptr) {
 		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-		d.isRefused = err == nil && syscall.Errno(code) == syscall.ECONNREFUSED
+		isRefused = err == nil && syscall.Errno(code) == syscall.ECONNREFUSED
 	})
-	return d.isRefused
+	return isRefused
+}
+
+// reportsRefusals reports whether the kernel reports datagrams to the instance's own address that
+// no process takes. It sends one to a port that is free.
+func reportsRefusals(at netip.Addr) bool {
+	local := net.UDPAddr{IP: at.AsSlice()}
+	free, err := net.ListenUDP("udp4", &local)
+	if err != nil {
+		return false
+	}
+	to := free.LocalAddr().(*net.UDPAddr) // as of any UDPConn
+	_ = free.Close()
+	conn, err := net.DialUDP("udp4", &local, to)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte{0})
+	return errors.Is(err, syscall.ECONNREFUSED) || hasRefused(conn)
 }
 
 func (d *directConn) close() {
--- a/internal/standin/jmpackets/upstream.go
+++ b/internal/standin/jmpackets/upstream.go
@@ -115,6 +115,14 @@
 	u.held = nil
 }
 
+// Pause has the upstream handle no packets for a time, as one that works on a request does if it
+// has only one thread.
+func (u *Upstream) Pause(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	time.Sleep(d)
+}
+
 // SetServiceTime sets the time that each request takes from now on.
 func (u *Upstream) SetServiceTime(d time.Duration) {
 	u.mu.Lock()
