--- a/internal/flow/jmpassnode/ended_test.go
+++ b/internal/flow/jmpassnode/ended_test.go
@@ -50,16 +50,12 @@
 		work      time.Duration
 		meanwhile func(s *site)
 	}{
-		"short":         {300 * time.Millisecond, func(*site) {}},
-		"long":          {2500 * time.Millisecond, func(*site) {}},
-		"store is lost": {2 * time.Second, func(s *site) { s.store.SetFault(netip.Addr{}, jmstore.FaultSilent) }},
-		"upstream reads nothing meanwhile": {2500 * time.Millisecond, func(s *site) {
-			s.agents[1].kill()
-			s.startAgent(1, "shop", false)
-			s.upstreams[1].Pause(1500 * time.Millisecond)
-		}},
-		"agent is restarted": {time.Second, func(s *site) { s.agents[1].stop(); s.startAgent(1, "shop", false) }},
-		"agent is killed":    {time.Second, func(s *site) { s.agents[1].kill(); s.startAgent(1, "shop", false) }},
+		"short":                            {300 * time.Millisecond, func(*site) {}},
+		"long":                             {2500 * time.Millisecond, func(*site) {}},
+		"store is lost":                    {2 * time.Second, func(s *site) { s.store.SetFault(netip.Addr{}, jmstore.FaultSilent) }},
+		"upstream reads nothing meanwhile": {2500 * time.Millisecond, func(s *site) { s.upstreams[1].Pause(2 * time.Second) }},
+		"agent is restarted":               {time.Second, func(s *site) { s.agents[1].stop(); s.startAgent(1, "shop", false) }},
+		"agent is killed":                  {time.Second, func(s *site) { s.agents[1].kill(); s.startAgent(1, "shop", false) }},
 		"agent is restarted twice": {2 * time.Second, func(s *site) {
 			for range 2 {
 				s.agents[1].stop()
