Flows: a copy that lacks a route resets no open flow that the balancer doesn't know

Cause: a balancer took a route that its copy lacks for one that was dropped, for any packet.

Change: packets of a flow that the balancer doesn't know are dropped, but for opening packets. One that it knows was placed by a copy with the route, so a newer one has dropped it.

TestLaggingCopyResetsNoOpenFlow fails on the commit before.

Cost: a caller whose route was dropped waits for its deadline if its packets come to another balancer than before, or that was restarted.

--- a/internal/flow/jmpass/balancer.go
+++ b/internal/flow/jmpass/balancer.go
@@ -117,10 +117,14 @@
 	b.rotate(now)
 	flow := p.Key()
 	route := b.snapshot.Routes[p.Destination]
+	known, found := b.find(flow)
 	if route == nil {
+		if !found && !p.Flags.Has(jasminemoor.FlagOpen) {
+			// The copy may lack the route by which another balancer has placed the flow.
+			return m, ReasonNoRoute
+		}
 		return b.refuse(now, flow, p), ReasonNoRoute
 	}
-	known, found := b.find(flow)
 	if p.Flags.Has(jasminemoor.FlagOpen) {
 		return b.place(now, flow, p, route, known, found)
 	}
--- a/internal/flow/jmpass/balancer_test.go
+++ b/internal/flow/jmpass/balancer_test.go
@@ -259,3 +259,22 @@
 	b.HandleReport(startTime, first, &jmhop.Report{Incarnation: 2})
 	require.Equal(t, first, to(startTime), "the next agent runs")
 }
+
+// TestLaggingCopyResetsNoOpenFlow sends a packet of an open flow to a balancer whose copy lacks the
+// route by which another one has placed it. A flow whose route is dropped is still reset.
+func TestLaggingCopyResetsNoOpenFlow(t *testing.T) {
+	b := &Balancer{Self: balancerAddr, DataCentre: "a"}
+	b.SetSnapshot(snapshot(2))
+	p := dataPacket(callerSequence+1, 10)
+	p.Destination = netip.MustParseAddrPort("198.18.0.7:1")
+	m, reason := b.Handle(startTime, p)
+	require.Equal(t, Dropped, m.Kind)
+	require.Equal(t, ReasonNoRoute, reason)
+
+	_, reason = b.Handle(startTime, openingPacket(shop))
+	require.Equal(t, ReasonPlaced, reason)
+	b.SetSnapshot(snapshot(2, func(v *jmdirectory.View) { delete(v.Routes, shop) }))
+	m, reason = b.Handle(startTime, dataPacket(callerSequence+1, 10))
+	require.Equal(t, Reset, m.Kind)
+	require.Equal(t, ReasonNoRoute, reason)
+}
