Agent: no connection for packets where refusals aren't reported

If the connection can't be opened, the agent goes by unanswered packets from then on, and logs that once instead of at each tick.

--- a/internal/flow/jmpassnode/direct.go
+++ b/internal/flow/jmpassnode/direct.go
@@ -14,7 +14,7 @@
 
 // directConn sends packets to an upstream whose port is closed. Its socket is connected, so that
 // the kernel reports a datagram for which no process has a socket: the upstream has ended then.
-// Not every platform reports that.
+// It is not used where that is not reported.
 type directConn struct {
 	conn      *net.UDPConn // nil unless the port is closed
 	isRefused bool
@@ -90,7 +90,7 @@
 
 // updateDirect opens the connection to the upstream while its port is closed and it is not known to
 // have ended, and tells the machine if a datagram was refused. It sends the last packet that was
-// not answered again, as its caller may not. a.mu must be locked.
+// not answered again, as its caller may not do so soon. a.mu must be locked.
 func (a *Agent) updateDirect(now time.Time, s *sender) {
 	d := &a.direct
 	isClosed, hasEnded := a.machine.UpstreamEnd()
@@ -99,10 +99,14 @@
 		return
 	}
 	if d.conn == nil {
+		if !a.machine.ReportsRefusals {
+			return
+		}
 		local := net.UDPAddr{IP: a.Settings.Address.AsSlice()}
 		conn, err := net.DialUDP("udp4", &local, net.UDPAddrFromAddrPort(a.Settings.Upstream))
 		if err != nil {
-			a.Log.WithError(err).Warn("upstream: no connection for packets")
+			a.machine.ReportsRefusals = false
+			a.Log.WithError(err).Warn("upstream: refused packets can't be seen")
 			return
 		}
 		d.conn = conn
