Test: a proxy's port is free for UDP as well

The test took a port that was free for TCP, and the proxy listens on the same one for UDP, which another program may have.

--- a/internal/standin/jmproxy/proxy_test.go
+++ b/internal/standin/jmproxy/proxy_test.go
@@ -36,16 +36,31 @@
 			go func() { _, _ = io.Copy(conn, conn) }()
 		}
 	}()
-	unused, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := netip.MustParseAddrPort(unused.Addr().String())
-	require.NoError(t, unused.Close())
-	p := &jmproxy.Proxy{Address: address, Target: netip.MustParseAddrPort(listener.Addr().String()), Latency: latency}
+	p := &jmproxy.Proxy{Address: freeAddress(t), Target: netip.MustParseAddrPort(listener.Addr().String()), Latency: latency}
 	require.NoError(t, p.Start(context.Background()))
 	t.Cleanup(p.Close)
 	return p
 }
 
+// freeAddress returns an address whose port is free for TCP and for UDP.
+func freeAddress(t *testing.T) (address netip.AddrPort) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return false
+		}
+		defer listener.Close()
+		address = netip.MustParseAddrPort(listener.Addr().String())
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	}, time.Second, time.Millisecond)
+	return address
+}
+
 // exchange sends one byte and waits for its echo.
 func exchange(conn net.Conn) error {
 	if _, err := conn.Write([]byte("x")); err != nil {
