--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -38,6 +38,7 @@
 	heartbeat   = 1200 * time.Millisecond
 	flowMaxAge  = "60s"
 	drainTime   = 3 * time.Second // drain_ms
+	graceTime   = 6 * time.Second // grace_s
 	slots       = 5
 	maxSeeds    = 3
 	dirMode     = 0o700
@@ -70,7 +71,8 @@
 	id       string // of the upstream's entry
 	seq      int
 	born     time.Time
-	mu       sync.Mutex // guards seq and state
+	count    int        // of the upstreams that came after the first one
+	mu       sync.Mutex // guards upstream, id, seq, born and state
 	state    string     // of the upstream's entry
 }
 
@@ -163,20 +165,48 @@
 
 // startUpstream starts the upstream of a machine and registers it.
 func (f *fleet) startUpstream(ctx context.Context, m *machine) error {
-	m.upstream = &upstream{
+	if err := f.runUpstream(ctx, m, "b-"+m.name); err != nil {
+		return err
+	}
+	go f.beat(ctx, m)
+	return nil
+}
+
+// runUpstream starts an upstream of a machine and writes its entry.
+func (f *fleet) runUpstream(ctx context.Context, m *machine, name string) error {
+	u := &upstream{
 		address: netip.AddrPortFrom(m.addr, portApp), outbound: netip.AddrPortFrom(m.addr, portOutbound),
-		name: "b-" + m.name, record: f.record,
+		name: name, record: f.record,
 	}
-	if err := m.upstream.start(ctx); err != nil {
+	if err := u.start(ctx); err != nil {
 		return err
 	}
-	m.born = time.Now()
-	f.closers = append(f.closers, m.upstream.end)
+	m.mu.Lock()
+	m.upstream, m.born = u, time.Now()
+	m.mu.Unlock()
 	f.setState(m, stateReady)
-	go f.beat(ctx, m)
 	return nil
 }
 
+// replaceUpstream starts another upstream at a machine whose former one has ended, and its agent.
+func (f *fleet) replaceUpstream(ctx context.Context, m *machine) error {
+	m.mu.Lock()
+	m.count++
+	m.id = fmt.Sprintf("i-%s-%d", m.name, m.count)
+	m.mu.Unlock()
+	if err := f.runUpstream(ctx, m, fmt.Sprintf("b-%s-%d", m.name, m.count)); err != nil {
+		return err
+	}
+	return f.startProcess(m, false)
+}
+
+// current returns the upstream of a machine.
+func (m *machine) current() *upstream {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.upstream
+}
+
 // States of an upstream's entry.
 const (
 	stateReady    = "ready"
@@ -204,12 +234,12 @@
 		return
 	}
 	m.seq++
-	value := map[string]any{
+	id, value := m.id, map[string]any{
 		"service": m.service, "address": netip.AddrPortFrom(m.addr, portApp), "zone": "a", "version": "1",
 		"max_concurrency": slots, "state": m.state, "cold_left_ms": 0, "seq": m.seq, "born": m.born.UnixMilli(),
 	}
 	m.mu.Unlock()
-	f.store.Put("servers/"+m.id, value)
+	f.store.Put("servers/"+id, value)
 }
 
 // beat writes the heartbeats of an upstream until ctx ends. Those of different upstreams come at
@@ -324,6 +354,11 @@
 			_ = m.log.Close()
 		}
 	}
+	for _, m := range f.machines {
+		if u := m.current(); u != nil {
+			u.end()
+		}
+	}
 	for _, c := range f.closers {
 		c()
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,7 +20,7 @@
 // scenario plays a case. It reports whether the rule was broken.
 type scenario func(ctx context.Context, f *fleet, hasTrouble bool) (isBroken bool, err error)
 
-var scenarios = map[string]scenario{"short-notice": shortNotice}
+var scenarios = map[string]scenario{"short-notice": shortNotice, "spot-only": spotOnly}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin3/setup.go
+++ b/review/standin3/setup.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,7 +39,7 @@
 	hash := func(n byte) uint64 { return xxhash.Sum64String(f.ip(kindAgent, n).String()) }
 	slices.SortFunc(numbers, func(x, y byte) int { return cmp.Compare(hash(y), hash(x)) })
 	for i, n := range numbers {
-		f.add("side-"+string('1'+rune(i)), kindAgent, n, serviceOrders)
+		f.add("side-"+strconv.Itoa(i+1), kindAgent, n, serviceOrders)
 	}
 }
 
--- a/review/standin3/shortnotice.go
+++ b/review/standin3/shortnotice.go
@@ -96,7 +96,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if isAnswerOf(answer, m.upstream.name) {
+		if isAnswerOf(answer, m.current().name) {
 			return flow, nil
 		}
 		flow.close()
--- a/review/standin3/upstream.go
+++ b/review/standin3/upstream.go
@@ -86,6 +86,14 @@
 	_ = u.health.Close()
 }
 
+// holds reports whether the backend runs and holds an open flow.
+func (u *upstream) holds(flow *callerFlow) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f := u.flows[flow.local]
+	return !u.hasEnded && f != nil && f.isOpen && !f.hasEnded
+}
+
 func (u *upstream) inProgress() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
