--- a/review/standin3/shortnotice.go
+++ b/review/standin3/shortnotice.go
@@ -24,12 +24,15 @@
 	shortWork = 50 * time.Millisecond
 	deadline  = 4 * time.Second
 	reclaims  = 3
+	// siteBackends is the number of backends, as on the site. Those that leave are not replaced in
+	// this case, so each is one of ten, nine and eight.
+	siteBackends = 10
 )
 
 // shortNotice takes backends away with a notice of two seconds. With hasTrouble, the agent that
 // reads the store is killed just before. The last request of each backend runs as that begins to exit.
 func shortNotice(ctx context.Context, f *fleet, hasTrouble bool) (isBroken bool, err error) {
-	addFleet(f, 2, reclaims+3)
+	addFleet(f, 2, siteBackends)
 	if err = startAll(ctx, f, stable); err != nil {
 		return false, err
 	}
--- a/review/standin3/spotonly.go
+++ b/review/standin3/spotonly.go
@@ -27,14 +27,12 @@
 	// after a flow has ended.
 	maxPause    = 60 * time.Millisecond
 	reopenDelay = 500 * time.Millisecond
-	// spotAgents is the number of backends, as on the site.
-	spotAgents = 10
 )
 
 // spotOnly takes backends away with a notice of two seconds, one after the other, at random times
 // of its clients' requests. Without hasTrouble none is taken away.
 func spotOnly(ctx context.Context, f *fleet, hasTrouble bool) (isBroken bool, err error) {
-	addFleet(f, 2, spotAgents)
+	addFleet(f, 2, siteBackends)
 	if err = startAll(ctx, f, stable); err != nil {
 		return false, err
 	}
